--- /dev/null
+++ b/packages/primroseferry-cli/src/primroseferry_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/packages/primroseferry-cli/src/primroseferry_cli/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the program: ``python -m primroseferry_cli``."""
+
+from __future__ import annotations
+
+from .console.application import main
+
+main()
--- /dev/null
+++ b/packages/primroseferry-cli/src/primroseferry_cli/console/__init__.py
@@ -0,0 +1,1 @@
+"""The console application and its commands."""
--- /dev/null
+++ b/packages/primroseferry-cli/src/primroseferry_cli/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/packages/primroseferry-core/src/primroseferry_core/__init__.py
@@ -0,0 +1,1 @@
+"""Ids, plans, errors, events and settings shared by every part of primroseferry."""
--- /dev/null
+++ b/packages/primroseferry-core/src/primroseferry_core/errors.py
@@ -0,0 +1,185 @@
+"""The closed list of error kinds and the table from each kind to the answer a caller gets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import Enum
+
+
+class Ran(Enum):
+    """Whether the work behind a request ran. ``NO`` is a proof, never a guess."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(Enum):
+    """Every reason for which a request can end without its answer."""
+
+    BAD_REQUEST = "bad-request"
+    BODY_TOO_LARGE = "body-too-large"
+    HEAD_TOO_LARGE = "head-too-large"
+    REQUEST_TOO_SLOW = "request-too-slow"
+    UNAUTHENTICATED = "unauthenticated"
+    UNKNOWN_PATH = "unknown-path"
+    UNKNOWN_MODEL = "unknown-model"
+    UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_OPERATION = "unknown-operation"
+    NO_PLAN = "no-plan"
+    NOT_PERMITTED = "not-permitted"
+    REGION_NOT_PERMITTED = "region-not-permitted"
+    KEY_REQUIRED = "key-required"
+    KEY_REUSED = "key-reused"
+    KEY_IN_PROGRESS = "key-in-progress"
+    KEY_NOT_CLAIMED = "key-not-claimed"
+    OVER_CAPACITY = "over-capacity"
+    WOULD_BE_LATE = "would-be-late"
+    NO_ENDPOINT = "no-endpoint"
+    RETRY_BUDGET_SPENT = "retry-budget-spent"
+    REGION_LOOP = "region-loop"
+    REQUEST_QUARANTINED = "request-quarantined"
+    GATEWAY_NOT_READY = "gateway-not-ready"
+    GATEWAY_DRAINING = "gateway-draining"
+    GATEWAY_BUSY = "gateway-busy"
+    DEADLINE_PASSED = "deadline-passed"
+    ENDPOINT_FAILED = "endpoint-failed"
+    ENDPOINT_REFUSED = "endpoint-refused"
+    ANSWER_INCOMPLETE = "answer-incomplete"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """What a caller is told for one kind of error.
+
+    ``status`` is the HTTP status code, ``ran`` says whether the work ran, ``title`` is a short
+    sentence that stays the same for the kind, and ``retry_after_s`` is the default number of
+    seconds after which the caller may come back, or ``None`` where asking again cannot help.
+    """
+
+    status: int
+    ran: Ran
+    title: str
+    retry_after_s: int | None
+
+
+ERROR_ANSWERS: dict[ErrorKind, ErrorAnswer] = {
+    ErrorKind.BAD_REQUEST: ErrorAnswer(400, Ran.NO, "The request is malformed", None),
+    ErrorKind.BODY_TOO_LARGE: ErrorAnswer(413, Ran.NO, "The body is too large", None),
+    ErrorKind.HEAD_TOO_LARGE: ErrorAnswer(431, Ran.NO, "The request head is too large", None),
+    ErrorKind.REQUEST_TOO_SLOW: ErrorAnswer(408, Ran.NO, "The request arrived too slowly", 1),
+    ErrorKind.UNAUTHENTICATED: ErrorAnswer(401, Ran.NO, "The client is not known", None),
+    ErrorKind.UNKNOWN_PATH: ErrorAnswer(404, Ran.NO, "There is no such resource", None),
+    ErrorKind.UNKNOWN_MODEL: ErrorAnswer(404, Ran.NO, "No plan names this model", None),
+    ErrorKind.UNKNOWN_SERVICE: ErrorAnswer(404, Ran.NO, "No plan names this service", None),
+    ErrorKind.UNKNOWN_OPERATION: ErrorAnswer(
+        404, Ran.NO, "The service declares no such operation", None
+    ),
+    ErrorKind.NO_PLAN: ErrorAnswer(403, Ran.NO, "The customer has no plan", None),
+    ErrorKind.NOT_PERMITTED: ErrorAnswer(403, Ran.NO, "The plan does not permit this", None),
+    ErrorKind.REGION_NOT_PERMITTED: ErrorAnswer(
+        403, Ran.NO, "The plan does not permit this region", None
+    ),
+    ErrorKind.KEY_REQUIRED: ErrorAnswer(
+        400, Ran.NO, "The operation needs an Idempotency-Key", None
+    ),
+    ErrorKind.KEY_REUSED: ErrorAnswer(
+        422, Ran.NO, "The idempotency key belongs to a different request", None
+    ),
+    ErrorKind.KEY_IN_PROGRESS: ErrorAnswer(
+        409, Ran.UNKNOWN, "A request with this idempotency key is still running", 1
+    ),
+    ErrorKind.KEY_NOT_CLAIMED: ErrorAnswer(
+        503, Ran.UNKNOWN, "The idempotency key could not be claimed", 5
+    ),
+    ErrorKind.OVER_CAPACITY: ErrorAnswer(429, Ran.NO, "The plan's capacity is in use", 1),
+    ErrorKind.WOULD_BE_LATE: ErrorAnswer(
+        503, Ran.NO, "The answer could not be ready in the time allowed", 2
+    ),
+    ErrorKind.NO_ENDPOINT: ErrorAnswer(503, Ran.NO, "No permitted endpoint is available", 2),
+    ErrorKind.RETRY_BUDGET_SPENT: ErrorAnswer(
+        503, Ran.UNKNOWN, "The attempt failed and the retry budget is spent", 2
+    ),
+    ErrorKind.REGION_LOOP: ErrorAnswer(
+        508, Ran.NO, "The request has already been sent to another region", None
+    ),
+    ErrorKind.REQUEST_QUARANTINED: ErrorAnswer(
+        422, Ran.UNKNOWN, "Endpoints that ran this request crashed", 600
+    ),
+    ErrorKind.GATEWAY_NOT_READY: ErrorAnswer(503, Ran.NO, "The gateway is starting", 1),
+    ErrorKind.GATEWAY_DRAINING: ErrorAnswer(503, Ran.NO, "The gateway is stopping", 1),
+    ErrorKind.GATEWAY_BUSY: ErrorAnswer(503, Ran.NO, "The gateway has no free slot", 1),
+    ErrorKind.DEADLINE_PASSED: ErrorAnswer(
+        504, Ran.UNKNOWN, "The answer was not ready in the time allowed", 2
+    ),
+    ErrorKind.ENDPOINT_FAILED: ErrorAnswer(502, Ran.UNKNOWN, "The endpoint failed", 1),
+    ErrorKind.ENDPOINT_REFUSED: ErrorAnswer(
+        502, Ran.UNKNOWN, "The endpoint refused the request", None
+    ),
+    ErrorKind.ANSWER_INCOMPLETE: ErrorAnswer(
+        502, Ran.YES, "The answer broke off and could not be resumed", 1
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: ErrorAnswer(
+        504, Ran.UNKNOWN, "Whether the operation ran cannot be proved", 5
+    ),
+    ErrorKind.INTERNAL: ErrorAnswer(500, Ran.UNKNOWN, "The gateway failed", 1),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """One failure of one request: its kind, a sentence for the caller, and when to come back.
+
+    ``detail`` says what is wrong and what to do next. ``retry_after_s`` overrides the kind's
+    default where the gateway knows better. ``is_ran_unknown`` takes the kind's ``ran: no`` back: a
+    refusal of a request whose idempotency key may have been dispatched before proves nothing.
+
+    >>> Problem(ErrorKind.NO_ENDPOINT, "no engine for model small in dakar").ran
+    <Ran.NO: 'no'>
+    """
+
+    kind: ErrorKind
+    detail: str
+    retry_after_s: int | None = None
+    is_ran_unknown: bool = False
+
+    @property
+    def answer(self) -> ErrorAnswer:
+        """The row of the error table for this kind."""
+        return ERROR_ANSWERS[self.kind]
+
+    @property
+    def ran(self) -> Ran:
+        """Whether the work ran."""
+        return Ran.UNKNOWN if self.is_ran_unknown else self.answer.ran
+
+    @property
+    def come_back_after_s(self) -> int | None:
+        """Seconds after which the caller may ask again, or ``None`` where that cannot help."""
+        if self.retry_after_s is not None:
+            return self.retry_after_s
+        return self.answer.retry_after_s
+
+    def without_proof(self) -> Problem:
+        """Return the same problem without the claim that nothing ran."""
+        return replace(self, is_ran_unknown=True)
+
+
+class PrimroseferryError(Exception):
+    """Base of every exception that primroseferry raises on purpose."""
+
+
+class ProblemError(PrimroseferryError):
+    """Carries a :class:`Problem` up to the place that answers the caller."""
+
+    def __init__(self, problem: Problem) -> None:
+        super().__init__(f"{problem.kind.value}: {problem.detail}")
+        self.problem = problem
+
+
+def problem_error(kind: ErrorKind, detail: str, retry_after_s: int | None = None) -> ProblemError:
+    """Build the exception for one problem."""
+    return ProblemError(Problem(kind, detail, retry_after_s))
--- /dev/null
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -0,0 +1,67 @@
+"""The numbered log events. ``docs/EVENTS.md`` is the catalogue; a test holds the two together."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class Event(Enum):
+    """A log event: its number, its level and the sentence that describes it.
+
+    Numbers never change their meaning. The first digit groups them: 1 process, 2 requests,
+    3 plans, 4 peers, 5 endpoints, 6 at-most-once, 7 platform.
+    """
+
+    GATEWAY_STARTED = (1001, "info", "gateway started")
+    GATEWAY_READY = (1002, "info", "gateway ready to serve")
+    DRAIN_STARTED = (1003, "info", "graceful shutdown started")
+    DRAIN_FINISHED = (1004, "info", "graceful shutdown finished")
+    DRAIN_CUT_OFF = (1005, "error", "graceful shutdown ended with requests cut off")
+    STATE_DUMPED = (1006, "info", "state dump requested")
+    REQUEST_DONE = (2001, "info", "request answered")
+    REQUEST_REFUSED = (2002, "warning", "request ended with a problem")
+    CALLER_GONE = (2003, "warning", "caller closed the connection before the answer was whole")
+    CALLER_TOO_SLOW = (2004, "warning", "caller sent or read too slowly")
+    BAD_CONNECTION = (2005, "warning", "connection sent no valid request")
+    ATTEMPT_FAILED = (2006, "warning", "attempt on an endpoint failed")
+    STREAM_RESUMED = (2007, "warning", "stream resumed on another endpoint")
+    REQUEST_CRASHED = (2008, "error", "request handler failed")
+    PLANS_IN_FORCE = (3001, "info", "plan revision in force")
+    PLANS_REJECTED = (3002, "error", "stored plans fail their checks, last good revision kept")
+    PLANS_UNREACHABLE = (3003, "warning", "plans could not be read")
+    PLANS_STALE_REFUSED = (3004, "warning", "lower plan revision refused")
+    PEER_EXCHANGE_FAILED = (4001, "warning", "exchange with a peer failed")
+    PEER_JOINED = (4002, "info", "peer seen for the first time")
+    PEER_LOST = (4003, "warning", "peer no longer heard of")
+    FORWARD_REFUSED = (4004, "warning", "forwarded request refused")
+    ENDPOINT_LEAVING = (5001, "info", "endpoint leaving, no new work")
+    ENDPOINT_SUSPECTED = (5002, "warning", "circuit breaker opened for an endpoint")
+    ENDPOINT_RECOVERED = (5003, "info", "circuit breaker closed for an endpoint")
+    LOAD_POLL_FAILED = (5004, "warning", "load report could not be read")
+    FINGERPRINT_BLAMED = (5005, "warning", "request was running on an endpoint that died")
+    FINGERPRINT_QUARANTINED = (5006, "error", "request quarantined")
+    KEY_CLAIMED = (6001, "info", "idempotency key claimed in the key-value service")
+    KEY_CLAIM_FAILED = (6002, "warning", "idempotency key could not be claimed")
+    ORDER_DISPATCHED = (6003, "info", "at-most-once operation dispatched")
+    ORDER_OUTCOME_UNKNOWN = (6004, "error", "outcome of an at-most-once operation unknown")
+    ORDER_RECONCILED = (6005, "info", "outcome settled by the service's look-up")
+    HANDOVER_DONE = (6006, "info", "at-most-once table handed to a successor")
+    HANDOVER_FAILED = (6007, "error", "at-most-once table could not be handed over")
+    PLATFORM_UNREACHABLE = (7001, "warning", "platform service could not be reached")
+    PLATFORM_RECOVERED = (7002, "info", "platform service reached again")
+    CLIENT_DIRECTORY_STALE = (7003, "warning", "client directory unreachable, last entry used")
+
+    @property
+    def number(self) -> int:
+        """The event's number, for example ``2001``."""
+        return self.value[0]
+
+    @property
+    def level(self) -> str:
+        """The log level by its name in lower case."""
+        return self.value[1]
+
+    @property
+    def sentence(self) -> str:
+        """What happened, in a few words."""
+        return self.value[2]
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway daemon."""
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/answer_stream.py
@@ -0,0 +1,125 @@
+"""A streamed answer on its way from engines to one caller: whole, in order, nothing doubled.
+
+Engines number their events. The stream passes on only whole events, each exactly once, and keeps a
+count and a checksum that the caller can compare. When an engine breaks off, the next one resumes
+after the last event that was passed on.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import Protocol
+
+from primroseferry_core.errors import PrimroseferryError
+
+DONE_EVENT = b"data: [DONE]\n\n"
+EVENT_END = b"\n\n"
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+class StreamError(PrimroseferryError):
+    """An engine sent something that cannot be part of the answer."""
+
+
+class AnswerSink(Protocol):
+    """Where the events of an answer go."""
+
+    def write(self, events: bytes) -> bool:
+        """Take whole events; ``False`` once the caller is gone."""
+
+
+class AnswerStream:
+    """Checks and counts the events of one answer across any number of attempts."""
+
+    def __init__(self, sink: AnswerSink, first_event: int = 1) -> None:
+        self._sink = sink
+        self._first_event = first_event
+        self._next_event = first_event
+        self._remainder = b""
+        self._crc32 = 0
+        self.is_done = False
+        self.is_caller_gone = False
+        self.error: StreamError | None = None
+
+    @property
+    def last_event(self) -> int:
+        """The number of the last event that was passed on, 0 before the first."""
+        return self._next_event - 1
+
+    @property
+    def delivered(self) -> int:
+        """How many events this stream passed on."""
+        return self._next_event - self._first_event
+
+    @property
+    def checksum(self) -> str:
+        """The CRC-32 of all bytes passed on, as 8 hexadecimal digits."""
+        return f"{self._crc32:08x}"
+
+    def start_attempt(self) -> None:
+        """Drop what the last engine left unfinished."""
+        self._remainder = b""
+        self.error = None
+
+    def feed(self, chunk: bytes) -> bool:
+        """Take bytes from an engine; ``False`` stops it."""
+        data = self._remainder + chunk if self._remainder else chunk
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
+            self._remainder = data
+            if len(data) > MAX_EVENT_BYTES:
+                return self._fail("an event is too long")
+            return True
+        self._remainder = data[end:]
+        events = data[:end]
+        if events.endswith(DONE_EVENT):
+            self.is_done = True
+            events = events[: -len(DONE_EVENT)]
+            if not events:
+                return True
+        count = events.count(EVENT_END)
+        if not self._is_numbered(events, count):
+            return self._feed_one_by_one(events)
+        return self._pass_on(events, count)
+
+    def _is_numbered(self, events: bytes, count: int) -> bool:
+        """Whether the first and the last event have the numbers that ``count`` events must have."""
+        if not events.startswith(b"id: %d\n" % self._next_event):
+            return False
+        if count == 1:
+            return True
+        last_start = events.rfind(EVENT_END, 0, -len(EVENT_END)) + len(EVENT_END)
+        return events.startswith(b"id: %d\n" % (self._next_event + count - 1), last_start)
+
+    def _feed_one_by_one(self, events: bytes) -> bool:
+        """Leave out events that were passed on before; fail on one that comes too early."""
+        for event in events.split(EVENT_END)[:-1]:
+            number = _event_number(event)
+            if number is None or number > self._next_event:
+                self.is_done = False
+                return self._fail(f"expected event {self._next_event}, got {number}")
+            if number == self._next_event and not self._pass_on(event + EVENT_END, 1):
+                return False
+        return True
+
+    def _pass_on(self, events: bytes, count: int) -> bool:
+        self._crc32 = zlib.crc32(events, self._crc32)
+        self._next_event += count
+        if not self._sink.write(events):
+            self.is_caller_gone = True
+            return False
+        return True
+
+    def _fail(self, reason: str) -> bool:
+        self.error = StreamError(reason)
+        return False
+
+
+def _event_number(event: bytes) -> int | None:
+    first_line = event.partition(b"\n")[0]
+    if not first_line.startswith(b"id: "):
+        return None
+    try:
+        return int(first_line[4:])
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
@@ -0,0 +1,309 @@
+"""Serving streamed answers of models: choosing, resuming, retrying, and telling culprits apart."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseferry_core.errors import ErrorKind
+from primroseferry_core.errors import problem_error
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from primroseferry_peers.proto.peer_pb2 import CHAT
+from primroseferry_policy.routing import LocalTarget
+from primroseferry_policy.routing import RemoteTarget
+
+from .decisions import describe_target
+from .engine_call import Broken
+from .engine_call import CallerGone
+from .engine_call import Completed
+from .engine_call import OutOfTime
+from .engine_call import Refused
+from .engine_call import engine_body
+from .engine_call import run_on_engine
+from .forward_client import ForwardPayload
+from .forward_client import PeerProblem
+from .targets import region_circuit
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import RegionId
+    from primroseferry_policy.breaker import Breakers
+    from primroseferry_policy.load_view import LoadView
+    from primroseferry_policy.probation import Probation
+    from primroseferry_policy.retry_budget import RetryBudget
+    from primroseferry_policy.routing import Option
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from .answer_stream import AnswerStream
+    from .crash_watch import CrashWatch
+    from .engine_call import AttemptOutcome
+    from .fleet import Endpoint
+    from .fleet import FleetView
+    from .forward_client import ForwardClient
+    from .metrics import Metrics
+    from .request_context import RequestContext
+    from .settings import GatewaySettings
+    from .targets import Demand
+    from .targets import TargetChooser
+
+MAX_ATTEMPTS = 6
+PEERS_TO_TRY = 2
+RETRY_PAUSE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class ChatRequest:
+    """A chat request as parsed: the caller's JSON and what it demands."""
+
+    body: dict[str, Any]
+    demand: Demand
+
+
+class ChatService:
+    """Serves chat requests of this region's callers and of other regions' gateways."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        loop: CurlLoop,
+        fleet: FleetView,
+        targets: TargetChooser,
+        loads: LoadView,
+        breakers: Breakers,
+        budget: RetryBudget,
+        crashes: CrashWatch,
+        probation: Probation,
+        forwards: ForwardClient,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._loop = loop
+        self._fleet = fleet
+        self._targets = targets
+        self._loads = loads
+        self._breakers = breakers
+        self._budget = budget
+        self._crashes = crashes
+        self._probation = probation
+        self._forwards = forwards
+        self._metrics = metrics
+
+    def serve(self, context: RequestContext, request: ChatRequest, stream: AnswerStream) -> bool:
+        """Stream the whole answer; ``False`` if the caller left. Raises ``ProblemError``."""
+        context.check_region()
+        self._budget.earn()
+        body = engine_body(request.body, context.plan.urgency)
+        for attempt in range(MAX_ATTEMPTS):
+            self._crashes.refuse_quarantined(context.fingerprint)
+            option = self._choose(context, request.demand, stream, is_first=attempt == 0)
+            if attempt > 0:
+                self._spend_retry(context, stream)
+            outcome = self._attempt(context, request.demand, option, body, stream)
+            self._metrics.count_attempt(type(outcome).__name__.lower())
+            if self._is_over(context, option, outcome, stream):
+                return not isinstance(outcome, CallerGone)
+        raise problem_error(
+            ErrorKind.ANSWER_INCOMPLETE if stream.last_event else ErrorKind.ENDPOINT_FAILED,
+            f"{MAX_ATTEMPTS} attempts failed; ask again",
+        )
+
+    def _choose(
+        self, context: RequestContext, demand: Demand, stream: AnswerStream, is_first: bool
+    ) -> Option:
+        options = self._targets.rank(context, demand)
+        if not options and context.excluded_endpoints:
+            time.sleep(RETRY_PAUSE_S)
+            context.excluded_endpoints.clear()
+            options = self._targets.rank(context, demand)
+        if not options:
+            kind = ErrorKind.ANSWER_INCOMPLETE if stream.last_event else ErrorKind.NO_ENDPOINT
+            permitted = ", ".join(context.permitted_regions())
+            raise problem_error(kind, f"no endpoint for {demand.serves} in {permitted}")
+        best = options[0]
+        context.trace.note("chosen", describe_target(best.target), tuple(options))
+        if is_first:
+            self._refuse_late(context, options)
+        return best
+
+    def _refuse_late(self, context: RequestContext, options: list[Option]) -> None:
+        fastest = min(options, key=lambda option: option.first_token_ms)
+        if fastest.first_token_ms <= context.remaining_ms:
+            return
+        late_ms = fastest.first_token_ms - context.remaining_ms
+        raise problem_error(
+            ErrorKind.WOULD_BE_LATE,
+            f"the first token is expected in {fastest.first_token_ms:.0f} ms and the answer is "
+            f"needed within {context.remaining_ms} ms",
+            retry_after_s=max(1, round(late_ms / 1000)),
+        )
+
+    def _spend_retry(self, context: RequestContext, stream: AnswerStream) -> None:
+        if self._budget.spend():
+            return
+        context.trace.note("retry refused", "the retry budget is spent")
+        kind = ErrorKind.ANSWER_INCOMPLETE if stream.last_event else ErrorKind.RETRY_BUDGET_SPENT
+        raise problem_error(kind, "too many attempts fail at the moment; come back later")
+
+    def _attempt(
+        self,
+        context: RequestContext,
+        demand: Demand,
+        option: Option,
+        body: bytes,
+        stream: AnswerStream,
+    ) -> AttemptOutcome | PeerProblem:
+        match option.target:
+            case LocalTarget(name):
+                return self._attempt_local(context, demand, name, body, stream)
+            case RemoteTarget(region):
+                return self._attempt_remote(context, demand, region, body, stream)
+
+    def _attempt_local(
+        self,
+        context: RequestContext,
+        demand: Demand,
+        name: EndpointId,
+        body: bytes,
+        stream: AnswerStream,
+    ) -> AttemptOutcome:
+        is_suspect = self._crashes.is_suspected(context.fingerprint)
+        if is_suspect:
+            name = self._isolate(context, demand, name)
+        try:
+            endpoint = self._targets.find_endpoint(context, demand, name)
+            if endpoint is None:
+                return Broken("the endpoint is gone", is_dead=False, is_sent=False)
+            return self._run(context, endpoint, body, stream)
+        finally:
+            if is_suspect:
+                self._probation.leave(name)
+
+    def _isolate(
+        self, context: RequestContext, demand: Demand, preferred: EndpointId
+    ) -> EndpointId:
+        """Wait for an endpoint on which no other suspect runs."""
+        options = self._targets.rank(context, demand)
+        names = [
+            option.target.endpoint for option in options if isinstance(option.target, LocalTarget)
+        ]
+        ordered = self._crashes.isolation_order(names or [preferred])
+        name = self._probation.enter(ordered, context.remaining_ms / 1000)
+        if name is None:
+            raise problem_error(
+                ErrorKind.DEADLINE_PASSED,
+                "the request was running on an endpoint that died and waited to be run alone",
+            )
+        self._crashes.refuse_quarantined_in(context.fingerprint, self._probation, name)
+        context.trace.note("isolated", name)
+        return name
+
+    def _run(
+        self, context: RequestContext, endpoint: Endpoint, body: bytes, stream: AnswerStream
+    ) -> AttemptOutcome:
+        self._breakers.begin(endpoint.endpoint)
+        self._loads.begin(endpoint.endpoint)
+        try:
+            outcome = run_on_engine(
+                self._loop,
+                self._settings,
+                endpoint,
+                context.request_id,
+                body,
+                stream,
+                max(1, context.remaining_ms),
+            )
+        finally:
+            self._loads.end(endpoint.endpoint)
+        self._judge(context, endpoint, outcome)
+        return outcome
+
+    def _judge(self, context: RequestContext, endpoint: Endpoint, outcome: AttemptOutcome) -> None:
+        match outcome:
+            case Completed():
+                self._breakers.succeed(endpoint.endpoint)
+                self._crashes.clear(context.fingerprint)
+            case Broken(is_dead=is_dead, is_sent=is_sent):
+                self._breakers.fail(endpoint.endpoint)
+                if is_dead and is_sent:
+                    self._crashes.blame(context.fingerprint, endpoint.endpoint)
+            case _:
+                self._breakers.release(endpoint.endpoint)
+
+    def _attempt_remote(
+        self,
+        context: RequestContext,
+        demand: Demand,
+        region: RegionId,
+        body: bytes,
+        stream: AnswerStream,
+    ) -> AttemptOutcome | PeerProblem:
+        payload = ForwardPayload(CHAT, demand.serves, body)
+        circuit = region_circuit(region)
+        outcome: AttemptOutcome | PeerProblem = Broken("no gateway listed", False, False)
+        self._breakers.begin(circuit)
+        for peer in self._fleet.remote_peers(region)[:PEERS_TO_TRY]:
+            self._metrics.count_forward(region)
+            context.trace.note("forwarded", f"{peer.instance} in {region}")
+            outcome = self._forwards.stream_chat(peer, context, payload, stream)
+            if not (isinstance(outcome, Broken) and not outcome.is_sent):
+                break
+        match outcome:
+            case Broken():
+                self._breakers.fail(circuit)
+            case Completed() | PeerProblem():
+                self._breakers.succeed(circuit)
+            case _:
+                self._breakers.release(circuit)
+        return outcome
+
+    def _is_over(
+        self,
+        context: RequestContext,
+        option: Option,
+        outcome: AttemptOutcome | PeerProblem,
+        stream: AnswerStream,
+    ) -> bool:
+        """Whether the request has its end; raises where the end is a problem."""
+        target = describe_target(option.target)
+        match outcome:
+            case Completed() | CallerGone():
+                context.trace.note("ended", type(outcome).__name__)
+                return True
+            case Refused(status):
+                raise problem_error(
+                    ErrorKind.ENDPOINT_REFUSED, f"{target} answered status {status}"
+                )
+            case OutOfTime():
+                raise problem_error(
+                    ErrorKind.DEADLINE_PASSED, f"{target} was still answering at the deadline"
+                )
+            case PeerProblem(problem) if problem.kind in _FINAL_PEER_PROBLEMS:
+                raise problem_error(problem.kind, problem.detail, problem.retry_after_s)
+            case PeerProblem(problem):
+                self._note_failure(context, option, f"{problem.kind.value}: {problem.detail}")
+            case Broken(reason=reason):
+                self._note_failure(context, option, reason)
+        if stream.last_event:
+            self._metrics.count_resume()
+            log_event(
+                Event.STREAM_RESUMED, request_id=context.request_id, event_id=stream.last_event
+            )
+        return False
+
+    def _note_failure(self, context: RequestContext, option: Option, reason: str) -> None:
+        target = describe_target(option.target)
+        context.trace.note("attempt failed", f"{target}: {reason}")
+        log_event(Event.ATTEMPT_FAILED, request_id=context.request_id, target=target, reason=reason)
+        match option.target:
+            case LocalTarget(endpoint):
+                context.excluded_endpoints.add(endpoint)
+            case RemoteTarget(region):
+                context.excluded_endpoints.add(region_circuit(region))
+
+
+_FINAL_PEER_PROBLEMS = frozenset(
+    {ErrorKind.REQUEST_QUARANTINED, ErrorKind.ENDPOINT_REFUSED, ErrorKind.DEADLINE_PASSED}
+)
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/decisions.py
@@ -0,0 +1,105 @@
+"""The recent decisions of a gateway, kept for ``primroseferry state explain``."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import OrderedDict
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from primroseferry_policy.routing import LocalTarget
+from primroseferry_policy.routing import RemoteTarget
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import RequestId
+    from primroseferry_policy.routing import Option
+    from primroseferry_policy.routing import Target
+
+MAX_TRACES = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class OptionTerms:
+    """One option as it was weighed."""
+
+    target: str
+    score: float
+    wait_ms: float
+    first_token_ms: float
+    total_ms: float
+    price: float
+    is_cached: bool
+
+
+@dataclass(frozen=True, slots=True)
+class TraceStep:
+    """One thing that happened to a request, ``at_ms`` after its entry."""
+
+    at_ms: float
+    what: str
+    detail: str
+    options: tuple[OptionTerms, ...] = ()
+
+
+@dataclass(slots=True)
+class DecisionTrace:
+    """Everything a gateway decided about one request, in order."""
+
+    request_id: RequestId
+    target: str
+    began_s: float
+    steps: list[TraceStep] = field(default_factory=list)
+
+    def note(self, what: str, detail: str = "", options: tuple[Option, ...] = ()) -> None:
+        """Add a step."""
+        at_ms = round((time.monotonic() - self.began_s) * 1000, 2)
+        terms = tuple(_terms(option) for option in options)
+        self.steps.append(TraceStep(at_ms, what, detail, terms))
+
+
+class DecisionLog:
+    """The traces of the newest requests."""
+
+    def __init__(self) -> None:
+        self._traces: OrderedDict[RequestId, DecisionTrace] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def open(self, request_id: RequestId, target: str) -> DecisionTrace:
+        """Start the trace of a request; the oldest one is dropped where there are too many."""
+        trace = DecisionTrace(request_id, target, time.monotonic())
+        with self._lock:
+            self._traces[request_id] = trace
+            while len(self._traces) > MAX_TRACES:
+                self._traces.popitem(last=False)
+        return trace
+
+    def find(self, request_id: RequestId) -> DecisionTrace | None:
+        """Return the trace of a request, or ``None`` where it is not kept."""
+        with self._lock:
+            return self._traces.get(request_id)
+
+    def __len__(self) -> int:
+        return len(self._traces)
+
+
+def describe_target(target: Target) -> str:
+    """Return a target's name for people."""
+    match target:
+        case LocalTarget(endpoint):
+            return f"endpoint {endpoint}"
+        case RemoteTarget(region):
+            return f"region {region}"
+
+
+def _terms(option: Option) -> OptionTerms:
+    return OptionTerms(
+        target=describe_target(option.target),
+        score=round(option.score, 4),
+        wait_ms=round(option.wait_ms, 1),
+        first_token_ms=round(option.first_token_ms, 1),
+        total_ms=round(option.total_ms, 1),
+        price=option.price,
+        is_cached=option.is_cached,
+    )
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/forward_client.py
@@ -0,0 +1,205 @@
+"""Sending a request to a gateway of another region, or to the owner of its key."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_core.errors import ErrorKind
+from primroseferry_core.errors import Problem
+from primroseferry_once.table import StoredAnswer
+from primroseferry_peers.peer_client import ForwardTimeouts
+from primroseferry_peers.peer_client import PeerError
+from primroseferry_peers.proto.peer_pb2 import CHAT
+from primroseferry_peers.proto.peer_pb2 import ForwardEvent
+from primroseferry_peers.proto.peer_pb2 import ForwardProblem
+from primroseferry_peers.proto.peer_pb2 import ForwardRequest
+
+from .engine_call import Broken
+from .engine_call import CallerGone
+from .engine_call import Completed
+from .engine_call import OutOfTime
+
+if TYPE_CHECKING:
+    from primroseferry_peers.exchanger import PeerAddress
+    from primroseferry_peers.loop_thread import LoopThread
+    from primroseferry_peers.peer_client import PeerClient
+
+    from .answer_stream import AnswerStream
+    from .engine_call import AttemptOutcome
+    from .request_context import RequestContext
+    from .settings import GatewaySettings
+
+ACCEPT_TIMEOUT_S = 1.5
+GAP_SLACK_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardPayload:
+    """The part of a forwarded request that is not in its context."""
+
+    purpose: int
+    target: str
+    body: bytes
+    method: str = "POST"
+    path: str = ""
+    content_type: str = ""
+    idempotency_key: str = ""
+    owner_incarnation: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The peer got the service's answer."""
+
+    answer: StoredAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class PeerProblem:
+    """The peer ended the request with a problem."""
+
+    problem: Problem
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """The peer gave no end. ``is_sent`` is ``False`` only if it cannot have seen the request."""
+
+    reason: str
+    is_sent: bool
+
+
+class ForwardClient:
+    """Forwards requests over the peer protocol and waits for their end."""
+
+    def __init__(self, peers: PeerClient, loop: LoopThread, settings: GatewaySettings) -> None:
+        self._peers = peers
+        self._loop = loop
+        self._settings = settings
+
+    def stream_chat(
+        self,
+        peer: PeerAddress,
+        context: RequestContext,
+        payload: ForwardPayload,
+        stream: AnswerStream,
+    ) -> AttemptOutcome | PeerProblem:
+        """Stream a chat answer, or the rest of one, from another region."""
+        stream.start_attempt()
+        request = self._request(context, payload)
+        request.events_delivered = stream.last_event
+        problems: list[Problem] = []
+
+        def on_event(event: ForwardEvent) -> bool:
+            match event.WhichOneof("event"):
+                case "chunk":
+                    return stream.feed(event.chunk)
+                case "end":
+                    stream.is_done = True
+                case "problem":
+                    problems.append(_problem(event.problem))
+            return True
+
+        lost = self._run(peer, request, on_event)
+        if stream.is_caller_gone:
+            return CallerGone()
+        if stream.error is not None:
+            return Broken(str(stream.error), is_dead=False, is_sent=True)
+        if stream.is_done:
+            return Completed()
+        if problems:
+            return PeerProblem(problems[0])
+        if context.remaining_ms == 0:
+            return OutOfTime()
+        reason = lost.reason if lost is not None else "the peer ended without an end mark"
+        return Broken(reason, is_dead=False, is_sent=lost is None or lost.is_sent)
+
+    def call_service(
+        self, peer: PeerAddress, context: RequestContext, payload: ForwardPayload
+    ) -> Answered | PeerProblem | PeerLost:
+        """Have the peer run, or own, one call of a service."""
+        outcome: list[Answered | PeerProblem] = []
+        head: list[tuple[int, str]] = []
+        body = bytearray()
+
+        def on_event(event: ForwardEvent) -> bool:
+            match event.WhichOneof("event"):
+                case "head" if event.head.status:
+                    head.append((event.head.status, event.head.content_type))
+                case "chunk":
+                    body.extend(event.chunk)
+                case "end" if head:
+                    status, content_type = head[0]
+                    outcome.append(Answered(StoredAnswer(status, content_type, bytes(body))))
+                case "problem":
+                    outcome.append(PeerProblem(_problem(event.problem)))
+            return True
+
+        lost = self._run(peer, self._request(context, payload), on_event)
+        if outcome:
+            return outcome[0]
+        return lost or PeerLost("the peer ended without an end mark", is_sent=True)
+
+    def _run(
+        self, peer: PeerAddress, request: ForwardRequest, on_event: _OnEvent
+    ) -> PeerLost | None:
+        is_chat = request.purpose == CHAT
+        first_chunk_s = self._settings.first_token_timeout_ms / 1000 + GAP_SLACK_S
+        gap_s = self._settings.token_gap_timeout_ms / 1000 + GAP_SLACK_S
+        timeouts = ForwardTimeouts(
+            head_s=ACCEPT_TIMEOUT_S,
+            first_chunk_s=first_chunk_s if is_chat else request.remaining_ms / 1000 + GAP_SLACK_S,
+            gap_s=gap_s,
+        )
+        call = self._peers.forward(peer.address, request, on_event, timeouts)
+        try:
+            self._loop.submit(call).result()
+        except PeerError as error:
+            return PeerLost(str(error), error.is_sent)
+        return None
+
+    def _request(self, context: RequestContext, payload: ForwardPayload) -> ForwardRequest:
+        return ForwardRequest(
+            request_id=context.request_id,
+            purpose=payload.purpose,  # type: ignore[arg-type]
+            customer=context.customer,
+            plans_revision=context.plans_revision,
+            entry_region=context.entry_region,
+            visited_regions=[*context.visited_regions, context.here],
+            target=payload.target,
+            fingerprint=context.fingerprint,
+            method=payload.method,
+            path=payload.path,
+            content_type=payload.content_type,
+            body=payload.body,
+            idempotency_key=payload.idempotency_key,
+            owner_incarnation=payload.owner_incarnation,
+            remaining_ms=max(1, context.remaining_ms),
+            excluded_endpoints=sorted(context.excluded_endpoints),
+        )
+
+
+def problem_to_message(problem: Problem) -> ForwardProblem:
+    """Write a problem for a peer."""
+    return ForwardProblem(
+        kind=problem.kind.value,
+        detail=problem.detail,
+        retry_after_s=problem.come_back_after_s or 0,
+        is_ran_unknown=problem.is_ran_unknown,
+    )
+
+
+def _problem(message: ForwardProblem) -> Problem:
+    retry_after_s = message.retry_after_s or None
+    try:
+        kind = ErrorKind(message.kind)
+    except ValueError:
+        kind = ErrorKind.INTERNAL
+    return Problem(kind, message.detail, retry_after_s, message.is_ran_unknown)
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    _OnEvent = Callable[[ForwardEvent], bool]
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/load_poller.py
@@ -0,0 +1,222 @@
+"""Polls the load of endpoints and tells the region, and sums it up for other regions.
+
+Two gateways of a region poll each endpoint. A report spreads only when it changed enough to matter,
+or shortly before the last one would expire.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.hashing import rendezvous_order
+from primroseferry_core.logs import log_event
+from primroseferry_peers.proto.peer_pb2 import ENDPOINT_LEAVING
+from primroseferry_peers.proto.peer_pb2 import ENDPOINT_LOAD
+from primroseferry_peers.proto.peer_pb2 import REGION_LOAD
+from primroseferry_peers.proto.peer_pb2 import Fact
+from primroseferry_peers.proto.peer_pb2 import LoadFact
+from primroseferry_policy.load_view import LoadReport
+from primroseferry_transport.calls import FailureStage
+from primroseferry_transport.calls import HttpCall
+from primroseferry_transport.calls import HttpReply
+from result import Err
+from result import Ok
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import EndpointId
+    from primroseferry_peers.exchanger import Exchanger
+    from primroseferry_peers.exchanger import SelfIdentity
+    from primroseferry_peers.fact_store import FactStore
+    from primroseferry_policy.breaker import Breakers
+    from primroseferry_policy.load_view import LoadView
+    from primroseferry_transport.curl_loop import CurlLoop
+    from primroseferry_transport.curl_loop import HttpResult
+
+    from .fleet import Endpoint
+    from .fleet import FleetView
+
+POLLERS_PER_ENDPOINT = 2
+POLL_TIMEOUT_MS = 1_000
+LOAD_TTL_MS = 10_000
+REFRESH_S = 4.0
+SIGNIFICANT_SHARE_OF_SLOTS = 0.1
+REGION_LOAD_S = 1.0
+REGION_LOAD_TTL_MS = 6_000
+LEAVING_TTL_MS = 30_000
+
+
+@dataclass(frozen=True, slots=True)
+class _Published:
+    load: LoadFact
+    at_s: float
+
+
+class LoadPoller:
+    """Polls the endpoints that fall to this gateway."""
+
+    def __init__(
+        self,
+        identity: SelfIdentity,
+        loop: CurlLoop,
+        fleet: FleetView,
+        facts: FactStore,
+        exchanger: Exchanger,
+        loads: LoadView,
+        breakers: Breakers,
+        poll_ms: int,
+    ) -> None:
+        self._identity = identity
+        self._loop = loop
+        self._fleet = fleet
+        self._facts = facts
+        self._exchanger = exchanger
+        self._loads = loads
+        self._breakers = breakers
+        self._poll_s = poll_ms / 1000
+        self._published: dict[EndpointId, _Published] = {}
+        self._known: set[EndpointId] = set()
+        self._next_summary_s = 0.0
+        self._stopping = threading.Event()
+
+    def start(self) -> None:
+        """Poll on a thread of its own."""
+        threading.Thread(target=self._run, name="load-poller", daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self._stopping.set()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(self._poll_s):
+            endpoints = self._fleet.region_endpoints()
+            self._forget_unlisted(endpoints)
+            self._poll([endpoint for endpoint in endpoints if self._is_poller(endpoint)])
+            if time.monotonic() >= self._next_summary_s:
+                self._next_summary_s = time.monotonic() + REGION_LOAD_S
+                self._publish_region_loads(endpoints)
+
+    def _forget_unlisted(self, endpoints: list[Endpoint]) -> None:
+        listed = {endpoint.endpoint for endpoint in endpoints}
+        for endpoint in self._known - listed:
+            self._loads.forget(endpoint)
+            self._breakers.forget(endpoint)
+            self._published.pop(endpoint, None)
+        self._known = listed
+
+    def _is_poller(self, endpoint: Endpoint) -> bool:
+        live = [str(row.instance) for row in self._fleet.live_gateways(self._identity.region)]
+        if self._identity.instance not in live:
+            live.append(self._identity.instance)
+        pollers = rendezvous_order(f"load/{endpoint.endpoint}", live)[:POLLERS_PER_ENDPOINT]
+        return self._identity.instance in pollers
+
+    def _poll(self, endpoints: list[Endpoint]) -> None:
+        calls = [
+            HttpCall("GET", f"http://{endpoint.address}/v1/load", timeout_ms=POLL_TIMEOUT_MS)
+            for endpoint in endpoints
+        ]
+        pending = [self._loop.submit(call) for call in calls]
+        for endpoint, call in zip(endpoints, pending, strict=True):
+            self._take_report(endpoint, call.future.result())
+
+    def _take_report(self, endpoint: Endpoint, answer: HttpResult) -> None:
+        match answer:
+            case Ok(HttpReply(status=200, body=body)):
+                report = json.loads(body)
+            case Err(failure):
+                log_event(Event.LOAD_POLL_FAILED, endpoint=endpoint.endpoint, reason=failure.reason)
+                if failure.stage is FailureStage.NOT_SENT:
+                    self._breakers.fail(endpoint.endpoint)
+                return
+            case _:
+                return
+        if report.get("leaving"):
+            self._publish_leaving(endpoint)
+        load = LoadFact(
+            running=int(report["running"]),
+            queued=int(report["queued"]),
+            slots=int(report["slots"]),
+            step_ms=float(report["step_ms"]),
+            price=float(report["price"]),
+        )
+        if self._is_significant(endpoint.endpoint, load):
+            self._published[endpoint.endpoint] = _Published(load, time.monotonic())
+            self._publish(ENDPOINT_LOAD, endpoint.endpoint, load, LOAD_TTL_MS, fleet_wide=False)
+        else:
+            self._loads.report(endpoint.endpoint, load_report(load))
+
+    def _is_significant(self, endpoint: EndpointId, load: LoadFact) -> bool:
+        last = self._published.get(endpoint)
+        if last is None or time.monotonic() - last.at_s > REFRESH_S:
+            return True
+        if (load.slots, load.step_ms, load.price) != (
+            last.load.slots,
+            last.load.step_ms,
+            last.load.price,
+        ):
+            return True
+        change = abs(load.running + load.queued - last.load.running - last.load.queued)
+        return change > load.slots * SIGNIFICANT_SHARE_OF_SLOTS
+
+    def _publish(
+        self, kind: int, subject: str, load: LoadFact, ttl_ms: int, fleet_wide: bool
+    ) -> None:
+        fact = Fact(
+            kind=kind,  # type: ignore[arg-type]
+            subject=subject,
+            region=self._identity.region,
+            fleet_wide=fleet_wide,
+            version=time.time_ns() // 1_000_000,
+            ttl_ms=ttl_ms,
+            load=load,
+        )
+        self._facts.accept([fact])
+
+    def _publish_leaving(self, endpoint: Endpoint) -> None:
+        is_news = not self._fleet.is_leaving(endpoint.endpoint)
+        fact = Fact(
+            kind=ENDPOINT_LEAVING,
+            subject=endpoint.endpoint,
+            region=self._identity.region,
+            version=time.time_ns() // 1_000_000,
+            ttl_ms=LEAVING_TTL_MS,
+        )
+        self._facts.accept([fact])
+        if is_news:
+            log_event(Event.ENDPOINT_LEAVING, endpoint=endpoint.endpoint, source="load report")
+            self._exchanger.push_soon()
+
+    def _publish_region_loads(self, endpoints: list[Endpoint]) -> None:
+        if not self._fleet.has_region_role("region-load", 1):
+            return
+        for serves in sorted({endpoint.serves for endpoint in endpoints}):
+            usable = [
+                endpoint.endpoint
+                for endpoint in endpoints
+                if endpoint.serves == serves
+                and not self._fleet.is_leaving(endpoint.endpoint)
+                and self._breakers.permits(endpoint.endpoint)
+            ]
+            estimates = [self._loads.estimate(endpoint) for endpoint in usable]
+            total = LoadFact(
+                running=sum(estimate.open_requests for estimate in estimates),
+                slots=sum(estimate.slots for estimate in estimates),
+                step_ms=_mean([estimate.step_ms for estimate in estimates]),
+                price=min((estimate.price for estimate in estimates), default=0.0),
+            )
+            subject = f"{self._identity.region}/{serves}"
+            self._publish(REGION_LOAD, subject, total, REGION_LOAD_TTL_MS, fleet_wide=True)
+
+
+def load_report(load: LoadFact) -> LoadReport:
+    """Return a load fact as the policy's report."""
+    return LoadReport(load.running, load.queued, load.slots, load.step_ms, load.price)
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values) if values else 0.0
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/plan_keeper.py
@@ -0,0 +1,194 @@
+"""Keeps the newest plans in force and never goes back to older ones.
+
+A few gateways of each region hold a watch on the key-value service; the others hear of a new
+revision in the exchange with peers and fetch it from the peer that holds it. Calls on the key-value
+service therefore grow with the regions and not with the gateways.
+"""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from primroseferry_core.plan_format import PlanFormatError
+from primroseferry_core.plan_format import parse_stored
+from primroseferry_core.plans import EMPTY_DOCUMENT
+from primroseferry_peers.peer_client import PeerError
+from primroseferry_platform.key_value import Entry
+from result import Ok
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseferry_core.plans import PlanDocument
+    from primroseferry_peers.exchanger import PeerAddress
+    from primroseferry_peers.loop_thread import LoopThread
+    from primroseferry_peers.peer_client import PeerClient
+    from primroseferry_platform.key_value import KeyValueClient
+
+PLANS_KEY = "plans"
+WATCH_HOLDERS_PER_REGION = 2
+WATCH_WAIT_MS = 10_000
+ROLE_CHECK_S = 1.0
+RETRY_S = 0.5
+STALE_CHECKS_TO_LOG = 20
+
+
+class WatchRole(Protocol):
+    """What the keeper needs of the fleet."""
+
+    def has_region_role(self, role: str, holders: int) -> bool:
+        """Whether this gateway holds a role in its region."""
+
+    def known_peers(self) -> list[PeerAddress]:
+        """Return the other gateways of the region, then one of each other region."""
+
+
+class PlanKeeper:
+    """The plans in force at one gateway. ``on_install`` is called after each change."""
+
+    def __init__(
+        self,
+        key_value: KeyValueClient,
+        peers: PeerClient,
+        loop: LoopThread,
+        fleet: WatchRole,
+        on_install: Callable[[], None],
+    ) -> None:
+        self._key_value = key_value
+        self._peers = peers
+        self._loop = loop
+        self._fleet = fleet
+        self._on_install = on_install
+        self._document = EMPTY_DOCUMENT
+        self._stored = b""
+        self._store_revision = 0
+        self._lock = threading.Lock()
+        self._wanted: dict[str, int] = {}
+        self._heard = threading.Event()
+        self._stopping = threading.Event()
+        self.rejected = ""
+        self.is_loaded = False
+        """Whether the newest plans that could be had are held; nothing is served before."""
+
+    @property
+    def document(self) -> PlanDocument:
+        """The plans in force."""
+        return self._document
+
+    def held_revision(self) -> int:
+        """Return the revision in force, 0 before the first."""
+        return self._document.revision
+
+    def stored(self) -> bytes:
+        """Return the plans in force in the form in which peers exchange them."""
+        return self._stored
+
+    def start(self) -> None:
+        """Watch and fetch on threads of their own."""
+        threading.Thread(target=self._run_watch, name="plans-watch", daemon=True).start()
+        threading.Thread(target=self._run_fetch, name="plans-fetch", daemon=True).start()
+
+    def stop(self) -> None:
+        """Stop both threads."""
+        self._stopping.set()
+        self._heard.set()
+
+    def install(self, stored: bytes, source: str) -> bool:
+        """Put plans in force if they are newer and pass their checks."""
+        try:
+            document = parse_stored(stored)
+        except PlanFormatError as error:
+            self.rejected = str(error)
+            log_event(Event.PLANS_REJECTED, source=source, reason=str(error))
+            return False
+        with self._lock:
+            held = self._document.revision
+            if self._stored and document.revision <= held:
+                if document.revision < held:
+                    log_event(
+                        Event.PLANS_STALE_REFUSED,
+                        source=source,
+                        revision=document.revision,
+                        held=held,
+                    )
+                return False
+            self._document = document
+            self._stored = stored
+            self.rejected = ""
+        log_event(Event.PLANS_IN_FORCE, source=source, revision=document.revision)
+        self._on_install()
+        return True
+
+    def hear_revision(self, revision: int, address: str) -> None:
+        """Note that a peer holds a revision; it is fetched if it is newer."""
+        if revision > self._document.revision:
+            with self._lock:
+                self._wanted[address] = revision
+            self._heard.set()
+
+    def _run_watch(self) -> None:
+        failures = 0
+        while not self._stopping.is_set():
+            is_holder = self._fleet.has_region_role("plans-watch", WATCH_HOLDERS_PER_REGION)
+            if self.is_loaded and not is_holder:
+                self._stopping.wait(ROLE_CHECK_S)
+                continue
+            if self._read_key_value():
+                failures = 0
+                continue
+            failures += 1
+            if failures % STALE_CHECKS_TO_LOG == 1:
+                log_event(Event.PLANS_UNREACHABLE, held=self.held_revision())
+            if not self.is_loaded:
+                self._ask_peers()
+            self._stopping.wait(RETRY_S)
+
+    def _read_key_value(self) -> bool:
+        """Wait for a newer document; ``False`` if the service gave no answer."""
+        wait_ms = WATCH_WAIT_MS if self.is_loaded else 1
+        match self._key_value.watch(PLANS_KEY, self._store_revision, wait_ms):
+            case Ok(None):
+                return self.is_loaded
+            case Ok(Entry() as entry):
+                self.install(entry.value, "key-value service")
+                self._store_revision = entry.revision
+                self.is_loaded = bool(self._stored)
+                return True
+            case _:
+                return False
+
+    def _ask_peers(self) -> None:
+        """A new gateway during an outage takes the highest revision that reachable peers hold."""
+        for peer in self._fleet.known_peers():
+            self._fetch(peer.address)
+        if self._stored:
+            self.is_loaded = True
+
+    def _run_fetch(self) -> None:
+        while not self._stopping.is_set():
+            self._heard.wait()
+            self._heard.clear()
+            for address in self._take_wanted():
+                self._fetch(address)
+
+    def _take_wanted(self) -> list[str]:
+        """Return the peers that hold newer plans, the newest first."""
+        with self._lock:
+            held = self._document.revision
+            wanted = [item for item in self._wanted.items() if item[1] > held]
+            self._wanted.clear()
+        return [address for address, _ in sorted(wanted, key=lambda item: -item[1])]
+
+    def _fetch(self, address: str) -> None:
+        held = self.held_revision()
+        try:
+            reply = self._loop.submit(self._peers.fetch_plans(address, held)).result()
+        except PeerError as error:
+            log_event(Event.PEER_EXCHANGE_FAILED, peer=address, reason=str(error))
+            return
+        if reply.stored:
+            self.install(reply.stored, f"peer {address}")
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/service_call.py
@@ -0,0 +1,70 @@
+"""One call of a plain service on one endpoint of this region."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_once.table import StoredAnswer
+from primroseferry_transport.calls import FailureStage
+from primroseferry_transport.calls import Header
+from primroseferry_transport.calls import HttpCall
+from result import Err
+from result import Ok
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import RequestId
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from .fleet import Endpoint
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceRequest:
+    """A call as the caller made it. ``path`` includes the query; the key may be empty."""
+
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    idempotency_key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class CallFailed:
+    """The endpoint gave no answer. ``is_sent`` is ``False`` only if it saw nothing."""
+
+    reason: str
+    is_sent: bool
+
+
+def call_service(
+    loop: CurlLoop,
+    endpoint: Endpoint,
+    request_id: RequestId,
+    request: ServiceRequest,
+    timeout_ms: int,
+    is_repeatable: bool,
+) -> StoredAnswer | CallFailed:
+    """Run one call and wait for its end."""
+    headers = [Header("X-Request-Id", request_id)]
+    if request.content_type:
+        headers.append(Header("Content-Type", request.content_type))
+    if request.idempotency_key:
+        headers.append(Header("Idempotency-Key", request.idempotency_key))
+    has_body = request.method in ("POST", "PUT", "PATCH") or bool(request.body)
+    call = HttpCall(
+        request.method,
+        f"http://{endpoint.address}{request.path}",
+        headers=tuple(headers),
+        body=request.body if has_body else None,
+        timeout_ms=max(1, timeout_ms),
+        is_repeatable=is_repeatable,
+    )
+    match loop.call(call):
+        case Ok(reply):
+            return StoredAnswer(reply.status, reply.headers.get("content-type", ""), reply.body)
+        case Err(failure):
+            return CallFailed(failure.reason, failure.stage is not FailureStage.NOT_SENT)
+        case _:
+            raise AssertionError("a result is an answer or a failure")
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
@@ -0,0 +1,186 @@
+"""Serving idempotent calls of plain services: any endpoint, retried within the budget."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primroseferry_core.errors import ErrorKind
+from primroseferry_core.errors import problem_error
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from primroseferry_once.table import StoredAnswer
+from primroseferry_peers.proto.peer_pb2 import SERVICE_IDEMPOTENT
+from primroseferry_policy.routing import LocalTarget
+from primroseferry_policy.routing import RemoteTarget
+
+from .decisions import describe_target
+from .forward_client import Answered
+from .forward_client import ForwardPayload
+from .forward_client import PeerLost
+from .forward_client import PeerProblem
+from .service_call import CallFailed
+from .service_call import call_service
+from .targets import region_circuit
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import RegionId
+    from primroseferry_policy.breaker import Breakers
+    from primroseferry_policy.load_view import LoadView
+    from primroseferry_policy.retry_budget import RetryBudget
+    from primroseferry_policy.routing import Option
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from .fleet import FleetView
+    from .forward_client import ForwardClient
+    from .metrics import Metrics
+    from .request_context import RequestContext
+    from .service_call import ServiceRequest
+    from .targets import Demand
+    from .targets import TargetChooser
+
+MAX_ATTEMPTS = 4
+PEERS_TO_TRY = 2
+ATTEMPT_TIMEOUT_MS = 4_000
+RETRIED_STATUSES = frozenset({502, 503, 504})
+
+
+class ServiceCalls:
+    """Runs calls of plain services on this region's endpoints or sends them to another region."""
+
+    def __init__(
+        self,
+        loop: CurlLoop,
+        fleet: FleetView,
+        targets: TargetChooser,
+        loads: LoadView,
+        breakers: Breakers,
+        budget: RetryBudget,
+        forwards: ForwardClient,
+        metrics: Metrics,
+    ) -> None:
+        self._loop = loop
+        self._fleet = fleet
+        self._targets = targets
+        self._loads = loads
+        self._breakers = breakers
+        self._budget = budget
+        self._forwards = forwards
+        self._metrics = metrics
+
+    def serve_idempotent(
+        self, context: RequestContext, demand: Demand, request: ServiceRequest
+    ) -> StoredAnswer:
+        """Return the service's answer. Raises ``ProblemError`` where none could be had in time."""
+        context.check_region()
+        self._budget.earn()
+        reason = ""
+        for attempt in range(MAX_ATTEMPTS):
+            options = self._targets.rank(context, demand)
+            if not options:
+                break
+            if attempt > 0 and not self._budget.spend():
+                raise problem_error(
+                    ErrorKind.RETRY_BUDGET_SPENT, f"{reason}; too many attempts fail at the moment"
+                )
+            best = options[0]
+            context.trace.note("chosen", describe_target(best.target), tuple(options))
+            outcome = self._attempt(context, demand, best, request)
+            if isinstance(outcome, StoredAnswer):
+                return outcome
+            reason = outcome.reason
+            self._note_failure(context, best, reason)
+            if context.remaining_ms == 0:
+                raise problem_error(ErrorKind.DEADLINE_PASSED, reason)
+        if reason:
+            raise problem_error(ErrorKind.ENDPOINT_FAILED, reason)
+        permitted = ", ".join(context.permitted_regions())
+        raise problem_error(
+            ErrorKind.NO_ENDPOINT, f"no endpoint for {demand.serves} in {permitted}"
+        )
+
+    def call_local(
+        self,
+        context: RequestContext,
+        demand: Demand,
+        name: EndpointId,
+        request: ServiceRequest,
+        timeout_ms: int,
+        is_repeatable: bool,
+    ) -> StoredAnswer | CallFailed:
+        """Run one call on one endpoint of this region."""
+        endpoint = self._targets.find_endpoint(context, demand, name)
+        if endpoint is None:
+            return CallFailed(f"endpoint {name} takes no new work", is_sent=False)
+        self._breakers.begin(name)
+        self._loads.begin(name)
+        try:
+            outcome = call_service(
+                self._loop, endpoint, context.request_id, request, timeout_ms, is_repeatable
+            )
+        finally:
+            self._loads.end(name)
+        if isinstance(outcome, CallFailed):
+            self._breakers.fail(name)
+        else:
+            self._breakers.succeed(name)
+        self._metrics.count_attempt("completed" if isinstance(outcome, StoredAnswer) else "broken")
+        return outcome
+
+    def call_region(
+        self, context: RequestContext, region: RegionId, payload: ForwardPayload
+    ) -> Answered | PeerProblem | PeerLost:
+        """Send one call to a gateway of another region; a second one is tried if none saw it."""
+        circuit = region_circuit(region)
+        outcome: Answered | PeerProblem | PeerLost = PeerLost("no gateway listed", is_sent=False)
+        self._breakers.begin(circuit)
+        for peer in self._fleet.remote_peers(region)[:PEERS_TO_TRY]:
+            self._metrics.count_forward(region)
+            context.trace.note("forwarded", f"{peer.instance} in {region}")
+            outcome = self._forwards.call_service(peer, context, payload)
+            if not (isinstance(outcome, PeerLost) and not outcome.is_sent):
+                break
+        if isinstance(outcome, PeerLost):
+            self._breakers.fail(circuit)
+        else:
+            self._breakers.succeed(circuit)
+        return outcome
+
+    def _attempt(
+        self, context: RequestContext, demand: Demand, option: Option, request: ServiceRequest
+    ) -> StoredAnswer | CallFailed:
+        match option.target:
+            case LocalTarget(name):
+                timeout_ms = min(ATTEMPT_TIMEOUT_MS, context.remaining_ms)
+                outcome = self.call_local(
+                    context, demand, name, request, timeout_ms, is_repeatable=True
+                )
+                if isinstance(outcome, StoredAnswer) and outcome.status in RETRIED_STATUSES:
+                    return CallFailed(f"status {outcome.status}", is_sent=True)
+                return outcome
+            case RemoteTarget(region):
+                payload = ForwardPayload(
+                    SERVICE_IDEMPOTENT,
+                    demand.serves,
+                    request.body,
+                    request.method,
+                    request.path,
+                    request.content_type,
+                )
+                match self.call_region(context, region, payload):
+                    case Answered(answer):
+                        return answer
+                    case PeerProblem(problem):
+                        return CallFailed(f"{problem.kind.value}: {problem.detail}", True)
+                    case PeerLost(reason, is_sent):
+                        return CallFailed(reason, is_sent)
+
+    def _note_failure(self, context: RequestContext, option: Option, reason: str) -> None:
+        target = describe_target(option.target)
+        context.trace.note("attempt failed", f"{target}: {reason}")
+        log_event(Event.ATTEMPT_FAILED, request_id=context.request_id, target=target, reason=reason)
+        match option.target:
+            case LocalTarget(endpoint):
+                context.excluded_endpoints.add(endpoint)
+            case RemoteTarget(region):
+                context.excluded_endpoints.add(region_circuit(region))
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/settings.py
@@ -0,0 +1,103 @@
+"""The settings of one gateway, checked before anything starts."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_core.errors import PrimroseferryError
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import FailureDomainId
+    from primroseferry_core.ids import InstanceId
+    from primroseferry_core.ids import RegionId
+
+_NAME = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
+LOG_LEVELS = ("info", "warning", "error")
+
+
+class SettingError(PrimroseferryError):
+    """A setting cannot be used: its variable, the value and what is allowed."""
+
+    def __init__(self, variable: str, value: str, allowed: str) -> None:
+        super().__init__(f"{variable}={value!r}: expected {allowed}")
+        self.variable = variable
+        self.value = value
+        self.allowed = allowed
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """What a gateway is told at its start; ``docs/SETTINGS.md`` lists flags and variables."""
+
+    instance: InstanceId
+    region: RegionId
+    failure_domain: FailureDomainId
+    key_value_address: str
+    directory_address: str
+    host: str = "127.0.0.1"
+    port: int = 0
+    peer_port: int = 0
+    log_level: str = "info"
+    max_connections: int = 1_024
+    max_head_bytes: int = 32_768
+    max_body_bytes: int = 4_194_304
+    receive_timeout_ms: int = 10_000
+    default_chat_timeout_ms: int = 120_000
+    default_service_timeout_ms: int = 15_000
+    first_token_timeout_ms: int = 20_000
+    token_gap_timeout_ms: int = 3_000
+    drain_timeout_ms: int = 60_000
+    once_retention_s: int = 86_400
+    load_poll_ms: int = 500
+
+
+def check_settings(settings: GatewaySettings) -> GatewaySettings:
+    """Return the settings. Raises :class:`SettingError` for the first one that cannot be used."""
+    _check_name("PRIMROSEFERRY_INSTANCE", settings.instance)
+    _check_name("PRIMROSEFERRY_REGION", settings.region)
+    _check_name("PRIMROSEFERRY_FAILURE_DOMAIN", settings.failure_domain)
+    _check_address("PRIMROSEFERRY_KEY_VALUE_ADDRESS", settings.key_value_address)
+    _check_address("PRIMROSEFERRY_DIRECTORY_ADDRESS", settings.directory_address)
+    _check_ip("PRIMROSEFERRY_HOST", settings.host)
+    if settings.log_level not in LOG_LEVELS:
+        allowed = f"one of {', '.join(LOG_LEVELS)}"
+        raise SettingError("PRIMROSEFERRY_LOG_LEVEL", settings.log_level, allowed)
+    return settings
+
+
+def whole_number(variable: str, text: str, minimum: int, maximum: int) -> int:
+    """Read a setting that is a whole number. Raises :class:`SettingError` where it is not one."""
+    allowed = f"a whole number from {minimum} to {maximum}"
+    try:
+        value = int(text)
+    except ValueError:
+        raise SettingError(variable, text, allowed) from None
+    if not minimum <= value <= maximum:
+        raise SettingError(variable, text, allowed)
+    return value
+
+
+def _check_name(variable: str, value: str) -> None:
+    if not _NAME.match(value):
+        raise SettingError(variable, value, "1 to 64 letters, digits or . _ -")
+
+
+def _check_ip(variable: str, value: str) -> None:
+    try:
+        ipaddress.ip_address(value)
+    except ValueError:
+        raise SettingError(variable, value, "an IP number such as 10.0.0.7") from None
+
+
+def _check_address(variable: str, value: str) -> None:
+    host, _, port = value.rpartition(":")
+    allowed = "an IP number and a port such as 10.0.0.7:8500"
+    if not port.isdecimal() or not 1 <= int(port) <= 65_535:
+        raise SettingError(variable, value, allowed)
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        raise SettingError(variable, value, allowed) from None
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/targets.py
@@ -0,0 +1,132 @@
+"""The options that a gateway has for one request, ranked under the plan's weights."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_core.hashing import rendezvous_order
+from primroseferry_core.ids import EndpointId
+from primroseferry_policy.load_view import UNREPORTED
+from primroseferry_policy.load_view import LoadEstimate
+from primroseferry_policy.routing import AFFINITY_MAX_UTILISATION
+from primroseferry_policy.routing import LocalTarget
+from primroseferry_policy.routing import RemoteTarget
+from primroseferry_policy.routing import estimate_option
+from primroseferry_policy.routing import rank_options
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import RegionId
+    from primroseferry_policy.breaker import Breakers
+    from primroseferry_policy.load_view import LoadView
+    from primroseferry_policy.routing import Option
+    from primroseferry_policy.routing import Work
+
+    from .fleet import Endpoint
+    from .fleet import FleetView
+    from .fleet import RegionLoad
+    from .request_context import RequestContext
+
+
+@dataclass(frozen=True, slots=True)
+class Demand:
+    """What a request needs: a model or service, how much work, and its prompt's prefix."""
+
+    serves: str
+    is_engine: bool
+    work: Work
+    affinity_key: str = ""
+
+
+class TargetChooser:
+    """Ranks endpoints of this region and, where the request may leave it, other regions."""
+
+    def __init__(self, fleet: FleetView, loads: LoadView, breakers: Breakers) -> None:
+        self._fleet = fleet
+        self._loads = loads
+        self._breakers = breakers
+
+    def rank(self, context: RequestContext, demand: Demand) -> list[Option]:
+        """Return the usable options, best first; empty where there are none."""
+        local = self._local_options(context, demand)
+        remote = self._remote_options(context, demand)
+        ranked = rank_options(local + remote, context.plan.weights, context.plan.accepted_cost)
+        if ranked or local or remote:
+            return ranked
+        return self._unheard_regions(context, demand)
+
+    def find_endpoint(self, context: RequestContext, demand: Demand, name: str) -> Endpoint | None:
+        """Return a local endpoint by its name, if it still takes new work."""
+        for endpoint in self._usable(context, demand):
+            if endpoint.endpoint == name:
+                return endpoint
+        return None
+
+    def _usable(self, context: RequestContext, demand: Demand) -> list[Endpoint]:
+        if context.here not in context.plan.regions:
+            return []
+        return [
+            endpoint
+            for endpoint in self._fleet.endpoints(demand.serves, context.here, demand.is_engine)
+            if endpoint.endpoint not in context.excluded_endpoints
+            and self._breakers.permits(endpoint.endpoint)
+        ]
+
+    def _local_options(self, context: RequestContext, demand: Demand) -> list[Option]:
+        usable = self._usable(context, demand)
+        cached = self._affine_endpoint(usable, demand)
+        return [
+            estimate_option(
+                LocalTarget(endpoint.endpoint),
+                self._loads.estimate(endpoint.endpoint),
+                demand.work,
+                is_cached=endpoint.endpoint == cached,
+                ramp_share=self._breakers.ramp_share(endpoint.endpoint),
+            )
+            for endpoint in usable
+        ]
+
+    def _affine_endpoint(self, usable: list[Endpoint], demand: Demand) -> str:
+        """Return the endpoint that holds the prompt's prefix, passing over loaded ones."""
+        if not demand.affinity_key:
+            return ""
+        names = [str(endpoint.endpoint) for endpoint in usable]
+        for name in rendezvous_order(demand.affinity_key, names):
+            if self._loads.estimate(EndpointId(name)).utilisation < AFFINITY_MAX_UTILISATION:
+                return name
+        return ""
+
+    def _remote_options(self, context: RequestContext, demand: Demand) -> list[Option]:
+        return [
+            estimate_option(
+                RemoteTarget(load.region), _as_estimate(load), demand.work, is_cached=False
+            )
+            for load in self._fleet.region_loads(demand.serves)
+            if load.slots > 0 and self._may_use_region(context, load.region)
+        ]
+
+    def _may_use_region(self, context: RequestContext, region: RegionId) -> bool:
+        return (
+            region != context.here
+            and region in context.permitted_regions()
+            and region_circuit(region) not in context.excluded_endpoints
+            and self._breakers.permits(region_circuit(region))
+        )
+
+    def _unheard_regions(self, context: RequestContext, demand: Demand) -> list[Option]:
+        """With nothing else to use, try permitted regions that have told nothing yet."""
+        load = LoadEstimate(0, UNREPORTED.slots, UNREPORTED.step_ms, 0.0)
+        return [
+            estimate_option(RemoteTarget(region), load, demand.work, is_cached=False)
+            for region in self._fleet.regions()
+            if self._may_use_region(context, region)
+        ]
+
+
+def region_circuit(region: RegionId) -> EndpointId:
+    """Return the name under which a region has its circuit breaker."""
+    return EndpointId(f"region/{region}")
+
+
+def _as_estimate(load: RegionLoad) -> LoadEstimate:
+    return LoadEstimate(load.open_requests, load.slots, load.step_ms, load.price)
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/work_gate.py
@@ -0,0 +1,70 @@
+"""Counts the requests under way and closes for a graceful shutdown."""
+
+from __future__ import annotations
+
+import threading
+import time
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+from primroseferry_core.errors import ErrorKind
+from primroseferry_core.errors import problem_error
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class WorkGate:
+    """Every request passes the gate; a closed gate refuses new work as ``not run``.
+
+    Operations whose keys are owned here pass a closed gate too, because the owner alone can answer
+    them from its table.
+    """
+
+    def __init__(self) -> None:
+        self._open_requests = 0
+        self._is_closed = False
+        self._changed = threading.Condition()
+
+    @property
+    def open_requests(self) -> int:
+        """How many requests are under way."""
+        return self._open_requests
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the gateway is stopping."""
+        return self._is_closed
+
+    @contextmanager
+    def enter(self, is_owner_work: bool = False) -> Iterator[None]:
+        """Count one request. Raises ``GATEWAY_DRAINING`` where the gate is closed."""
+        with self._changed:
+            if self._is_closed and not is_owner_work:
+                raise problem_error(
+                    ErrorKind.GATEWAY_DRAINING,
+                    "this gateway is stopping; GET /v1/entry names the others",
+                )
+            self._open_requests += 1
+        try:
+            yield
+        finally:
+            with self._changed:
+                self._open_requests -= 1
+                self._changed.notify_all()
+
+    def close(self) -> None:
+        """Refuse new work from now on."""
+        with self._changed:
+            self._is_closed = True
+
+    def wait_empty(self, timeout_s: float) -> bool:
+        """Wait until no request is under way; ``False`` if that took too long."""
+        deadline_s = time.monotonic() + timeout_s
+        with self._changed:
+            while self._open_requests > 0:
+                remaining_s = deadline_s - time.monotonic()
+                if remaining_s <= 0:
+                    return False
+                self._changed.wait(remaining_s)
+            return True
--- /dev/null
+++ b/packages/primroseferry-once/src/primroseferry_once/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution."""
--- /dev/null
+++ b/packages/primroseferry-peers/src/primroseferry_peers/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between gateways: messages, facts, membership."""
--- /dev/null
+++ b/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
@@ -0,0 +1,174 @@
+"""Spreads facts and the number of the plan revision among gateways.
+
+Each round a gateway exchanges with one random peer of its region; the few gateways that bridge
+regions also exchange with one gateway of each other region. An urgent change is pushed to a few
+peers at once, each of which pushes it on, so that it crosses a region in a few round trips.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+
+from .peer_client import PeerError
+from .proto.peer_pb2 import ExchangeReply
+from .proto.peer_pb2 import ExchangeRequest
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import IncarnationId
+    from primroseferry_core.ids import InstanceId
+    from primroseferry_core.ids import RegionId
+
+    from .fact_store import FactStore
+    from .peer_client import PeerClient
+
+ROUND_S = 0.5
+URGENT_FANOUT = 3
+URGENT_DELAY_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a peer is reached."""
+
+    instance: InstanceId
+    region: RegionId
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class SelfIdentity:
+    """Who this gateway is to its peers."""
+
+    instance: InstanceId
+    incarnation: IncarnationId
+    region: RegionId
+
+
+class ExchangePartners(Protocol):
+    """Whom to exchange with, as the fleet stands now."""
+
+    def region_peers(self) -> list[PeerAddress]:
+        """Return the other gateways of the region."""
+
+    def bridged_peers(self) -> list[PeerAddress]:
+        """Return one gateway of each other region if this gateway bridges, else nothing."""
+
+
+class PlansRevision(Protocol):
+    """What the exchange needs of the plans."""
+
+    def held_revision(self) -> int:
+        """Return the revision in force here."""
+
+    def hear_revision(self, revision: int, address: str) -> None:
+        """Note that the peer at ``address`` holds ``revision``."""
+
+
+@dataclass(slots=True)
+class _PeerProgress:
+    incarnation: str = ""
+    seen_sequence: int = 0
+    sent_sequence: int = 0
+
+
+class Exchanger:
+    """Runs the rounds of one gateway on the event loop."""
+
+    def __init__(
+        self,
+        identity: SelfIdentity,
+        client: PeerClient,
+        facts: FactStore,
+        partners: ExchangePartners,
+        plans: PlansRevision,
+    ) -> None:
+        self._identity = identity
+        self._client = client
+        self._facts = facts
+        self._partners = partners
+        self._plans = plans
+        self._progress: dict[str, _PeerProgress] = {}
+        self._random = random.Random(identity.incarnation)
+        self._urgent = asyncio.Event()
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._rounds = 0
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        self._loop = asyncio.get_running_loop()
+        while True:
+            is_urgent = await self._wait_round()
+            try:
+                await self._run_round(is_urgent)
+            except Exception as error:
+                log_event(Event.PEER_EXCHANGE_FAILED, reason=repr(error))
+
+    def push_soon(self) -> None:
+        """Start an urgent round from any thread."""
+        if self._loop is not None:
+            self._loop.call_soon_threadsafe(self._urgent.set)
+
+    async def answer(self, request: ExchangeRequest) -> ExchangeReply:
+        """Take in a peer's facts and answer with those it lacks."""
+        self._facts.accept(request.facts, heard_from=request.incarnation)
+        is_remote = request.region != self._identity.region
+        sequence = self._facts.sequence
+        since = request.since if request.since <= sequence else 0
+        return ExchangeReply(
+            incarnation=self._identity.incarnation,
+            sequence=sequence,
+            facts=self._facts.since(since, request.incarnation, only_fleet_wide=is_remote),
+            plans_revision=self._plans.held_revision(),
+        )
+
+    async def _wait_round(self) -> bool:
+        pause_s = ROUND_S * self._random.uniform(0.8, 1.2)
+        try:
+            await asyncio.wait_for(self._urgent.wait(), pause_s)
+        except TimeoutError:
+            return False
+        await asyncio.sleep(URGENT_DELAY_S)
+        self._urgent.clear()
+        return True
+
+    async def _run_round(self, is_urgent: bool) -> None:
+        self._rounds += 1
+        self._facts.drop_expired()
+        region_peers = self._partners.region_peers()
+        count = min(len(region_peers), URGENT_FANOUT if is_urgent else 1)
+        chosen = self._random.sample(region_peers, count) + self._partners.bridged_peers()
+        await asyncio.gather(*(self._exchange(peer) for peer in chosen))
+
+    async def _exchange(self, peer: PeerAddress) -> None:
+        progress = self._progress.setdefault(peer.address, _PeerProgress())
+        is_remote = peer.region != self._identity.region
+        sequence = self._facts.sequence
+        request = ExchangeRequest(
+            instance=self._identity.instance,
+            incarnation=self._identity.incarnation,
+            region=self._identity.region,
+            since=progress.seen_sequence,
+            facts=self._facts.since(
+                progress.sent_sequence, progress.incarnation, only_fleet_wide=is_remote
+            ),
+            plans_revision=self._plans.held_revision(),
+        )
+        try:
+            reply = await self._client.exchange(peer.address, request)
+        except PeerError as error:
+            log_event(Event.PEER_EXCHANGE_FAILED, peer=peer.instance, reason=str(error))
+            return
+        if reply.incarnation != progress.incarnation:
+            self._progress[peer.address] = _PeerProgress(incarnation=reply.incarnation)
+        else:
+            progress.sent_sequence = sequence
+            progress.seen_sequence = reply.sequence
+        self._facts.accept(reply.facts, heard_from=reply.incarnation)
+        self._plans.hear_revision(reply.plans_revision, peer.address)
--- /dev/null
+++ b/packages/primroseferry-peers/src/primroseferry_peers/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and stubs generated from ``peer.proto``."""
--- /dev/null
+++ b/packages/primroseferry-platform/src/primroseferry_platform/key_value.py
@@ -0,0 +1,141 @@
+"""Client of the platform's key-value service."""
+
+from __future__ import annotations
+
+import base64
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+from primroseferry_transport.calls import FailureStage
+from primroseferry_transport.calls import HttpCall
+from primroseferry_transport.calls import HttpReply
+from result import Err
+from result import Ok
+from result import Result
+
+if TYPE_CHECKING:
+    from primroseferry_transport.curl_loop import CurlLoop
+
+READ_TIMEOUT_MS = 2_000
+WRITE_TIMEOUT_MS = 3_000
+WATCH_SLACK_MS = 2_000
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A stored value and the revision of its last write."""
+
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ListedEntry:
+    """One entry of a listing, with its key."""
+
+    key: str
+    entry: Entry
+
+
+class WriteFailure(Enum):
+    """How a write failed. Only ``UNKNOWN`` may have taken effect."""
+
+    CONFLICT = "conflict"
+    NOT_WRITTEN = "not-written"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """The service gave no usable answer."""
+
+    reason: str
+
+
+class KeyValueClient:
+    """Reads, compare-and-swap writes and watches. No method raises for an outage."""
+
+    def __init__(self, loop: CurlLoop, address: str) -> None:
+        self._loop = loop
+        self._base_url = f"http://{address}"
+
+    def get(self, key: str) -> Result[Entry | None, Unreachable]:
+        """Return the entry of ``key``, or ``None`` where there is none."""
+        call = HttpCall("GET", self._key_url("kv", key), timeout_ms=READ_TIMEOUT_MS)
+        return _read(self._loop.call(call).map_err(lambda failure: Unreachable(failure.reason)))
+
+    def watch(
+        self, key: str, after_revision: int, wait_ms: int
+    ) -> Result[Entry | None, Unreachable]:
+        """Wait up to ``wait_ms`` for a revision above ``after_revision``; ``None`` if none came."""
+        url = f"{self._key_url('watch', key)}?after={after_revision}&wait_ms={wait_ms}"
+        call = HttpCall("GET", url, timeout_ms=wait_ms + WATCH_SLACK_MS)
+        return _read(self._loop.call(call).map_err(lambda failure: Unreachable(failure.reason)))
+
+    def list_entries(self, prefix: str) -> Result[list[ListedEntry], Unreachable]:
+        """Return the entries whose keys start with ``prefix``, in the order of their keys."""
+        url = f"{self._base_url}/v1/keys?prefix={quote(prefix, safe='')}"
+        answer = self._loop.call(HttpCall("GET", url, timeout_ms=READ_TIMEOUT_MS))
+        match answer:
+            case Ok(HttpReply(status=200, body=body)):
+                rows = json.loads(body)["entries"]
+                return Ok([_listed_entry(row) for row in rows])
+            case Ok(reply):
+                return Err(Unreachable(f"status {reply.status}"))
+            case Err(failure):
+                return Err(Unreachable(failure.reason))
+
+    def put(
+        self, key: str, value: bytes, expected_revision: int | None
+    ) -> Result[int, WriteFailure]:
+        """Write if the key's revision is ``expected_revision`` (0: absent); return the new one.
+
+        ``None`` writes whatever is there.
+        """
+        return self._write("PUT", key, expected_revision, value)
+
+    def delete(self, key: str, expected_revision: int | None) -> Result[int, WriteFailure]:
+        """Delete under the same condition as :meth:`put`."""
+        return self._write("DELETE", key, expected_revision, None)
+
+    def _write(
+        self, method: str, key: str, expected_revision: int | None, value: bytes | None
+    ) -> Result[int, WriteFailure]:
+        url = self._key_url("kv", key)
+        if expected_revision is not None:
+            url += f"?expected_revision={expected_revision}"
+        call = HttpCall(method, url, body=value, timeout_ms=WRITE_TIMEOUT_MS, is_repeatable=False)
+        match self._loop.call(call):
+            case Ok(HttpReply(status=200, body=body)):
+                return Ok(int(json.loads(body)["revision"]))
+            case Ok(HttpReply(status=409)):
+                return Err(WriteFailure.CONFLICT)
+            case Ok(reply) if 400 <= reply.status < 500:
+                return Err(WriteFailure.NOT_WRITTEN)
+            case Err(failure) if failure.stage is FailureStage.NOT_SENT:
+                return Err(WriteFailure.NOT_WRITTEN)
+            case _:
+                return Err(WriteFailure.UNKNOWN)
+
+    def _key_url(self, kind: str, key: str) -> str:
+        return f"{self._base_url}/v1/{kind}/{quote(key, safe='/')}"
+
+
+def _listed_entry(row: dict[str, str | int]) -> ListedEntry:
+    value = base64.b64decode(str(row["value"]))
+    return ListedEntry(str(row["key"]), Entry(value, int(row["revision"])))
+
+
+def _read(answer: Result[HttpReply, Unreachable]) -> Result[Entry | None, Unreachable]:
+    match answer:
+        case Ok(HttpReply(status=200, headers=headers, body=body)):
+            return Ok(Entry(body, int(headers["x-revision"])))
+        case Ok(HttpReply(status=204) | HttpReply(status=404)):
+            return Ok(None)
+        case Ok(reply):
+            return Err(Unreachable(f"status {reply.status}"))
+        case Err(unreachable):
+            return Err(unreachable)
--- /dev/null
+++ b/packages/primroseferry-policy/src/primroseferry_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, limits, routing, retries and quarantine."""
--- /dev/null
+++ b/packages/primroseferry-policy/src/primroseferry_policy/breaker.py
@@ -0,0 +1,127 @@
+"""A circuit breaker for each endpoint, with half-open trials and load in steps afterwards.
+
+An endpoint that failed is given one trial after a wait that doubles with each failure. Once a trial
+succeeds, its share of new work grows in steps, because its cache is cold.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseferry_core.ids import EndpointId
+
+FAILURES_TO_OPEN = 2
+FIRST_WAIT_S = 0.5
+MAX_WAIT_S = 15.0
+RAMP_S = 5.0
+MIN_RAMP_SHARE = 0.2
+
+
+class BreakerState(Enum):
+    """Whether an endpoint is given work."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half-open"
+
+
+@dataclass(slots=True)
+class _Circuit:
+    state: BreakerState = BreakerState.CLOSED
+    failures: int = 0
+    wait_s: float = FIRST_WAIT_S
+    retry_at_s: float = 0.0
+    ramp_from_s: float | None = None
+
+
+class Breakers:
+    """The circuit breakers of every endpoint that one gateway uses."""
+
+    def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
+        self._circuits: dict[EndpointId, _Circuit] = {}
+        self._clock_s = clock_s
+        self._lock = threading.Lock()
+
+    def permits(self, endpoint: EndpointId) -> bool:
+        """Whether the endpoint may be chosen now."""
+        with self._lock:
+            circuit = self._circuits.get(endpoint)
+            if circuit is None or circuit.state is BreakerState.CLOSED:
+                return True
+            return circuit.state is BreakerState.OPEN and self._clock_s() >= circuit.retry_at_s
+
+    def begin(self, endpoint: EndpointId) -> None:
+        """Note an attempt; on an open circuit it is the trial, and others wait for its end."""
+        with self._lock:
+            circuit = self._circuits.get(endpoint)
+            if circuit is not None and circuit.state is BreakerState.OPEN:
+                circuit.state = BreakerState.HALF_OPEN
+
+    def succeed(self, endpoint: EndpointId) -> None:
+        """Close the circuit."""
+        with self._lock:
+            circuit = self._circuits.get(endpoint)
+            if circuit is None:
+                return
+            if circuit.state is not BreakerState.CLOSED:
+                log_event(Event.ENDPOINT_RECOVERED, endpoint=endpoint)
+                circuit.ramp_from_s = self._clock_s()
+            circuit.state = BreakerState.CLOSED
+            circuit.failures = 0
+            circuit.wait_s = FIRST_WAIT_S
+
+    def release(self, endpoint: EndpointId) -> None:
+        """End a trial that told nothing about the endpoint, such as one its caller gave up."""
+        with self._lock:
+            circuit = self._circuits.get(endpoint)
+            if circuit is not None and circuit.state is BreakerState.HALF_OPEN:
+                circuit.state = BreakerState.OPEN
+
+    def fail(self, endpoint: EndpointId) -> None:
+        """Count a failure and open the circuit where there were enough."""
+        with self._lock:
+            circuit = self._circuits.setdefault(endpoint, _Circuit())
+            circuit.failures += 1
+            is_trial = circuit.state is BreakerState.HALF_OPEN
+            if not is_trial and circuit.failures < FAILURES_TO_OPEN:
+                return
+            if circuit.state is BreakerState.CLOSED:
+                log_event(Event.ENDPOINT_SUSPECTED, endpoint=endpoint)
+            elif is_trial:
+                circuit.wait_s = min(MAX_WAIT_S, circuit.wait_s * 2)
+            circuit.state = BreakerState.OPEN
+            circuit.retry_at_s = self._clock_s() + circuit.wait_s
+
+    def ramp_share(self, endpoint: EndpointId) -> float:
+        """Return the share of its capacity that a returning endpoint is given, 0 to 1."""
+        with self._lock:
+            circuit = self._circuits.get(endpoint)
+            if circuit is None or circuit.ramp_from_s is None:
+                return 1.0
+            progress = (self._clock_s() - circuit.ramp_from_s) / RAMP_S
+            return max(MIN_RAMP_SHARE, min(1.0, progress))
+
+    def start_ramp(self, endpoint: EndpointId) -> None:
+        """Give a new or returning endpoint its load in steps."""
+        with self._lock:
+            self._circuits.setdefault(endpoint, _Circuit()).ramp_from_s = self._clock_s()
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Drop what is known of an endpoint that is no longer listed."""
+        with self._lock:
+            self._circuits.pop(endpoint, None)
+
+    def states(self) -> dict[EndpointId, BreakerState]:
+        """Return the state of every endpoint that ever failed or returned."""
+        with self._lock:
+            return {endpoint: circuit.state for endpoint, circuit in self._circuits.items()}
--- /dev/null
+++ b/packages/primroseferry-transport/src/primroseferry_transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP serving over werkzeug and HTTP calls over one libcurl loop."""
--- /dev/null
+++ b/packages/primroseferry-transport/src/primroseferry_transport/calls.py
@@ -0,0 +1,81 @@
+"""What an HTTP call asks for and what it ends with."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+DEFAULT_CONNECT_TIMEOUT_MS = 1_000
+DEFAULT_TIMEOUT_MS = 10_000
+DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
+
+
+class FailureStage(Enum):
+    """How far a failed call got. Only ``NOT_SENT`` proves that the far side saw nothing."""
+
+    NOT_SENT = "not-sent"
+    CONNECTION_LOST = "connection-lost"
+    TIMED_OUT = "timed-out"
+    STOPPED_BY_CALLER = "stopped-by-caller"
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """One header line of a request."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class HttpCall:
+    """One HTTP call.
+
+    ``first_byte_timeout_ms`` bounds the wait for the first byte of the body, ``idle_timeout_ms``
+    each gap after it, ``timeout_ms`` the whole call. ``on_chunk`` gets the body of a 2xx answer
+    piece by piece on the loop's thread and returns ``False`` to stop the call; without it the body
+    is collected, up to ``max_body_bytes``.
+
+    ``is_repeatable=False`` uses a new connection for the call. libcurl silently sends a request
+    again when a kept connection dies before the answer, which must never happen to an operation
+    that runs at most once.
+    """
+
+    method: str
+    url: str
+    headers: tuple[Header, ...] = ()
+    body: bytes | None = None
+    connect_timeout_ms: int = DEFAULT_CONNECT_TIMEOUT_MS
+    timeout_ms: int = DEFAULT_TIMEOUT_MS
+    first_byte_timeout_ms: int | None = None
+    idle_timeout_ms: int | None = None
+    on_chunk: Callable[[bytes], bool] | None = None
+    is_repeatable: bool = True
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+
+
+@dataclass(frozen=True, slots=True)
+class HttpReply:
+    """The answer to a call. ``body`` is empty where ``on_chunk`` took it."""
+
+    status: int
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    @property
+    def content_type(self) -> str:
+        """The answer's content type, in lower case, or an empty text."""
+        return self.headers.get("content-type", "").lower()
+
+
+@dataclass(frozen=True, slots=True)
+class HttpFailure:
+    """A call without an answer: how far it got, and libcurl's or the loop's reason."""
+
+    stage: FailureStage
+    reason: str
--- /dev/null
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -0,0 +1,377 @@
+"""All outgoing HTTP of a process on one libcurl multi handle and one thread.
+
+Each token of each stream passes through this loop, so the body of a call goes straight from
+libcurl's write callback to the caller's socket, without a queue or a change of thread.
+"""
+
+from __future__ import annotations
+
+import selectors
+import socket
+import threading
+import time
+from collections import deque
+from concurrent.futures import Future
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pycurl
+from result import Err
+from result import Ok
+from result import Result
+
+from .calls import FailureStage
+from .calls import HttpCall
+from .calls import HttpFailure
+from .calls import HttpReply
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .socket_writer import SocketWriter
+
+SWEEP_INTERVAL_S = 0.1
+MAX_IDLE_HANDLES = 256
+MAX_KEPT_CONNECTIONS = 1_024
+_NOT_SENT_CODES = frozenset(
+    {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
+)
+
+HttpResult = Result[HttpReply, HttpFailure]
+
+
+class PendingCall:
+    """A call under way. ``future`` never raises: it holds an answer or a failure."""
+
+    def __init__(self, call: HttpCall, loop: CurlLoop) -> None:
+        self.call = call
+        self.future: Future[HttpResult] = Future()
+        self._loop = loop
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._body = bytearray()
+        self._stop_reason: HttpFailure | None = None
+        self._started_s = time.monotonic()
+        self._last_byte_s: float | None = None
+        self._handle: pycurl.Curl | None = None
+
+    def cancel(self) -> None:
+        """Stop the call soon; its future then holds ``STOPPED_BY_CALLER``."""
+        self._loop.run_soon(lambda: self._loop._stop(self, _STOPPED))
+
+    def _overdue(self, now_s: float) -> HttpFailure | None:
+        call = self.call
+        if self._last_byte_s is None:
+            limit_ms = call.first_byte_timeout_ms
+            since_s = self._started_s
+        else:
+            limit_ms = call.idle_timeout_ms
+            since_s = self._last_byte_s
+        if limit_ms is None or (now_s - since_s) * 1000 < limit_ms:
+            return None
+        return HttpFailure(FailureStage.TIMED_OUT, f"no byte for {limit_ms} ms")
+
+
+_STOPPED = HttpFailure(FailureStage.STOPPED_BY_CALLER, "stopped by the caller")
+
+
+class CurlLoop:
+    """Runs HTTP calls on a thread of its own and reports each through a future.
+
+    >>> loop = CurlLoop("doctest")
+    >>> failed = loop.submit(HttpCall("GET", "http://127.0.0.1:1/")).future.result()
+    >>> failed.unwrap_err().stage
+    <FailureStage.NOT_SENT: 'not-sent'>
+    >>> loop.close()
+    """
+
+    def __init__(self, name: str) -> None:
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, MAX_KEPT_CONNECTIONS)
+        self._selector = selectors.DefaultSelector()
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._selector.register(self._wake_reader, selectors.EVENT_READ, None)
+        self._commands: deque[Callable[[], None]] = deque()
+        self._active: dict[pycurl.Curl, PendingCall] = {}
+        self._idle_handles: list[pycurl.Curl] = []
+        self._timer_due_s: float | None = None
+        self._next_sweep_s = time.monotonic() + SWEEP_INTERVAL_S
+        self._is_open = True
+        self._thread = threading.Thread(target=self._run, name=f"curl-{name}", daemon=True)
+        self._thread.start()
+
+    def submit(self, call: HttpCall) -> PendingCall:
+        """Start a call and return at once."""
+        pending = PendingCall(call, self)
+        if not self._is_open:
+            pending.future.set_result(Err(HttpFailure(FailureStage.NOT_SENT, "loop is closed")))
+            return pending
+        self.run_soon(lambda: self._start(pending))
+        return pending
+
+    def call(self, call: HttpCall) -> HttpResult:
+        """Run a call and wait for its end."""
+        return self.submit(call).future.result()
+
+    def run_soon(self, command: Callable[[], None]) -> None:
+        """Run ``command`` on the loop's thread."""
+        self._commands.append(command)
+        self._wake()
+
+    def flush_when_writable(self, writer: SocketWriter) -> None:
+        """Call ``writer.flush()`` each time its socket can take bytes, until nothing is left."""
+        self.run_soon(lambda: self._watch_writer(writer))
+
+    def open_calls(self) -> int:
+        """Return how many calls are under way."""
+        return len(self._active)
+
+    def close(self) -> None:
+        """Stop every call and the thread."""
+        self._is_open = False
+        self._wake()
+        if threading.current_thread() is not self._thread:
+            self._thread.join(timeout=5)
+
+    def _wake(self) -> None:
+        try:
+            self._wake_writer.send(b"\0")
+        except (BlockingIOError, OSError):
+            return
+
+    def _run(self) -> None:
+        while self._is_open:
+            for key, mask in self._selector.select(self._wait_s()):
+                if key.data is None:
+                    self._drain_wake()
+                elif key.data is self:
+                    self._socket_action(key.fd, mask)
+                else:
+                    self._flush_writer(key.data)
+            self._run_timer()
+            self._run_commands()
+            self._sweep()
+            self._finish_calls()
+        for pending in list(self._active.values()):
+            self._stop(pending, _STOPPED)
+        self._run_commands()
+        self._multi.close()
+        self._selector.close()
+        self._wake_reader.close()
+        self._wake_writer.close()
+
+    def _wait_s(self) -> float:
+        if self._commands:
+            return 0.0
+        now_s = time.monotonic()
+        due_s = self._next_sweep_s
+        if self._timer_due_s is not None:
+            due_s = min(due_s, self._timer_due_s)
+        return max(0.0, due_s - now_s)
+
+    def _drain_wake(self) -> None:
+        try:
+            while len(self._wake_reader.recv(4096)) == 4096:
+                continue
+        except BlockingIOError:
+            return
+
+    def _socket_action(self, fd: int, mask: int) -> None:
+        action = 0
+        if mask & selectors.EVENT_READ:
+            action |= pycurl.CSELECT_IN
+        if mask & selectors.EVENT_WRITE:
+            action |= pycurl.CSELECT_OUT
+        self._multi.socket_action(fd, action)
+
+    def _run_timer(self) -> None:
+        if self._timer_due_s is not None and time.monotonic() >= self._timer_due_s:
+            self._timer_due_s = None
+            self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _run_commands(self) -> None:
+        while self._commands:
+            self._commands.popleft()()
+
+    def _sweep(self) -> None:
+        now_s = time.monotonic()
+        if now_s < self._next_sweep_s:
+            return
+        self._next_sweep_s = now_s + SWEEP_INTERVAL_S
+        for pending in list(self._active.values()):
+            overdue = pending._overdue(now_s)
+            if overdue is not None:
+                self._stop(pending, overdue)
+
+    def _on_timer(self, timeout_ms: int) -> None:
+        self._timer_due_s = None if timeout_ms < 0 else time.monotonic() + timeout_ms / 1000
+
+    def _on_socket(self, what: int, fd: int, _multi: object, _data: object) -> None:
+        if what == pycurl.POLL_REMOVE:
+            self._unregister(fd)
+            return
+        mask = 0
+        if what in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            mask |= selectors.EVENT_READ
+        if what in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            mask |= selectors.EVENT_WRITE
+        try:
+            self._selector.modify(fd, mask, self)
+        except KeyError:
+            self._selector.register(fd, mask, self)
+
+    def _unregister(self, fd: int) -> None:
+        try:
+            self._selector.unregister(fd)
+        except (KeyError, ValueError, OSError):
+            return
+
+    def _start(self, pending: PendingCall) -> None:
+        if pending.future.done():
+            return
+        handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
+        try:
+            _configure(handle, pending)
+        except (pycurl.error, TypeError, ValueError, UnicodeError) as error:
+            failure = HttpFailure(FailureStage.NOT_SENT, f"call cannot be made: {error}")
+            pending.future.set_result(Err(failure))
+            return
+        pending._handle = handle
+        self._active[handle] = pending
+        self._multi.add_handle(handle)
+
+    def _stop(self, pending: PendingCall, reason: HttpFailure) -> None:
+        handle = pending._handle
+        if handle is None:
+            if not pending.future.done():
+                failure = HttpFailure(FailureStage.NOT_SENT, reason.reason)
+                pending.future.set_result(Err(failure))
+            return
+        if handle in self._active:
+            pending._stop_reason = reason
+            self._settle(handle, pycurl.E_OK, reason.reason)
+
+    def _finish_calls(self) -> None:
+        while True:
+            queued, succeeded, failed = self._multi.info_read()
+            for handle in succeeded:
+                self._settle(handle, pycurl.E_OK, "")
+            for handle, code, message in failed:
+                self._settle(handle, code, message)
+            if queued == 0:
+                return
+
+    def _settle(self, handle: Any, code: int, message: str) -> None:
+        pending = self._active.pop(handle, None)
+        if pending is None:
+            return
+        result = _result_of(handle, pending, code, message)
+        self._multi.remove_handle(handle)
+        pending._handle = None
+        if len(self._idle_handles) < MAX_IDLE_HANDLES:
+            handle.reset()
+            self._idle_handles.append(handle)
+        else:
+            handle.close()
+        pending.future.set_result(result)
+
+    def _watch_writer(self, writer: SocketWriter) -> None:
+        fd = writer.fileno()
+        if fd < 0:
+            return
+        try:
+            self._selector.register(fd, selectors.EVENT_WRITE, writer)
+        except (KeyError, ValueError, OSError):
+            return
+
+    def _flush_writer(self, writer: SocketWriter) -> None:
+        if writer.flush():
+            return
+        for key in list(self._selector.get_map().values()):
+            if key.data is writer:
+                self._unregister(key.fd)
+
+
+def _configure(handle: Any, pending: PendingCall) -> None:
+    call = pending.call
+    handle.setopt(pycurl.URL, call.url)
+    handle.setopt(pycurl.CUSTOMREQUEST, call.method)
+    handle.setopt(pycurl.PROXY, "")
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.TCP_NODELAY, 1)
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, call.connect_timeout_ms)
+    handle.setopt(pycurl.TIMEOUT_MS, max(1, call.timeout_ms))
+    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    headers = [f"{header.name}: {header.value}" for header in call.headers]
+    if call.body is not None:
+        handle.setopt(pycurl.POST, 1)
+        handle.setopt(pycurl.POSTFIELDS, call.body)
+        handle.setopt(pycurl.POSTFIELDSIZE, len(call.body))
+        headers.append("Expect:")
+    elif call.method == "HEAD":
+        handle.setopt(pycurl.NOBODY, 1)
+    handle.setopt(pycurl.HTTPHEADER, headers)
+    if not call.is_repeatable:
+        handle.setopt(pycurl.FRESH_CONNECT, 1)
+        handle.setopt(pycurl.FORBID_REUSE, 1)
+    handle.setopt(pycurl.HEADERFUNCTION, _header_function(pending))
+    handle.setopt(pycurl.WRITEFUNCTION, _write_function(pending))
+
+
+def _header_function(pending: PendingCall) -> Callable[[bytes], None]:
+    headers = pending._headers
+
+    def on_header(line: bytes) -> None:
+        name, colon, value = line.decode("latin-1").partition(":")
+        if line.startswith(b"HTTP/"):
+            headers.clear()
+            pending._status = int(line.split(maxsplit=2)[1])
+        elif colon:
+            headers[name.strip().lower()] = value.strip()
+
+    return on_header
+
+
+def _write_function(pending: PendingCall) -> Callable[[bytes], int | None]:
+    call = pending.call
+    on_chunk = call.on_chunk
+
+    def on_body(chunk: bytes) -> int | None:
+        pending._last_byte_s = time.monotonic()
+        if on_chunk is not None and 200 <= pending._status < 300:
+            if on_chunk(chunk):
+                return None
+            pending._stop_reason = _STOPPED
+            return -1
+        pending._body += chunk
+        if len(pending._body) > call.max_body_bytes:
+            reason = f"answer is larger than {call.max_body_bytes} bytes"
+            pending._stop_reason = HttpFailure(FailureStage.CONNECTION_LOST, reason)
+            return -1
+        return None
+
+    return on_body
+
+
+def _result_of(handle: Any, pending: PendingCall, code: int, message: str) -> HttpResult:
+    if pending._stop_reason is not None:
+        return Err(pending._stop_reason)
+    if code == pycurl.E_OK:
+        return Ok(HttpReply(pending._status, pending._headers, bytes(pending._body)))
+    if code in _NOT_SENT_CODES or _sent_nothing(handle, pending.call):
+        return Err(HttpFailure(FailureStage.NOT_SENT, message))
+    if code == pycurl.E_OPERATION_TIMEDOUT:
+        return Err(HttpFailure(FailureStage.TIMED_OUT, message))
+    return Err(HttpFailure(FailureStage.CONNECTION_LOST, message))
+
+
+def _sent_nothing(handle: Any, call: HttpCall) -> bool:
+    """A new connection that was never set up cannot have carried the request."""
+    if call.is_repeatable:
+        return False
+    never_connected = handle.getinfo(pycurl.CONNECT_TIME) == 0
+    return bool(never_connected and handle.getinfo(pycurl.REQUEST_SIZE) == 0)
--- /dev/null
+++ b/packages/primroseferry-transport/src/primroseferry_transport/serving.py
@@ -0,0 +1,353 @@
+"""A bounded HTTP server over ``werkzeug.serving``: one task of a thread pool per connection.
+
+Every connection carries one request and has a deadline for its head and its body, so that a caller
+that sends a byte a second, or nothing, cannot keep a thread.
+"""
+
+from __future__ import annotations
+
+import io
+import json
+import socket
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseferry_core.errors import ErrorKind
+from primroseferry_core.errors import Problem
+from primroseferry_core.errors import ProblemError
+from primroseferry_core.errors import problem_error
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from werkzeug.exceptions import RequestEntityTooLarge
+from werkzeug.serving import BaseWSGIServer
+from werkzeug.serving import WSGIRequestHandler
+from werkzeug.wrappers import Request
+from werkzeug.wrappers import Response
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+LISTEN_BACKLOG = 1_024
+LINGER_LIMIT_BYTES = 4 * 1024 * 1024
+LINGER_S = 1.0
+SEND_TIMEOUT_S = 10.0
+_READ_AHEAD_BYTES = 8_192
+_HTTP_ERROR_KINDS = {
+    414: ErrorKind.HEAD_TOO_LARGE,
+    431: ErrorKind.HEAD_TOO_LARGE,
+    408: ErrorKind.REQUEST_TOO_SLOW,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bounds of one server.
+
+    ``max_connections`` are served at once, each on a thread; ``receive_timeout_ms`` bounds the
+    time in which the whole request must have arrived.
+    """
+
+    max_connections: int = 1_024
+    max_head_bytes: int = 32 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    receive_timeout_ms: int = 10_000
+
+
+class Exchange:
+    """One request and the connection it came on.
+
+    A handler returns a ``Response``, or writes on ``take_connection()`` itself and returns
+    ``None``.
+    """
+
+    def __init__(self, request: Request, handler: _Handler) -> None:
+        self.request = request
+        self._handler = handler
+        self.is_taken = False
+
+    def take_connection(self) -> socket.socket:
+        """Hand the raw socket to the request's handler, which then answers on it."""
+        self.is_taken = True
+        return self._handler.connection
+
+    def is_chunking_understood(self) -> bool:
+        """Whether the caller speaks HTTP/1.1 and so understands chunked answers."""
+        return self._handler.request_version == "HTTP/1.1"
+
+    def read_body(self) -> bytes:
+        """Return the whole body. Raises a ``ProblemError`` where it is too large or too slow."""
+        try:
+            body = self.request.get_data(cache=False)
+        except RequestEntityTooLarge as error:
+            limit = self.request.max_content_length
+            raise problem_error(
+                ErrorKind.BODY_TOO_LARGE, f"the body may have at most {limit} bytes"
+            ) from error
+        except (OSError, ValueError) as error:
+            raise problem_error(ErrorKind.BAD_REQUEST, f"the body broke off: {error}") from error
+        expected = self.request.content_length
+        if expected is not None and len(body) != expected:
+            raise problem_error(
+                ErrorKind.BAD_REQUEST, f"the body has {len(body)} of {expected} announced bytes"
+            )
+        return body
+
+
+def problem_response(problem: Problem, request_id: str | None = None) -> Response:
+    """Return the ``application/problem+json`` answer to a problem."""
+    answer = problem.answer
+    data: dict[str, str | int] = {
+        "type": f"urn:primroseferry:problem:{problem.kind.value}",
+        "title": answer.title,
+        "status": answer.status,
+        "detail": problem.detail,
+        "ran": problem.ran.value,
+    }
+    headers = {"Cache-Control": "no-store"}
+    if request_id is not None:
+        data["request_id"] = request_id
+        headers["X-Request-Id"] = request_id
+    if problem.come_back_after_s is not None:
+        data["retry_after_s"] = problem.come_back_after_s
+        headers["Retry-After"] = str(problem.come_back_after_s)
+    return Response(
+        json.dumps(data) + "\n",
+        status=answer.status,
+        headers=headers,
+        content_type="application/problem+json",
+    )
+
+
+class HttpServer(BaseWSGIServer):
+    """Serves ``handle`` on ``host:port``; port 0 takes a free one, see ``port``."""
+
+    multithread = True
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handle: Callable[[Exchange], Response | None],
+        limits: ServerLimits,
+        name: str = "http",
+    ) -> None:
+        listener = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
+        self.handle_exchange = handle
+        self.limits = limits
+        self._pool = ThreadPoolExecutor(limits.max_connections, thread_name_prefix=name)
+        self._slots = threading.BoundedSemaphore(limits.max_connections)
+        self._name = name
+        self._thread: threading.Thread | None = None
+        super().__init__(host, port, _refuse_wsgi, handler=_Handler, fd=listener.fileno())
+        listener.close()
+
+    def start(self) -> None:
+        """Accept connections on a thread of its own."""
+        self._thread = threading.Thread(
+            target=self.serve_forever, args=(0.05,), name=f"{self._name}-accept", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop accepting connections; those under way go on."""
+        if self._thread is not None:
+            self.shutdown()
+            self._thread.join(timeout=5)
+            self._thread = None
+        self.server_close()
+        self._pool.shutdown(wait=False)
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Give the connection to a thread of the pool, or refuse it where none is free."""
+        if not self._slots.acquire(blocking=False):
+            self._refuse(request, ErrorKind.GATEWAY_BUSY, "every connection slot is in use")
+            return
+        try:
+            self._pool.submit(self._serve, request, client_address)
+        except RuntimeError:
+            self._slots.release()
+            self._refuse(request, ErrorKind.GATEWAY_DRAINING, "the server is stopping")
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Log a connection that broke in a way that no answer could be given to."""
+        log_event(Event.BAD_CONNECTION)
+
+    def _serve(self, request: Any, client_address: Any) -> None:
+        try:
+            self.finish_request(request, client_address)
+        except Exception:
+            self.handle_error(request, client_address)
+        finally:
+            self.shutdown_request(request)
+            self._slots.release()
+
+    def _refuse(self, request: Any, kind: ErrorKind, detail: str) -> None:
+        try:
+            request.settimeout(0.2)
+            request.sendall(response_bytes(problem_response(Problem(kind, detail))))
+        except OSError:
+            pass
+        finally:
+            self.shutdown_request(request)
+
+
+def _refuse_wsgi(_environ: Any, _start_response: Any) -> Iterable[bytes]:
+    raise AssertionError("requests are handled by HttpServer.handle_exchange")
+
+
+class _DeadlineReader(io.RawIOBase):
+    """Reads from a socket until a deadline and up to a limit of bytes."""
+
+    def __init__(self, connection: socket.socket, deadline_s: float, limit_bytes: int) -> None:
+        self._connection = connection
+        self._deadline_s = deadline_s
+        self.limit_bytes: int | None = limit_bytes
+        self._received_bytes = 0
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        remaining_s = self._deadline_s - time.monotonic()
+        if remaining_s <= 0:
+            raise problem_error(ErrorKind.REQUEST_TOO_SLOW, "the request did not arrive in time")
+        if self.limit_bytes is not None and self._received_bytes >= self.limit_bytes:
+            raise problem_error(ErrorKind.HEAD_TOO_LARGE, "the request head is too long")
+        self._connection.settimeout(remaining_s)
+        try:
+            count = self._connection.recv_into(buffer)
+        except TimeoutError as error:
+            raise problem_error(
+                ErrorKind.REQUEST_TOO_SLOW, "the request did not arrive in time"
+            ) from error
+        self._received_bytes += count
+        return count
+
+
+class _Handler(WSGIRequestHandler):
+    """Parses one request, passes it on and writes the answer."""
+
+    server: HttpServer
+    protocol_version = "HTTP/1.1"
+
+    def setup(self) -> None:
+        limits = self.server.limits
+        self.connection: socket.socket = self.request
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        deadline_s = time.monotonic() + limits.receive_timeout_ms / 1000
+        limit_bytes = limits.max_head_bytes + _READ_AHEAD_BYTES
+        self._reader = _DeadlineReader(self.connection, deadline_s, limit_bytes)
+        self.rfile = io.BufferedReader(self._reader, _READ_AHEAD_BYTES)
+        self._interim = io.BytesIO()
+        self.wfile = self._interim
+        self.request_version = "HTTP/1.1"
+        self._has_unread_body = False
+
+    def finish(self) -> None:
+        if self._has_unread_body:
+            self._linger()
+
+    def handle(self) -> None:
+        self.close_connection = True
+        try:
+            self.handle_one_request()
+        except ProblemError as error:
+            self._refuse(error.problem)
+        except (ConnectionError, TimeoutError):
+            log_event(Event.BAD_CONNECTION)
+
+    def run_wsgi(self) -> None:
+        """Answer one parsed request. ``handle_one_request`` calls this for every method."""
+        self._reader.limit_bytes = None
+        self._flush_continue()
+        head_bytes = len(self.requestline) + sum(
+            len(name) + len(value) + 4 for name, value in self.headers.items()
+        )
+        if head_bytes > self.server.limits.max_head_bytes:
+            limit = self.server.limits.max_head_bytes
+            self._refuse(
+                Problem(ErrorKind.HEAD_TOO_LARGE, f"the head may have at most {limit} bytes")
+            )
+            return
+        request = Request(self.make_environ())
+        request.max_content_length = self.server.limits.max_body_bytes
+        exchange = Exchange(request, self)
+        response = self.server.handle_exchange(exchange)
+        if exchange.is_taken:
+            return
+        if response is None:
+            raise AssertionError("a handler must answer or take the connection")
+        self._has_unread_body = response.status_code >= 400
+        self._send(response)
+
+    def send_error(self, code: int, message: str | None = None, explain: str | None = None) -> None:
+        """Answer a request that could not be parsed."""
+        kind = _HTTP_ERROR_KINDS.get(int(code), ErrorKind.BAD_REQUEST)
+        self._refuse(Problem(kind, message or "the request could not be parsed"))
+
+    def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
+        """Requests are logged as numbered events by their handler."""
+
+    def log(self, type: str, message: str, *args: Any) -> None:
+        """Whatever the library reports of a connection becomes one numbered event."""
+        log_event(Event.BAD_CONNECTION, reason=message % args if args else message)
+
+    def _flush_continue(self) -> None:
+        interim = self._interim.getvalue()
+        if interim:
+            self.connection.sendall(interim)
+            self._interim.truncate(0)
+
+    def _refuse(self, problem: Problem) -> None:
+        event = Event.BAD_CONNECTION
+        if problem.kind is ErrorKind.REQUEST_TOO_SLOW:
+            event = Event.CALLER_TOO_SLOW
+        log_event(event, kind=problem.kind.value, reason=problem.detail)
+        self._has_unread_body = True
+        self._send(problem_response(problem))
+
+    def _send(self, response: Response) -> None:
+        is_head = getattr(self, "command", None) == "HEAD"
+        self.connection.settimeout(SEND_TIMEOUT_S)
+        try:
+            self.connection.sendall(response_bytes(response, with_body=not is_head))
+        except OSError:
+            log_event(Event.CALLER_GONE)
+
+    def _linger(self) -> None:
+        """Read what the caller still sends, or the kernel's reset could destroy the answer."""
+        deadline_s = time.monotonic() + LINGER_S
+        discarded_bytes = 0
+        try:
+            self.connection.shutdown(socket.SHUT_WR)
+            while discarded_bytes < LINGER_LIMIT_BYTES:
+                remaining_s = deadline_s - time.monotonic()
+                if remaining_s <= 0:
+                    return
+                self.connection.settimeout(remaining_s)
+                chunk = self.connection.recv(65_536)
+                if not chunk:
+                    return
+                discarded_bytes += len(chunk)
+        except OSError:
+            return
+
+
+def response_head_bytes(status: str, headers: Iterable[tuple[str, str]]) -> bytes:
+    """Return the head of an HTTP/1.1 answer after which the connection closes."""
+    lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers)]
+    lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+
+def response_bytes(response: Response, with_body: bool = True) -> bytes:
+    """Return a whole HTTP/1.1 answer; ``with_body=False`` leaves the body out, as for HEAD."""
+    body = response.get_data()
+    response.headers["Content-Length"] = str(len(body))
+    head = response_head_bytes(response.status, response.headers.items())
+    return head + body if with_body else head
--- /dev/null
+++ b/standins/src/primroseferry_standins/__main__.py
@@ -0,0 +1,71 @@
+"""Starts one stand-in: ``python -m primroseferry_standins engine --model small``."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import typer
+
+from . import directory as directory_standin
+from . import engine as engine_standin
+from . import kv as kv_standin
+from . import link as link_standin
+from . import service as service_standin
+
+application = typer.Typer(add_completion=False, help=__doc__)
+Port = Annotated[int, typer.Option(help="Port; 0 takes a free one.")]
+
+
+@application.command()
+def kv(port: Port = 0, control_port: Port = 0) -> None:
+    """Run the key-value service."""
+    kv_standin.run(port, control_port)
+
+
+@application.command()
+def directory(port: Port = 0, control_port: Port = 0) -> None:
+    """Run the instance list and the client directory."""
+    directory_standin.run(port, control_port)
+
+
+@application.command()
+def engine(
+    model: str,
+    port: Port = 0,
+    control_port: Port = 0,
+    slots: int = 16,
+    step_ms: float = 10.0,
+    prefill_tokens_per_s: float = 20_000.0,
+    cache_blocks: int = 256,
+    load_lag_ms: int = 0,
+    price: float = 1.0,
+    checks_fence: bool = True,
+) -> None:
+    """Run a model engine."""
+    shape = engine_standin.EngineShape(
+        model=model,
+        slots=slots,
+        step_ms=step_ms,
+        prefill_tokens_per_s=prefill_tokens_per_s,
+        cache_blocks=cache_blocks,
+        load_lag_ms=load_lag_ms,
+        price=price,
+        checks_fence=checks_fence,
+    )
+    engine_standin.run(port, control_port, shape)
+
+
+@application.command()
+def service(port: Port = 0, control_port: Port = 0, work_ms: int = 5) -> None:
+    """Run a plain service."""
+    service_standin.run(port, control_port, work_ms)
+
+
+@application.command()
+def link(control_port: Port = 0, delay_ms: float = 55.0) -> None:
+    """Run a link between two regions."""
+    link_standin.run(control_port, delay_ms)
+
+
+if __name__ == "__main__":
+    application()
--- /dev/null
+++ b/standins/src/primroseferry_standins/deployment.py
@@ -0,0 +1,264 @@
+"""A whole deployment of small processes on one machine: platform, links, endpoints, gateways."""
+
+from __future__ import annotations
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from dataclasses import field
+from itertools import permutations
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseferry_cli.key_value_session import open_plan_store
+from primroseferry_core.plan_format import parse_yaml
+
+from .process import POLL_S
+from .process import Process
+from .process import ProcessError
+from .process import start_gateway
+from .process import start_standin
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from types import TracebackType
+
+    from primroseferry_cli.plan_store import ApplyOutcome
+
+WAIT_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointShape:
+    """An endpoint to start: its name, region, what it serves and extra options of its stand-in."""
+
+    name: str
+    region: str
+    serves: str
+    is_engine: bool = True
+    options: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class DeploymentShape:
+    """What to start. The first region holds the platform's key-value service and directory.
+
+    ``link_delay_ms`` is one way; ``None`` starts no links, and regions reach each other directly.
+    """
+
+    regions: tuple[str, ...]
+    gateways_per_region: int
+    endpoints: tuple[EndpointShape, ...]
+    plans: str
+    clients: dict[str, dict[str, str]]
+    link_delay_ms: float | None = None
+    gateway_options: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Deployment:
+    """The running processes."""
+
+    shape: DeploymentShape
+    key_value: Process
+    directory: Process
+    links: dict[tuple[str, str], Process] = field(default_factory=dict)
+    endpoints: dict[str, Process] = field(default_factory=dict)
+    gateways: dict[str, Process] = field(default_factory=dict)
+    regions: dict[str, str] = field(default_factory=dict)
+
+    def __enter__(self) -> Deployment:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """End every process."""
+        groups = (self.gateways, self.endpoints, self.links)
+        for process in [*(row for group in groups for row in group.values())]:
+            process.kill()
+        self.directory.kill()
+        self.key_value.kill()
+
+    def gateways_of(self, region: str) -> list[Process]:
+        """Return the gateways of one region that are running."""
+        return [
+            process
+            for name, process in self.gateways.items()
+            if self.regions[name] == region and process.is_running()
+        ]
+
+    def apply_plans(self, text: str, author: str = "operator") -> ApplyOutcome:
+        """Change the plans as ``primroseferry plans apply`` does."""
+        with open_plan_store(self.key_value.address) as store:
+            return store.apply(parse_yaml(text), author)
+
+    def add_gateway(self, name: str, region: str) -> Process:
+        """Start a gateway and list it."""
+        arguments = [
+            "--region",
+            region,
+            "--failure-domain",
+            f"{region}-a",
+            "--key-value-address",
+            self.reach(region, self.shape.regions[0], self.key_value.address),
+            "--directory-address",
+            self.reach(region, self.shape.regions[0], self.directory.address),
+            *self.shape.gateway_options,
+        ]
+        process = start_gateway(name, arguments)
+        self.gateways[name] = process
+        self.regions[name] = region
+        self.list_gateway(name)
+        return process
+
+    def list_gateway(self, name: str, state: str = "live") -> None:
+        """Publish a gateway in the instance list, with its address as seen from each region."""
+        process, region = self.gateways[name], self.regions[name]
+        peer_address = f"127.0.0.1:{process.ports['peer_port']}"
+        row = {
+            "instance": name,
+            "kind": "gateway",
+            "state": state,
+            "region": region,
+            "failure_domain": f"{region}-a",
+            "address": process.address,
+            "peer_address": peer_address,
+            "addresses_by_region": {
+                viewer: {"peer_address": self.reach(viewer, region, peer_address)}
+                for viewer in self.shape.regions
+                if viewer != region
+            },
+        }
+        self.directory.fault(put=[row])
+
+    def unlist(self, name: str) -> None:
+        """Take an instance off the list."""
+        self.directory.fault(remove=[name])
+
+    def add_endpoint(self, shape: EndpointShape) -> Process:
+        """Start an endpoint and list it."""
+        if shape.is_engine:
+            process = start_standin("engine", shape.serves, *shape.options)
+        else:
+            process = start_standin("service", *shape.options)
+        process.name = shape.name
+        self.endpoints[shape.name] = process
+        self.regions[shape.name] = shape.region
+        self.list_endpoint(shape)
+        return process
+
+    def list_endpoint(self, shape: EndpointShape, state: str = "live") -> None:
+        """Publish an endpoint in the instance list."""
+        row = {
+            "instance": shape.name,
+            "kind": "engine" if shape.is_engine else "service",
+            "state": state,
+            "region": shape.region,
+            "failure_domain": f"{shape.region}-a",
+            "address": self.endpoints[shape.name].address,
+            "serves": shape.serves,
+        }
+        self.directory.fault(put=[row])
+
+    def reach(self, viewer: str, region: str, address: str) -> str:
+        """Return the address at which ``viewer`` reaches ``address`` in ``region``."""
+        if viewer == region or self.shape.link_delay_ms is None:
+            return address
+        port = self.links[viewer, region].control("/routes", {"target": address})["port"]
+        return f"127.0.0.1:{port}"
+
+    def cut(self, region: str, other: str, cut: str = "both") -> None:
+        """Cut the links between two regions; ``none`` heals them."""
+        self.links[region, other].fault(cut=cut)
+        self.links[other, region].fault(cut=cut)
+
+    def isolate(self, region: str, cut: str = "both") -> None:
+        """Cut one region off all others; ``none`` heals it."""
+        for other in self.shape.regions:
+            if other != region:
+                self.cut(region, other, cut)
+
+    def wait_ready(self) -> None:
+        """Wait until every gateway is ready and knows its region's gateways and loads."""
+        for process in self.gateways.values():
+            wait_until(lambda process=process: _is_ready(process), f"{process.name} ready")  # type: ignore[misc]
+        for name, process in self.gateways.items():
+            wait_until(
+                lambda process=process, name=name: self._knows_fleet(process, name),  # type: ignore[misc]
+                f"{name} knows the fleet",
+            )
+
+    def _knows_fleet(self, process: Process, name: str) -> bool:
+        state = gateway_state(process)
+        listed = {row["instance"] for row in state["instances"]}
+        expected = set(self.gateways) | set(self.endpoints)
+        others = [region for region in self.shape.regions if region != self.regions[name]]
+        served = {shape.serves: shape.region for shape in self.shape.endpoints}
+        heard = {load["region"] for loads in state["region_loads"].values() for load in loads}
+        needed = {region for region in others if region in served.values()}
+        return expected <= listed and needed <= heard
+
+
+def start_deployment(shape: DeploymentShape) -> Deployment:
+    """Start everything and wait until it is ready."""
+    key_value = start_standin("kv")
+    directory = start_standin("directory")
+    deployment = Deployment(shape, key_value, directory)
+    try:
+        directory.fault(clients=shape.clients)
+        deployment.apply_plans(shape.plans)
+        if shape.link_delay_ms is not None:
+            pairs = list(permutations(shape.regions, 2))
+            delay = ("link", "--delay-ms", str(shape.link_delay_ms))
+            with ThreadPoolExecutor(8) as pool:
+                started = list(pool.map(lambda _pair: start_standin(*delay), pairs))
+            deployment.links = dict(zip(pairs, started, strict=True))
+        names = [
+            (f"{region}-{number}", region)
+            for region in shape.regions
+            for number in range(1, shape.gateways_per_region + 1)
+        ]
+        with ThreadPoolExecutor(8) as pool:
+            list(pool.map(deployment.add_endpoint, shape.endpoints))
+            list(pool.map(lambda pair: deployment.add_gateway(*pair), names))
+        deployment.wait_ready()
+    except BaseException:
+        deployment.close()
+        raise
+    return deployment
+
+
+def wait_until(is_true: Callable[[], bool], what: str, timeout_s: float = WAIT_S) -> float:
+    """Wait for a condition and return how long that took, in seconds."""
+    began_s = time.monotonic()
+    while time.monotonic() - began_s < timeout_s:
+        if is_true():
+            return time.monotonic() - began_s
+        time.sleep(POLL_S)
+    raise ProcessError(f"waited {timeout_s} s in vain for: {what}")
+
+
+def gateway_state(process: Process) -> dict[str, Any]:
+    """Return a gateway's state dump."""
+    from .caller import request
+
+    answer = request(process.address, "GET", "/v1/state")
+    state: dict[str, Any] = answer.json()
+    return state
+
+
+def _is_ready(process: Process) -> bool:
+    from .caller import CallFailedError
+    from .caller import request
+
+    try:
+        return request(process.address, "GET", "/readyz").status == 200
+    except CallFailedError:
+        return False
--- /dev/null
+++ b/standins/src/primroseferry_standins/kv.py
@@ -0,0 +1,253 @@
+"""A stand-in for the platform's key-value service.
+
+It has compare-and-swap, leases, watches and a bound on values, counts every call (a waiting watch
+as one), and can be told to be down, to be slow, or to lose the answers of writes that took effect.
+"""
+
+from __future__ import annotations
+
+import base64
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseferry_transport.router import Router
+from werkzeug.wrappers import Response
+
+from .control import control_routes
+from .control import json_response
+from .control import run_until_killed
+from .control import serve_routes
+
+if TYPE_CHECKING:
+    from primroseferry_transport.serving import Exchange
+
+MAX_VALUE_BYTES = 1_048_576
+MAX_WATCH_MS = 60_000
+
+
+@dataclass(slots=True)
+class _Entry:
+    value: bytes
+    revision: int
+    lease: str
+
+
+@dataclass(slots=True)
+class _Lease:
+    ttl_ms: int
+    expires_s: float
+
+
+class KeyValueStore:
+    """The keys, their revisions and the leases."""
+
+    def __init__(self) -> None:
+        self._entries: dict[str, _Entry] = {}
+        self._leases: dict[str, _Lease] = {}
+        self._revision = 0
+        self._changed = threading.Condition()
+
+    def get(self, key: str) -> _Entry | None:
+        """Return the entry of ``key``, or ``None``."""
+        with self._changed:
+            self._expire()
+            return self._entries.get(key)
+
+    def list_keys(self, prefix: str) -> dict[str, _Entry]:
+        """Return the entries whose keys start with ``prefix``."""
+        with self._changed:
+            self._expire()
+            return {key: row for key, row in self._entries.items() if key.startswith(prefix)}
+
+    def swap(self, key: str, expected: int | None, value: bytes | None, lease: str) -> int | None:
+        """Write (or with ``None`` delete) if the revision is the expected one; ``None`` if not."""
+        with self._changed:
+            self._expire()
+            entry = self._entries.get(key)
+            held = entry.revision if entry is not None else 0
+            if expected is not None and expected != held:
+                return None
+            if lease and lease not in self._leases:
+                return None
+            self._revision += 1
+            if value is None:
+                self._entries.pop(key, None)
+            else:
+                self._entries[key] = _Entry(value, self._revision, lease)
+            self._changed.notify_all()
+            return self._revision
+
+    def watch(self, key: str, after: int, wait_s: float) -> _Entry | None:
+        """Wait for a revision of ``key`` above ``after``; ``None`` if none came in time."""
+        deadline_s = time.monotonic() + wait_s
+        with self._changed:
+            while True:
+                entry = self._entries.get(key)
+                if entry is not None and entry.revision > after:
+                    return entry
+                remaining_s = deadline_s - time.monotonic()
+                if remaining_s <= 0:
+                    return None
+                self._changed.wait(remaining_s)
+
+    def grant(self, ttl_ms: int) -> str:
+        """Grant a lease and return its id."""
+        with self._changed:
+            self._revision += 1
+            lease = f"lease-{self._revision}"
+            self._leases[lease] = _Lease(ttl_ms, time.monotonic() + ttl_ms / 1000)
+            return lease
+
+    def keep_alive(self, lease: str) -> bool:
+        """Renew a lease; ``False`` where it has lapsed."""
+        with self._changed:
+            self._expire()
+            held = self._leases.get(lease)
+            if held is None:
+                return False
+            held.expires_s = time.monotonic() + held.ttl_ms / 1000
+            return True
+
+    def lapse(self, lease: str) -> None:
+        """Let a lease end now, as a pause of its holder would."""
+        with self._changed:
+            if lease in self._leases:
+                self._leases[lease].expires_s = 0.0
+            self._expire()
+
+    def _expire(self) -> None:
+        now_s = time.monotonic()
+        ended = [lease for lease, held in self._leases.items() if held.expires_s <= now_s]
+        for lease in ended:
+            del self._leases[lease]
+        if ended:
+            self._entries = {
+                key: row for key, row in self._entries.items() if row.lease not in ended
+            }
+
+
+class KeyValueService:
+    """The HTTP face of the store, with its faults and counters."""
+
+    def __init__(self) -> None:
+        self.store = KeyValueStore()
+        self._counts: Counter[str] = Counter()
+        self._is_down = False
+        self._delay_ms = 0
+        self._lost_answers_left = 0
+        self._lost_key_prefix = ""
+
+    def routes(self) -> Router:
+        """The service's own routes."""
+        router = Router()
+        router.add("GET", "/v1/kv/<path:key>", self._get)
+        router.add("PUT", "/v1/kv/<path:key>", self._put)
+        router.add("DELETE", "/v1/kv/<path:key>", self._delete)
+        router.add("GET", "/v1/keys", self._list)
+        router.add("GET", "/v1/watch/<path:key>", self._watch)
+        router.add("POST", "/v1/leases", self._grant)
+        router.add("PUT", "/v1/leases/<lease>", self._keep_alive)
+        return router
+
+    def set_fault(self, fault: dict[str, Any]) -> None:
+        """Switch faults: ``down``, ``delay_ms``, ``lose_answers`` (a count), ``lapse``."""
+        self._is_down = bool(fault.get("down", self._is_down))
+        self._delay_ms = int(fault.get("delay_ms", self._delay_ms))
+        self._lost_answers_left = int(fault.get("lose_answers", self._lost_answers_left))
+        self._lost_key_prefix = str(fault.get("lose_answers_prefix", self._lost_key_prefix))
+        if "lapse" in fault:
+            self.store.lapse(str(fault["lapse"]))
+        if fault.get("reset_counts"):
+            self._counts.clear()
+
+    def state(self) -> dict[str, Any]:
+        """The number of calls by kind, and the keys."""
+        keys = {key: entry.revision for key, entry in self.store.list_keys("").items()}
+        return {"counts": dict(self._counts), "keys": keys}
+
+    def _admit(self, kind: str) -> None:
+        self._counts[kind] += 1
+        if self._delay_ms:
+            time.sleep(self._delay_ms / 1000)
+        if self._is_down:
+            raise ConnectionError("the service is down")
+
+    def _answer_write(self, exchange: Exchange, key: str, revision: int | None) -> Response | None:
+        if revision is None:
+            return json_response({"error": "revision differs"}, 409)
+        if self._lost_answers_left > 0 and key.startswith(self._lost_key_prefix):
+            self._lost_answers_left -= 1
+            exchange.take_connection().close()
+            return None
+        return json_response({"revision": revision})
+
+    def _get(self, exchange: Exchange, key: str) -> Response:
+        self._admit("read")
+        return _entry_response(self.store.get(key))
+
+    def _put(self, exchange: Exchange, key: str) -> Response | None:
+        self._admit("write")
+        value = exchange.read_body()
+        if len(value) > MAX_VALUE_BYTES:
+            return json_response({"error": "value too large"}, 413)
+        expected = exchange.request.args.get("expected_revision", type=int)
+        lease = exchange.request.args.get("lease", "")
+        return self._answer_write(exchange, key, self.store.swap(key, expected, value, lease))
+
+    def _delete(self, exchange: Exchange, key: str) -> Response | None:
+        self._admit("write")
+        expected = exchange.request.args.get("expected_revision", type=int)
+        return self._answer_write(exchange, key, self.store.swap(key, expected, None, ""))
+
+    def _list(self, exchange: Exchange) -> Response:
+        self._admit("read")
+        entries = self.store.list_keys(exchange.request.args.get("prefix", ""))
+        rows = [
+            {"key": key, "revision": row.revision, "value": base64.b64encode(row.value).decode()}
+            for key, row in sorted(entries.items())
+        ]
+        return json_response({"entries": rows})
+
+    def _watch(self, exchange: Exchange, key: str) -> Response:
+        self._admit("watch")
+        after = exchange.request.args.get("after", 0, type=int)
+        wait_ms = min(exchange.request.args.get("wait_ms", 1_000, type=int), MAX_WATCH_MS)
+        entry = self.store.watch(key, after, wait_ms / 1000)
+        if self._is_down:
+            raise ConnectionError("the service is down")
+        return Response(status=204) if entry is None else _entry_response(entry)
+
+    def _grant(self, exchange: Exchange) -> Response:
+        self._admit("write")
+        lease = self.store.grant(exchange.request.args.get("ttl_ms", 10_000, type=int))
+        return json_response({"lease": lease})
+
+    def _keep_alive(self, exchange: Exchange, lease: str) -> Response:
+        self._admit("write")
+        is_alive = self.store.keep_alive(lease)
+        return json_response({"alive": is_alive}, 200 if is_alive else 404)
+
+
+def _entry_response(entry: _Entry | None) -> Response:
+    if entry is None:
+        return json_response({"error": "no such key"}, 404)
+    return Response(
+        entry.value,
+        content_type="application/octet-stream",
+        headers={"X-Revision": str(entry.revision)},
+    )
+
+
+def run(port: int, control_port: int) -> None:
+    """Run the stand-in until it is killed."""
+    service = KeyValueService()
+    server = serve_routes(port, "kv", service.routes())
+    control = serve_routes(
+        control_port, "control", control_routes(service.set_fault, service.state)
+    )
+    ports = {"port": server.port, "control_port": control.port}
+    run_until_killed("kv", ports)
--- /dev/null
+++ b/standins/src/primroseferry_standins/process.py
@@ -0,0 +1,156 @@
+"""Starting, killing and freezing the processes of a test deployment."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import selectors
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from dataclasses import field
+from pathlib import Path
+from typing import IO
+from typing import Any
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 20.0
+CONTROL_TIMEOUT_S = 10.0
+POLL_S = 0.02
+
+
+class ProcessError(Exception):
+    """A process of the deployment did not start or did not answer."""
+
+
+@dataclass(slots=True)
+class Process:
+    """One running process with its ports and its log."""
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    log: IO[bytes]
+    ports: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def address(self) -> str:
+        """Where the process serves HTTP."""
+        return f"127.0.0.1:{self.ports['port']}"
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self.popen.pid
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.popen.kill()
+        self.popen.wait()
+
+    def freeze(self) -> None:
+        """Stop the process where it is; it believes no time passes."""
+        os.kill(self.pid, signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let a frozen process go on."""
+        os.kill(self.pid, signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask for a graceful shutdown."""
+        self.popen.terminate()
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Wait for the end and return the exit code."""
+        return self.popen.wait(timeout_s)
+
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.popen.poll() is None
+
+    def control(self, path: str, data: object | None = None) -> Any:
+        """Call the control port: POST ``data``, or GET without it."""
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.ports["control_port"], timeout=CONTROL_TIMEOUT_S
+        )
+        try:
+            method = "GET" if data is None else "POST"
+            body = None if data is None else json.dumps(data)
+            connection.request(method, path, body)
+            response = connection.getresponse()
+            answer = response.read()
+        finally:
+            connection.close()
+        if response.status != 200:
+            raise ProcessError(f"{self.name}: control answered {response.status} {answer!r}")
+        return json.loads(answer)
+
+    def fault(self, **fault: object) -> None:
+        """Switch faults of a stand-in."""
+        self.control("/fault", fault)
+
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return the JSON lines that the process logged so far."""
+        lines = []
+        for line in Path(self.log.name).read_bytes().splitlines():
+            try:
+                lines.append(json.loads(line))
+            except ValueError:
+                lines.append({"message": line.decode(errors="replace")})
+        return lines
+
+
+def start_standin(*arguments: str) -> Process:
+    """Start a stand-in and wait for its ports."""
+    log = tempfile.NamedTemporaryFile(prefix="primroseferry-", suffix=".log")  # noqa: SIM115
+    popen = subprocess.Popen(
+        [sys.executable, "-m", "primroseferry_standins", *arguments],
+        stdout=subprocess.PIPE,
+        stderr=log,
+        env=process_environment(),
+    )
+    process = Process(arguments[0], popen, log)
+    line = _read_line(process)
+    process.ports = {name: port for name, port in json.loads(line).items() if name != "standin"}
+    return process
+
+
+def start_gateway(name: str, arguments: list[str]) -> Process:
+    """Start a gateway and wait for its ports."""
+    log = tempfile.NamedTemporaryFile(prefix="primroseferry-", suffix=".log")  # noqa: SIM115
+    program = [sys.executable, "-m", "primroseferry_cli", "gateway", "--instance", name]
+    popen = subprocess.Popen([*program, *arguments], stderr=log, env=process_environment())
+    process = Process(name, popen, log)
+    deadline_s = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < deadline_s:
+        for row in process.log_lines():
+            if row.get("event") == 1001:
+                process.ports = {"port": row["port"], "peer_port": row["peer_port"]}
+                return process
+        if not process.is_running():
+            break
+        time.sleep(POLL_S)
+    raise ProcessError(f"{name} did not start: {process.log_lines()}")
+
+
+def process_environment() -> dict[str, str]:
+    """Return the environment without settings of the product that the tester may have."""
+    return {
+        name: value for name, value in os.environ.items() if not name.startswith("PRIMROSEFERRY_")
+    }
+
+
+def _read_line(process: Process) -> bytes:
+    stdout = process.popen.stdout
+    assert stdout is not None
+    with selectors.DefaultSelector() as selector:
+        selector.register(stdout, selectors.EVENT_READ)
+        if not selector.select(START_TIMEOUT_S):
+            raise ProcessError(f"{process.name} did not start in {START_TIMEOUT_S} s")
+    line = stdout.readline()
+    if not line:
+        raise ProcessError(f"{process.name} did not start: {process.log_lines()}")
+    return line
--- /dev/null
+++ b/standins/src/primroseferry_standins/service.py
@@ -0,0 +1,133 @@
+"""A stand-in for a plain service: orders and bookings that run once each call, and look-ups.
+
+It does not filter repeated keys, so a second dispatch shows in its log of what it ran.
+"""
+
+from __future__ import annotations
+
+import os
+import threading
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+from primroseferry_transport.router import Router
+
+from .control import control_routes
+from .control import json_response
+from .control import run_until_killed
+from .control import serve_routes
+
+if TYPE_CHECKING:
+    from primroseferry_transport.serving import Exchange
+    from werkzeug.wrappers import Response
+
+
+class Ledger:
+    """The log of operations that ran, with the service's faults."""
+
+    def __init__(self, work_ms: int) -> None:
+        self._work_ms = work_ms
+        self._log: list[dict[str, Any]] = []
+        self._lock = threading.Lock()
+        self._running = 0
+        self._is_leaving = False
+        self._drop_answers_left = 0
+        self._crash = ""
+        self._hold = threading.Event()
+        self._hold.set()
+
+    def routes(self) -> Router:
+        """The service's own routes."""
+        router = Router()
+        router.add("POST", "/orders", self._run)
+        router.add("POST", "/bookings", self._run)
+        router.add("POST", "/payments", self._run)
+        router.add("GET", "/runs/by-key/<key>", self._find_run)
+        router.add("GET", "/stock/<lot>", self._look_up)
+        router.add("GET", "/loyalty/<card>", self._look_up)
+        router.add("GET", "/v1/load", self._get_load)
+        return router
+
+    def set_fault(self, fault: dict[str, Any]) -> None:
+        """Switch faults: ``drop_answers``, ``crash`` (``before`` or ``after``), ``work_ms``,
+        ``hold``, ``leaving``.
+        """
+        self._drop_answers_left = int(fault.get("drop_answers", self._drop_answers_left))
+        self._crash = str(fault.get("crash", self._crash))
+        self._work_ms = int(fault.get("work_ms", self._work_ms))
+        self._is_leaving = bool(fault.get("leaving", self._is_leaving))
+        if "hold" in fault:
+            (self._hold.clear if fault["hold"] else self._hold.set)()
+
+    def state(self) -> dict[str, Any]:
+        """The log of what ran."""
+        with self._lock:
+            return {"log": list(self._log), "running": self._running}
+
+    def _run(self, exchange: Exchange) -> Response | None:
+        body = exchange.read_body()
+        key = exchange.request.headers.get("Idempotency-Key", "")
+        with self._lock:
+            self._running += 1
+        try:
+            self._hold.wait()
+            if self._crash == "before":
+                os._exit(134)
+            time.sleep(self._work_ms / 1000)
+            number = self._record(exchange, key, body)
+        finally:
+            with self._lock:
+                self._running -= 1
+        if self._crash == "after":
+            os._exit(134)
+        if self._drop_answers_left > 0:
+            self._drop_answers_left -= 1
+            exchange.take_connection().close()
+            return None
+        return json_response({"number": number, "key": key}, 201)
+
+    def _record(self, exchange: Exchange, key: str, body: bytes) -> int:
+        with self._lock:
+            number = len(self._log) + 1
+            row = {
+                "number": number,
+                "key": key,
+                "path": exchange.request.path,
+                "request_id": exchange.request.headers.get("X-Request-Id", ""),
+                "body": body.decode(errors="replace"),
+            }
+            self._log.append(row)
+            return number
+
+    def _find_run(self, exchange: Exchange, key: str) -> Response:
+        with self._lock:
+            row = next((row for row in self._log if row["key"] == key), None)
+        if row is None:
+            return json_response({"error": "no run with this key"}, 404)
+        return json_response({"number": row["number"], "key": key})
+
+    def _look_up(self, exchange: Exchange, **values: str) -> Response:
+        name = next(iter(values.values()))
+        time.sleep(self._work_ms / 1000)
+        return json_response({"name": name, "units": len(name)})
+
+    def _get_load(self, exchange: Exchange) -> Response:
+        report = {
+            "running": self._running,
+            "queued": 0,
+            "slots": 64,
+            "step_ms": float(self._work_ms),
+            "price": 0.0,
+            "leaving": self._is_leaving,
+        }
+        return json_response(report)
+
+
+def run(port: int, control_port: int, work_ms: int) -> None:
+    """Run the stand-in until it is killed."""
+    ledger = Ledger(work_ms)
+    server = serve_routes(port, "service", ledger.routes())
+    control = serve_routes(control_port, "control", control_routes(ledger.set_fault, ledger.state))
+    ports = {"port": server.port, "control_port": control.port}
+    run_until_killed("service", ports)
