Test every library, refuse bad input, add the demo and the data-path bench

Found by the new tests, failing first: - A body without an announced length was cut at the limit and then parsed (400 "not valid JSON" where 413 was due): werkzeug's max_content_length does not bound a chunked body on a thread that reads it at once. The body is now read piece by piece against the limit. - An engine went on for a caller that had hung up while it waited for an answer in one piece (open request after 30 s). Connections are now watched on the HTTP loop and the engine's stream is stopped. - Without is_repeatable=False libcurl sent 9 requests for 5 calls when a kept connection died; with it 5 for 5. - The once-table state machine fails when dispatch() ignores a hand-over.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SOURCES := packages/*/src standins/src
-TESTS := packages/*/tests standins/tests tests
+CHECKED := packages standins tests benchmarks demo
 LIBRARIES := $(wildcard packages/*) standins
 
 .PHONY: venv test check unit demo bench format clean
@@ -18,18 +18,24 @@
 	touch $@
 
 check: venv
-	$(BIN)/black --quiet --check packages standins tests
-	$(BIN)/ruff check --quiet packages standins tests
-	$(BIN)/mypy $(SOURCES)
+	$(BIN)/black --quiet --check $(CHECKED)
+	$(BIN)/ruff check --quiet $(CHECKED)
+	$(BIN)/mypy $(SOURCES) benchmarks demo
 
 unit: venv
 	$(BIN)/pytest
 
 test: check unit
 
+demo: venv
+	$(BIN)/python demo/run.py
+
+bench: venv
+	$(BIN)/python benchmarks/data_path.py
+
 format: venv
-	$(BIN)/black --quiet packages standins tests
-	$(BIN)/ruff check --quiet --fix --unsafe-fixes packages standins tests
+	$(BIN)/black --quiet $(CHECKED)
+	$(BIN)/ruff check --quiet --fix --unsafe-fixes $(CHECKED)
 
 clean:
 	rm -rf $(VENV) .mypy_cache .ruff_cache .hypothesis
@@ -40,3 +46,11 @@
 	$(BIN)/pip install --quiet --disable-pip-version-check grpcio-tools==1.85.1
 	cd packages/primroseferry-peers/src && PATH=$(CURDIR)/$(BIN):$$PATH python -m grpc_tools.protoc \
 		-I. --python_out=. --pyi_out=. --grpclib_python_out=. primroseferry_peers/proto/peer.proto
+
+# Writes the reference pages anew from the code.
+.PHONY: reference
+reference: venv
+	for page in events errors settings; do \
+		$(BIN)/python -c "from primroseferry_cli import reference; print(reference.$${page}_page(), end='')" \
+			> docs/$$(echo $$page | tr a-z A-Z).md; \
+	done
--- /dev/null
+++ b/packages/primroseferry-cli/tests/test_plan_store.py
@@ -0,0 +1,147 @@
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import pytest
+from primroseferry_cli.plan_store import Accepted
+from primroseferry_cli.plan_store import Conflict
+from primroseferry_cli.plan_store import OutcomeUnknownError
+from primroseferry_cli.plan_store import PlanStore
+from primroseferry_cli.plan_store import Unchanged
+from primroseferry_core.ids import CustomerId
+from primroseferry_core.ids import PlanId
+from primroseferry_core.ids import RegionId
+from primroseferry_core.plans import CustomerPlan
+from primroseferry_core.plans import PlanUse
+from primroseferry_core.plans import Urgency
+from primroseferry_platform.key_value import Entry
+from primroseferry_platform.key_value import Unreachable
+from primroseferry_platform.key_value import WriteFailure
+from result import Err
+from result import Ok
+from result import Result
+
+if TYPE_CHECKING:
+    from primroseferry_core.plans import PlanDocument
+
+
+class FaultyKeyValue:
+    """Compare-and-swap over a dictionary; faults of the writes of the plans come from a list."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Entry] = {}
+        self.faults: list[str] = []
+        self.is_readable = True
+        self.on_fault = lambda: None
+
+    def get(self, key: str) -> Result[Entry | None, Unreachable]:
+        if not self.is_readable:
+            return Err(Unreachable("down"))
+        return Ok(self.entries.get(key))
+
+    def put(
+        self, key: str, value: bytes, expected_revision: int | None
+    ) -> Result[int, WriteFailure]:
+        fault = self.faults.pop(0) if key == "plans" and self.faults else ""
+        if fault == "lost before":
+            self.on_fault()
+            return Err(WriteFailure.UNKNOWN)
+        held = self.entries[key].revision if key in self.entries else 0
+        if expected_revision is not None and expected_revision != held:
+            return Err(WriteFailure.CONFLICT)
+        self.entries[key] = Entry(value, held + 1)
+        if fault == "lost after":
+            self.on_fault()
+            return Err(WriteFailure.UNKNOWN)
+        return Ok(held + 1)
+
+
+@pytest.fixture
+def key_value() -> FaultyKeyValue:
+    return FaultyKeyValue()
+
+
+@pytest.fixture
+def store(key_value: FaultyKeyValue) -> PlanStore:
+    return PlanStore(key_value)  # type: ignore[arg-type]
+
+
+def with_customer(document: PlanDocument, name: str) -> PlanDocument:
+    plan = PlanUse(PlanId("basic"), (RegionId("dakar"),), Urgency.NORMAL, 1.0)
+    row = CustomerPlan(CustomerId(name), PlanId("basic"))
+    return replace(document, customers=(*document.customers, row), plans=(plan,))
+
+
+def test_change_is_accepted_under_the_next_revision(store: PlanStore) -> None:
+    outcome = store.apply(with_customer(store.read().document, "shop"), "ada")
+
+    assert isinstance(outcome, Accepted)
+    assert store.read().document.revision == 1
+    assert store.read().document.history[0].summary == "customers/shop added, plans/basic added"
+
+
+def test_second_of_two_operators_sees_both_changes_and_writes_nothing(store: PlanStore) -> None:
+    base = store.read().document
+    store.apply(with_customer(base, "shop"), "ada")
+
+    outcome = store.apply(with_customer(base, "kiosk"), "ben")
+
+    assert isinstance(outcome, Conflict)
+    assert outcome.theirs is not None
+    assert [row.row_name for row in outcome.mine] == ["kiosk", "basic"]
+    assert [row.row_name for row in outcome.theirs] == ["shop", "basic"]
+    assert [row.customer for row in store.read().document.customers] == ["shop"]
+
+
+@pytest.mark.parametrize("faults", [["lost after"], ["lost before"], ["lost before"] * 3])
+def test_write_with_a_lost_answer_is_reported_as_accepted(
+    store: PlanStore, key_value: FaultyKeyValue, faults: list[str]
+) -> None:
+    key_value.faults = faults
+
+    outcome = store.apply(with_customer(store.read().document, "shop"), "ada")
+
+    assert isinstance(outcome, Accepted)
+    assert store.read().document.has_change(outcome.change_id)
+    assert store.read().document.revision == 1
+
+
+def test_lost_write_that_somebody_else_overtook_is_a_conflict(
+    store: PlanStore, key_value: FaultyKeyValue
+) -> None:
+    base = store.read().document
+    key_value.faults = ["lost before"]
+    key_value.on_fault = lambda: store.apply(with_customer(base, "kiosk"), "ben")  # type: ignore[assignment,return-value]
+
+    outcome = store.apply(with_customer(base, "shop"), "ada")
+
+    assert isinstance(outcome, Conflict)
+    assert [row.customer for row in store.read().document.customers] == ["kiosk"]
+
+
+def test_outcome_that_cannot_be_found_out_is_said_to_be_unknown(
+    store: PlanStore, key_value: FaultyKeyValue
+) -> None:
+    wished = with_customer(store.read().document, "shop")
+    key_value.faults = ["lost before"] * 10
+
+    def go_down() -> None:
+        key_value.is_readable = False
+
+    key_value.on_fault = go_down  # type: ignore[assignment]
+
+    with pytest.raises(OutcomeUnknownError) as caught:
+        store.apply(wished, "ada")
+
+    assert caught.value.change_id in str(caught.value)
+
+
+def test_lists_without_a_difference_write_nothing(
+    store: PlanStore, key_value: FaultyKeyValue
+) -> None:
+    store.apply(with_customer(store.read().document, "shop"), "ada")
+    before = dict(key_value.entries)
+
+    assert isinstance(store.apply(store.read().document, "ada"), Unchanged)
+    assert key_value.entries == before
--- a/packages/primroseferry-core/src/primroseferry_core/logs.py
+++ b/packages/primroseferry-core/src/primroseferry_core/logs.py
@@ -17,7 +17,10 @@
 
 
 def configure_logs(level: str) -> None:
-    """Send events at or above ``level`` (``info``, ``warning``, ``error``) to stderr as JSON."""
+    """Send events at or above ``level`` (``info``, ``warning``, ``error``) to stderr as JSON.
+
+    Events of the process itself, numbered 1000 to 1999, are written at every level.
+    """
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter("%(asctime)s %(levelname)s %(message)s", rename_fields={"asctime": "time"})
@@ -30,10 +33,13 @@
 def log_event(event: Event, **fields: str | int | float | None) -> None:
     """Write one event with its number and fields. Fields never carry a request's content."""
     level = _LEVELS[event.level]
-    if not _logger.isEnabledFor(level):
+    is_process_event = event.number // 1000 == 1
+    if not (is_process_event or _logger.isEnabledFor(level)):
         return
     extra = {"event": event.number, **fields}
-    _logger.log(level, event.sentence, extra=extra, exc_info=event.level == "error" and _failing())
+    shown_level = max(level, _logger.level) if is_process_event else level
+    has_error = event.level == "error" and _failing()
+    _logger.log(shown_level, event.sentence, extra=extra, exc_info=has_error)
 
 
 def _failing() -> bool:
--- /dev/null
+++ b/packages/primroseferry-core/tests/test_hashing.py
@@ -0,0 +1,24 @@
+from __future__ import annotations
+
+from primroseferry_core.hashing import fingerprint_of
+from primroseferry_core.hashing import rendezvous_order
+
+
+def test_rendezvous_keeps_the_order_of_the_members_that_stay() -> None:
+    members = [f"gateway-{number}" for number in range(20)]
+    before = rendezvous_order("plans", members)
+
+    after = rendezvous_order("plans", [name for name in members if name != before[3]])
+
+    assert after == before[:3] + before[4:]
+
+
+def test_fingerprint_tells_customers_and_bodies_apart() -> None:
+    prints = {
+        fingerprint_of("shop", "small", b"body"),
+        fingerprint_of("kiosk", "small", b"body"),
+        fingerprint_of("shop", "small", b"other"),
+    }
+
+    assert len(prints) == 3
+    assert fingerprint_of("shop", "small", b"body") in prints
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/http_api.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/http_api.py
@@ -21,6 +21,7 @@
 from primroseferry_core.logs import log_event
 from primroseferry_core.plans import Execution
 from primroseferry_policy.capacity import CapacityKey
+from primroseferry_transport.hang_up import watch_hang_up
 from primroseferry_transport.router import Router
 from primroseferry_transport.serving import problem_response
 from primroseferry_transport.serving import response_bytes
@@ -169,7 +170,7 @@
             with self._capacity.hold(CapacityKey(caller.plan.plan, model), use.max_open_requests):
                 if body.get("stream", False):
                     return self._stream_chat(exchange, context, chat)
-                return self._collect_chat(context, chat)
+                return self._collect_chat(exchange, context, chat)
 
         return self._answer(request_id, "chat", serve)
 
@@ -180,7 +181,8 @@
         sink = HttpStreamSink(writer, context.request_id, exchange.is_chunking_understood())
         stream = AnswerStream(sink)
         try:
-            is_answered = self._chat.serve(context, chat, stream)
+            with watch_hang_up(self._loop, exchange.connection, writer.give_up):
+                is_answered = self._chat.serve(context, chat, stream)
         except ProblemError as error:
             if sink.is_started:
                 sink.fail(error.problem)
@@ -193,10 +195,17 @@
             log_event(event, request_id=context.request_id)
         return None
 
-    def _collect_chat(self, context: RequestContext, chat: ChatRequest) -> Response:
+    def _collect_chat(
+        self, exchange: Exchange, context: RequestContext, chat: ChatRequest
+    ) -> Response | None:
         sink = CollectSink()
         stream = AnswerStream(sink)
-        self._chat.serve(context, chat, stream)
+        with watch_hang_up(self._loop, exchange.connection, sink.abandon):
+            is_answered = self._chat.serve(context, chat, stream)
+        if not is_answered:
+            exchange.take_connection()
+            log_event(Event.CALLER_GONE, request_id=context.request_id)
+            return None
         text, reason = sink.text_and_reason()
         answer = {
             "id": f"chatcmpl-{context.request_id}",
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/sinks.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/sinks.py
@@ -86,12 +86,16 @@
 
     def __init__(self) -> None:
         self._events = bytearray()
-        self.is_abandoned = False
+        self._is_abandoned = False
+
+    def abandon(self) -> None:
+        """Note that nobody waits for the answer any more."""
+        self._is_abandoned = True
 
     def write(self, events: bytes) -> bool:
         """Keep events; ``False`` once nobody waits for them."""
         self._events += events
-        return not self.is_abandoned
+        return not self._is_abandoned
 
     def text_and_reason(self) -> tuple[str, str]:
         """Return the whole text and why it ended."""
--- /dev/null
+++ b/packages/primroseferry-once/tests/test_once_table.py
@@ -0,0 +1,214 @@
+from __future__ import annotations
+
+import pytest
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.strategies import integers
+from hypothesis.strategies import sampled_from
+from primroseferry_core.errors import ProblemError
+from primroseferry_core.ids import CustomerId
+from primroseferry_core.ids import Fingerprint
+from primroseferry_core.ids import IdempotencyKey
+from primroseferry_core.ids import IncarnationId
+from primroseferry_core.ids import InstanceId
+from primroseferry_once.claims import ClaimedBy
+from primroseferry_once.claims import NotClaimed
+from primroseferry_once.claims import claim_key
+from primroseferry_once.keys import Owner
+from primroseferry_once.keys import ScopedKey
+from primroseferry_once.keys import issue_prefix
+from primroseferry_once.keys import issued_owner
+from primroseferry_once.keys import parse_key
+from primroseferry_once.table import HandedOver
+from primroseferry_once.table import Joined
+from primroseferry_once.table import KeyReused
+from primroseferry_once.table import OnceRecord
+from primroseferry_once.table import OnceState
+from primroseferry_once.table import OnceTable
+from primroseferry_once.table import Sealed
+from primroseferry_once.table import Started
+from primroseferry_once.table import StoredAnswer
+
+PRINT = Fingerprint("print")
+
+
+def scoped(number: int) -> ScopedKey:
+    return ScopedKey(CustomerId("shop"), IdempotencyKey(f"key-{number}"))
+
+
+class OnceMachine(RuleBasedStateMachine):
+    """Gateways in a row, each handing over to the next; a service counts the runs of each key.
+
+    Faults are rules: attempts that provably were not sent, attempts whose answer is lost whether or
+    not they ran, dispatchers that are paused for any time, and hand-overs at any moment.
+    """
+
+    @initialize()
+    def start(self) -> None:
+        self.tables = [OnceTable(IncarnationId("i0"), retention_s=1e9)]
+        self.runs: dict[ScopedKey, int] = {}
+        self.in_flight: list[tuple[OnceTable, OnceRecord]] = []
+
+    @property
+    def newest(self) -> OnceTable:
+        return self.tables[-1]
+
+    @rule(number=integers(0, 5), behind=integers(0, 3))
+    def request(self, number: int, behind: int) -> None:
+        """A caller's request reaches the newest owner or, late, an earlier one."""
+        table = self.tables[max(0, len(self.tables) - 1 - behind)]
+        match table.begin(scoped(number), PRINT):
+            case Started(record):
+                self.in_flight.append((table, record))
+            case Sealed():
+                assert table is self.newest
+                assert scoped(number) not in self.runs
+            case Joined() | HandedOver():
+                pass
+            case KeyReused():
+                raise AssertionError("the same request has the same fingerprint")
+
+    @rule(index=integers(0, 20), fate=sampled_from(["answered", "not sent", "lost", "ran, lost"]))
+    def attempt(self, index: int, fate: str) -> None:
+        if not self.in_flight:
+            return
+        table, record = self.in_flight.pop(index % len(self.in_flight))
+        if not table.dispatch(record):
+            return
+        key = record.scoped_key
+        if fate == "not sent":
+            table.prove_not_sent(record)
+            table.abandon(record)
+            return
+        if fate != "lost":
+            self.runs[key] = self.runs.get(key, 0) + 1
+        if fate == "answered":
+            table.finish(record, StoredAnswer(201, "", b"first"))
+        else:
+            table.lose(record)
+
+    @rule()
+    def seal(self) -> None:
+        """The newest gateway starts its graceful shutdown."""
+        self.newest.seal()
+
+    @rule()
+    def hand_over(self) -> None:
+        """The newest gateway hands its table over, whatever is still under way."""
+        if len(self.tables) > 6:
+            return
+        old = self.newest
+        successor = OnceTable(IncarnationId(f"i{len(self.tables)}"), retention_s=1e9)
+        successor.adopt([_copied(record) for record in old.hand_over()])
+        assert successor.adopt_incarnations(old.owned_incarnations())
+        self.tables.append(successor)
+
+    @invariant()
+    def no_key_runs_twice(self) -> None:
+        assert all(count == 1 for count in self.runs.values())
+
+    @invariant()
+    def every_run_is_known_to_the_newest_owner(self) -> None:
+        for key in self.runs:
+            assert self.newest.find(key) is not None
+
+
+def _copied(record: OnceRecord) -> OnceRecord:
+    copy = OnceRecord(record.scoped_key, record.fingerprint, record.state, record.began_s)
+    copy.answer = record.answer
+    return copy
+
+
+OnceMachine.TestCase.settings = settings(max_examples=150, derandomize=True, deadline=None)
+test_once_table_never_runs_a_key_twice = OnceMachine.TestCase
+
+
+def test_key_with_other_content_is_refused() -> None:
+    table = OnceTable(IncarnationId("i"), retention_s=60)
+    table.begin(scoped(1), PRINT)
+
+    assert isinstance(table.begin(scoped(1), Fingerprint("other")), KeyReused)
+
+
+def test_settled_record_is_forgotten_after_the_retention_and_an_open_one_is_not() -> None:
+    now = [0.0]
+    table = OnceTable(IncarnationId("i"), retention_s=100, clock_s=lambda: now[0])
+    done, open_record = table.begin(scoped(1), PRINT), table.begin(scoped(2), PRINT)
+    assert isinstance(done, Started)
+    assert isinstance(open_record, Started)
+    table.dispatch(done.record)
+    table.finish(done.record, StoredAnswer(201, "", b""))
+    now[0] = 101.0
+    table.begin(scoped(3), PRINT)
+
+    assert table.find(scoped(1)) is None
+    assert table.find(scoped(2)) is not None
+
+
+def test_dispatched_record_is_unknown_to_the_successor() -> None:
+    table = OnceTable(IncarnationId("i"), retention_s=60)
+    begun = table.begin(scoped(1), PRINT)
+    assert isinstance(begun, Started)
+    table.dispatch(begun.record)
+
+    assert [record.state for record in table.hand_over()] == [OnceState.UNKNOWN]
+    assert not table.dispatch(begun.record)
+
+
+class LossyStore:
+    """A key-value service whose writes may lose their answer, or arrive only later."""
+
+    def __init__(self, faults: list[str]) -> None:
+        self.values: dict[str, bytes] = {}
+        self.late: list[tuple[str, bytes]] = []
+        self._faults = faults
+
+    def create(self, key: str, value: bytes) -> bool | None:
+        fault = self._faults.pop(0) if self._faults else ""
+        if fault == "down":
+            return None
+        if fault == "late":
+            self.late.append((key, value))
+            return None
+        if key in self.values:
+            return False
+        self.values[key] = value
+        return None if fault == "answer lost" else True
+
+    def read(self, key: str) -> bytes | None:
+        fault = self._faults.pop(0) if self._faults else ""
+        return None if fault == "down" else self.values.get(key)
+
+
+ME = Owner(IncarnationId("0" * 16), InstanceId("gateway-1"))
+OTHER = Owner(IncarnationId("1" * 16), InstanceId("gateway-2"))
+
+
+@pytest.mark.parametrize("faults", [[], ["answer lost"], ["late", ""], ["down", "", ""]])
+def test_claim_whose_answer_was_lost_is_settled_by_reading(faults: list[str]) -> None:
+    store = LossyStore(faults)
+
+    assert claim_key(store, scoped(1), ME) == ClaimedBy(ME)
+    assert claim_key(store, scoped(1), OTHER) == ClaimedBy(ME)
+
+
+def test_claim_is_not_given_while_the_service_is_down() -> None:
+    store = LossyStore(["down"] * 10)
+
+    assert claim_key(store, scoped(1), ME) == NotClaimed()
+
+
+def test_issued_key_names_its_owner() -> None:
+    key = parse_key(issue_prefix(ME) + "order-7")
+
+    assert issued_owner(key) == ME
+    assert issued_owner(IdempotencyKey("order-7")) is None
+
+
+@pytest.mark.parametrize("text", ["", "a b", "é", "x" * 201, "pf1~short", "pf1~zz~a~b", "a/b"])
+def test_text_that_cannot_be_a_key_is_refused(text: str) -> None:
+    with pytest.raises(ProblemError):
+        parse_key(text)
--- a/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
+++ b/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
@@ -17,6 +17,7 @@
 from primroseferry_core.logs import log_event
 
 from .peer_client import PeerError
+from .proto.peer_pb2 import GATEWAY
 from .proto.peer_pb2 import ExchangeReply
 from .proto.peer_pb2 import ExchangeRequest
 
@@ -27,6 +28,7 @@
 
     from .fact_store import FactStore
     from .peer_client import PeerClient
+    from .proto.peer_pb2 import Fact
 
 ROUND_S = 0.5
 URGENT_FANOUT = 3
@@ -98,7 +100,8 @@
         self._random = random.Random(identity.incarnation)
         self._urgent = asyncio.Event()
         self._loop: asyncio.AbstractEventLoop | None = None
-        self._rounds = 0
+        self._joined: set[str] = set()
+        facts.listen(self._note_joined)
 
     async def run(self) -> None:
         """Exchange until cancelled."""
@@ -139,13 +142,23 @@
         return True
 
     async def _run_round(self, is_urgent: bool) -> None:
-        self._rounds += 1
-        self._facts.drop_expired()
+        self._note_lost(self._facts.drop_expired())
         region_peers = self._partners.region_peers()
         count = min(len(region_peers), URGENT_FANOUT if is_urgent else 1)
         chosen = self._random.sample(region_peers, count) + self._partners.bridged_peers()
         await asyncio.gather(*(self._exchange(peer) for peer in chosen))
 
+    def _note_joined(self, fact: Fact) -> None:
+        if fact.kind == GATEWAY and fact.subject not in self._joined:
+            self._joined.add(fact.subject)
+            log_event(Event.PEER_JOINED, peer=fact.subject)
+
+    def _note_lost(self, expired: list[Fact]) -> None:
+        for fact in expired:
+            if fact.kind == GATEWAY:
+                self._joined.discard(fact.subject)
+                log_event(Event.PEER_LOST, peer=fact.subject)
+
     async def _exchange(self, peer: PeerAddress) -> None:
         progress = self._progress.setdefault(peer.address, _PeerProgress())
         is_remote = peer.region != self._identity.region
--- /dev/null
+++ b/packages/primroseferry-policy/tests/test_quarantine.py
@@ -0,0 +1,104 @@
+from __future__ import annotations
+
+import threading
+
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.strategies import integers
+from hypothesis.strategies import sets
+from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import Fingerprint
+from primroseferry_policy.probation import Probation
+from primroseferry_policy.quarantine import Quarantine
+
+CULPRIT = Fingerprint("culprit")
+
+
+class QuarantineMachine(RuleBasedStateMachine):
+    """One culprit and some innocents on engines that batch, with isolation of suspects.
+
+    Two gateways each keep a quarantine and hear each other's blames late.
+    """
+
+    @initialize()
+    def start(self) -> None:
+        self.gateways = [Quarantine(), Quarantine()]
+        self.innocents = [Fingerprint(f"innocent-{number}") for number in range(6)]
+        self.culprit_deaths = 0
+        self.now_s = 0
+        self.unheard: list[tuple[Fingerprint, str]] = []
+
+    @rule(batch=sets(integers(0, 5), max_size=4), with_culprit=integers(0, 1))
+    def run_batch(self, batch: set[int], with_culprit: int) -> None:
+        """A batch on one engine; at most one suspect is let into it."""
+        gateway = self.gateways[0]
+        chosen = [self.innocents[number] for number in sorted(batch)]
+        if with_culprit:
+            chosen.append(CULPRIT)
+        runnable = [name for name in chosen if not gateway.is_quarantined(name)]
+        suspects = [name for name in runnable if gateway.is_suspected(name)]
+        runnable = [name for name in runnable if name not in suspects[1:]]
+        self.now_s += 100
+        if CULPRIT not in runnable:
+            for name in runnable:
+                gateway.clear(name)
+            return
+        self.culprit_deaths += 1
+        death = f"engine@{self.now_s}"
+        for name in runnable:
+            gateway.blame(name, [death])
+            self.unheard.append((name, death))
+
+    @rule()
+    def hear(self) -> None:
+        for name, death in self.unheard:
+            self.gateways[1].blame(name, [death])
+        self.unheard.clear()
+
+    @invariant()
+    def culprit_kills_at_most_two(self) -> None:
+        assert self.culprit_deaths <= 2
+
+    @invariant()
+    def gateway_that_heard_everything_agrees_on_the_culprit(self) -> None:
+        if not self.unheard:
+            held = [gateway.is_quarantined(CULPRIT) for gateway in self.gateways]
+            assert held[0] == held[1]
+
+
+QuarantineMachine.TestCase.settings = settings(max_examples=100, derandomize=True, deadline=None)
+test_culprit_kills_at_most_two_engines = QuarantineMachine.TestCase
+
+
+def test_innocent_request_is_cleared_by_its_answer() -> None:
+    quarantine = Quarantine()
+    quarantine.blame(Fingerprint("innocent"), ["engine-1@100"])
+    quarantine.clear(Fingerprint("innocent"))
+    quarantine.blame(Fingerprint("innocent"), ["engine-2@200"])
+
+    assert not quarantine.is_quarantined(Fingerprint("innocent"))
+
+
+def test_one_death_seen_by_two_gateways_counts_once() -> None:
+    quarantine = Quarantine()
+    quarantine.blame(CULPRIT, ["engine-1@100", "engine-1@102"])
+    assert not quarantine.is_quarantined(CULPRIT)
+    quarantine.blame(CULPRIT, ["engine-1@160"])
+    assert quarantine.is_quarantined(CULPRIT)
+
+
+def test_second_suspect_waits_until_the_first_has_left() -> None:
+    probation = Probation()
+    engine = EndpointId("engine")
+    assert probation.enter([engine], 1.0) == engine
+    assert probation.enter([engine], 0.0) is None
+    entered: list[EndpointId | None] = []
+    waiting = threading.Thread(target=lambda: entered.append(probation.enter([engine], 10.0)))
+    waiting.start()
+    probation.leave(engine)
+    waiting.join(10)
+
+    assert entered == [engine]
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -24,6 +24,7 @@
 from .calls import HttpCall
 from .calls import HttpFailure
 from .calls import HttpReply
+from .hang_up import HangUpWatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -126,6 +127,14 @@
         """Call ``writer.flush()`` each time its socket can take bytes, until nothing is left."""
         self.run_soon(lambda: self._watch_writer(writer))
 
+    def add_watch(self, watch: HangUpWatch) -> None:
+        """Call ``watch.check()`` when its connection is readable."""
+        self.run_soon(lambda: self._add_watch(watch))
+
+    def remove_watch(self, watch: HangUpWatch) -> None:
+        """Stop watching and close the watch's duplicate of the connection."""
+        self.run_soon(lambda: self._remove_watch(watch))
+
     def open_calls(self) -> int:
         """Return how many calls are under way."""
         return len(self._active)
@@ -150,6 +159,9 @@
                     self._drain_wake()
                 elif key.data is self:
                     self._socket_action(key.fd, mask)
+                elif isinstance(key.data, HangUpWatch):
+                    if not key.data.check():
+                        self._unregister(key.fd)
                 else:
                     self._flush_writer(key.data)
             self._run_timer()
@@ -288,6 +300,13 @@
         except (KeyError, ValueError, OSError):
             return
 
+    def _add_watch(self, watch: HangUpWatch) -> None:
+        self._selector.register(watch.duplicate, selectors.EVENT_READ, watch)
+
+    def _remove_watch(self, watch: HangUpWatch) -> None:
+        self._unregister(watch.duplicate.fileno())
+        watch.duplicate.close()
+
     def _flush_writer(self, writer: SocketWriter) -> None:
         if writer.flush():
             return
--- a/packages/primroseferry-transport/src/primroseferry_transport/serving.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/serving.py
@@ -22,7 +22,6 @@
 from primroseferry_core.errors import problem_error
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
-from werkzeug.exceptions import RequestEntityTooLarge
 from werkzeug.serving import BaseWSGIServer
 from werkzeug.serving import WSGIRequestHandler
 from werkzeug.wrappers import Request
@@ -37,6 +36,7 @@
 LINGER_S = 1.0
 SEND_TIMEOUT_S = 10.0
 _READ_AHEAD_BYTES = 8_192
+_READ_BYTES = 65_536
 _HTTP_ERROR_KINDS = {
     414: ErrorKind.HEAD_TOO_LARGE,
     431: ErrorKind.HEAD_TOO_LARGE,
@@ -68,8 +68,14 @@
     def __init__(self, request: Request, handler: _Handler) -> None:
         self.request = request
         self._handler = handler
+        self._max_body_bytes = handler.server.limits.max_body_bytes
         self.is_taken = False
 
+    @property
+    def connection(self) -> socket.socket:
+        """The connection, to be watched and not written to."""
+        return self._handler.connection
+
     def take_connection(self) -> socket.socket:
         """Hand the raw socket to the request's handler, which then answers on it."""
         self.is_taken = True
@@ -81,22 +87,37 @@
 
     def read_body(self) -> bytes:
         """Return the whole body. Raises a ``ProblemError`` where it is too large or too slow."""
+        expected = self.request.content_length
+        if expected is not None and expected > self._max_body_bytes:
+            raise self._too_large()
         try:
-            body = self.request.get_data(cache=False)
-        except RequestEntityTooLarge as error:
-            limit = self.request.max_content_length
-            raise problem_error(
-                ErrorKind.BODY_TOO_LARGE, f"the body may have at most {limit} bytes"
-            ) from error
+            body = self._read_up_to(self._max_body_bytes + 1)
         except (OSError, ValueError) as error:
             raise problem_error(ErrorKind.BAD_REQUEST, f"the body broke off: {error}") from error
-        expected = self.request.content_length
+        if len(body) > self._max_body_bytes:
+            raise self._too_large()
         if expected is not None and len(body) != expected:
             raise problem_error(
                 ErrorKind.BAD_REQUEST, f"the body has {len(body)} of {expected} announced bytes"
             )
         return body
 
+    def _read_up_to(self, limit_bytes: int) -> bytes:
+        """Read the body piece by piece: a chunked one does not say its length before."""
+        stream = self.request.stream
+        body = bytearray()
+        while len(body) < limit_bytes:
+            piece = stream.read(min(_READ_BYTES, limit_bytes - len(body)))
+            if not piece:
+                break
+            body += piece
+        return bytes(body)
+
+    def _too_large(self) -> ProblemError:
+        return problem_error(
+            ErrorKind.BODY_TOO_LARGE, f"the body may have at most {self._max_body_bytes} bytes"
+        )
+
 
 def problem_response(problem: Problem, request_id: str | None = None) -> Response:
     """Return the ``application/problem+json`` answer to a problem."""
@@ -275,7 +296,6 @@
             )
             return
         request = Request(self.make_environ())
-        request.max_content_length = self.server.limits.max_body_bytes
         exchange = Exchange(request, self)
         response = self.server.handle_exchange(exchange)
         if exchange.is_taken:
--- a/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
@@ -88,6 +88,11 @@
             self._flushed.set()
             return False
 
+    def give_up(self) -> None:
+        """Treat the caller as gone."""
+        with self._lock:
+            self._break()
+
     def wait_flushed(self, timeout_s: float) -> bool:
         """Wait until everything is sent; ``False`` if the caller is gone or takes too long."""
         is_flushed = self._flushed.wait(timeout_s)
--- /dev/null
+++ b/packages/primroseferry-transport/tests/test_curl_loop.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+import pytest
+from primroseferry_transport.calls import FailureStage
+from primroseferry_transport.calls import HttpCall
+from primroseferry_transport.curl_loop import CurlLoop
+from primroseferry_transport.router import Router
+from primroseferry_transport.serving import HttpServer
+from primroseferry_transport.serving import ServerLimits
+from werkzeug.wrappers import Response
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from primroseferry_transport.serving import Exchange
+
+
+@pytest.fixture
+def loop() -> Iterator[CurlLoop]:
+    running = CurlLoop("test")
+    yield running
+    running.close()
+
+
+class RawServer:
+    """Answers the first request of each connection and drops the connection at the second."""
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}/orders"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            connection, _ = self._listener.accept()
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection:
+            if not connection.recv(65_536):
+                return
+            self.requests += 1
+            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            if connection.recv(65_536):
+                self.requests += 1
+
+
+def test_call_that_must_not_repeat_is_sent_once_when_its_connection_dies(loop: CurlLoop) -> None:
+    server = RawServer()
+    for _ in range(5):
+        loop.call(HttpCall("POST", server.url, body=b"order", is_repeatable=False))
+
+    assert server.requests == 5
+
+
+def test_refused_connection_proves_that_nothing_was_sent(loop: CurlLoop) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+
+    failure = loop.call(HttpCall("POST", f"http://127.0.0.1:{port}/", body=b"x")).unwrap_err()
+
+    assert failure.stage is FailureStage.NOT_SENT
+
+
+def test_connection_lost_after_sending_proves_nothing(loop: CurlLoop) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+        pending = loop.submit(HttpCall("POST", url, body=b"x", is_repeatable=False))
+        connection, _ = listener.accept()
+        connection.recv(100)
+        connection.close()
+        failure = pending.future.result(5).unwrap_err()
+
+    assert failure.stage is FailureStage.CONNECTION_LOST
+
+
+def test_silent_server_ends_the_call_at_the_first_byte_timeout(loop: CurlLoop) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+        call = HttpCall("GET", url, first_byte_timeout_ms=200, timeout_ms=60_000)
+        failure = loop.submit(call).future.result(10).unwrap_err()
+
+    assert failure.stage is FailureStage.TIMED_OUT
+
+
+def test_cancelled_call_ends_and_leaves_nothing_open(loop: CurlLoop) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+        pending = loop.submit(HttpCall("GET", url, timeout_ms=60_000))
+        _connection, _ = listener.accept()
+        pending.cancel()
+        failure = pending.future.result(5).unwrap_err()
+
+    assert failure.stage is FailureStage.STOPPED_BY_CALLER
+    assert loop.open_calls() == 0
+
+
+def test_body_of_an_error_answer_is_not_streamed(loop: CurlLoop) -> None:
+    def refuse(exchange: Exchange) -> Response:
+        return Response("not now", status=503)
+
+    router = Router()
+    router.add("GET", "/", refuse)
+    server = HttpServer("127.0.0.1", 0, router.handle, ServerLimits())
+    server.start()
+    chunks: list[bytes] = []
+
+    def keep(chunk: bytes) -> bool:
+        chunks.append(chunk)
+        return True
+
+    call = HttpCall("GET", f"http://127.0.0.1:{server.port}/", on_chunk=keep)
+    reply = loop.call(call).unwrap()
+    server.stop()
+
+    assert (reply.status, reply.body, chunks) == (503, b"not now", [])
--- a/standins/src/primroseferry_standins/shapes.py
+++ b/standins/src/primroseferry_standins/shapes.py
@@ -63,3 +63,20 @@
         link_delay_ms=LINK_DELAY_MS,
         gateway_options=gateway_options,
     )
+
+
+def single_region(
+    gateways: int = 1, gateway_options: tuple[str, ...] = (), plans: str = FRANCHISE_PLANS
+) -> DeploymentShape:
+    """Dakar alone with one engine and one order service."""
+    return DeploymentShape(
+        regions=("dakar",),
+        gateways_per_region=gateways,
+        endpoints=(
+            EndpointShape("dakar-engine-1", "dakar", "small"),
+            EndpointShape("dakar-orders-1", "dakar", "orders", is_engine=False),
+        ),
+        plans=plans,
+        clients=FRANCHISE_CLIENTS,
+        gateway_options=gateway_options,
+    )
