Prove the invariants by a history checker and a fault matrix on real processes

Found by the matrix, failing before the change: - "kill @ order: at the service, not run": an order ran 2 times. The restarted process has the same instance name; a request for a key of its former run compared the name and dispatched as if it owned the key. Ownership is now decided by the incarnation alone. Ruled out: a repeat by libcurl (the connection test holds) and by the caller (its key was the same). - "cut @ chat: before the first token" and two more: refused with "no endpoint" right after the cut had healed. Ruled out: stale region loads (the dump showed 32 slots), the region's circuit alone (letting a trial be made on any sign of life left 3 cells failing; it stays, because it shortens the wait). Cause: a gateway that was replaced stays listed for up to a second; a forward to it failed and opened the circuit of its whole region.

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,10 @@
 VENV := .venv
 BIN := $(VENV)/bin
 SOURCES := packages/*/src standins/src
-CHECKED := packages standins tests benchmarks demo
+CHECKED := packages standins tests benchmarks demo faults
 LIBRARIES := $(wildcard packages/*) standins
 
-.PHONY: venv test check unit demo bench format clean
+.PHONY: venv test check unit demo faults faults-fixed bench format clean
 
 venv: $(VENV)/.installed
 
@@ -20,16 +20,23 @@
 check: venv
 	$(BIN)/black --quiet --check $(CHECKED)
 	$(BIN)/ruff check --quiet $(CHECKED)
-	$(BIN)/mypy $(SOURCES) benchmarks demo
+	$(BIN)/mypy $(SOURCES) benchmarks demo faults
 
 unit: venv
 	$(BIN)/pytest
 
-test: check unit
+test: check faults-fixed unit
+
+# The part of the fault matrix that CI runs.
+faults-fixed: venv
+	$(BIN)/python -m faults --fixed
 
 demo: venv
 	$(BIN)/python demo/run.py
 
+faults: venv
+	$(BIN)/python -m faults
+
 bench: venv
 	$(BIN)/python benchmarks/data_path.py
 
--- /dev/null
+++ b/faults/__init__.py
@@ -0,0 +1,1 @@
+"""The proof under failure: histories, their checker, and the fault matrix."""
--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -34,6 +34,7 @@
     PEER_JOINED = (4002, "info", "peer seen for the first time")
     PEER_LOST = (4003, "warning", "peer no longer heard of")
     FORWARD_REFUSED = (4004, "warning", "forwarded request refused")
+    REQUEST_FORWARDED = (4005, "info", "request sent to another region")
     ENDPOINT_LEAVING = (5001, "info", "endpoint leaving, no new work")
     ENDPOINT_SUSPECTED = (5002, "warning", "circuit breaker opened for an endpoint")
     ENDPOINT_RECOVERED = (5003, "info", "circuit breaker closed for an endpoint")
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
@@ -41,16 +41,15 @@
     from .crash_watch import CrashWatch
     from .engine_call import AttemptOutcome
     from .fleet import Endpoint
-    from .fleet import FleetView
     from .forward_client import ForwardClient
     from .metrics import Metrics
+    from .peer_choice import PeerChoice
     from .request_context import RequestContext
     from .settings import GatewaySettings
     from .targets import Demand
     from .targets import TargetChooser
 
 MAX_ATTEMPTS = 6
-PEERS_TO_TRY = 2
 RETRY_PAUSE_S = 0.05
 
 
@@ -69,7 +68,7 @@
         self,
         settings: GatewaySettings,
         loop: CurlLoop,
-        fleet: FleetView,
+        peers: PeerChoice,
         targets: TargetChooser,
         loads: LoadView,
         breakers: Breakers,
@@ -81,7 +80,7 @@
     ) -> None:
         self._settings = settings
         self._loop = loop
-        self._fleet = fleet
+        self._peers = peers
         self._targets = targets
         self._loads = loads
         self._breakers = breakers
@@ -244,11 +243,16 @@
         circuit = region_circuit(region)
         outcome: AttemptOutcome | PeerProblem = Broken("no gateway listed", False, False)
         self._breakers.begin(circuit)
-        for peer in self._fleet.remote_peers(region)[:PEERS_TO_TRY]:
+        for peer in self._peers.ordered(region):
             self._metrics.count_forward(region)
             context.trace.note("forwarded", f"{peer.instance} in {region}")
             outcome = self._forwards.stream_chat(peer, context, payload, stream)
-            if not (isinstance(outcome, Broken) and not outcome.is_sent):
+            if not isinstance(outcome, Broken):
+                self._peers.succeed(peer)
+                break
+            self._peers.fail(peer)
+            context.trace.note("peer failed", f"{peer.instance}: {outcome.reason}")
+            if outcome.is_sent and not self._budget.spend():
                 break
         match outcome:
             case Broken():
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
@@ -10,6 +10,7 @@
 
 from primroseferry_core.events import Event
 from primroseferry_core.ids import Fingerprint
+from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import new_incarnation_id
 from primroseferry_core.logs import configure_logs
 from primroseferry_core.logs import log_event
@@ -23,6 +24,7 @@
 from primroseferry_peers.proto.peer_pb2 import CRASH_BLAME
 from primroseferry_peers.proto.peer_pb2 import ENDPOINT_LOAD
 from primroseferry_peers.proto.peer_pb2 import GATEWAY
+from primroseferry_peers.proto.peer_pb2 import REGION_LOAD
 from primroseferry_peers.proto.peer_pb2 import Fact
 from primroseferry_peers.proto.peer_pb2 import FetchPlansReply
 from primroseferry_peers.proto.peer_pb2 import GatewayFact
@@ -53,10 +55,12 @@
 from .load_poller import load_report
 from .metrics import Metrics
 from .orders import OrderService
+from .peer_choice import PeerChoice
 from .plan_keeper import PlanKeeper
 from .services import ServiceCalls
 from .state import StateDump
 from .targets import TargetChooser
+from .targets import region_circuit
 from .work_gate import WorkGate
 
 if TYPE_CHECKING:
@@ -135,10 +139,11 @@
         settings = self._settings
         self._table = OnceTable(self.identity.incarnation, settings.once_retention_s)
         forwards = ForwardClient(self._peers, self._peer_loop, settings)
+        peers = PeerChoice(self._fleet)
         self._chat = ChatService(
             settings,
             self._loop,
-            self._fleet,
+            peers,
             self._targets,
             self._loads,
             self._breakers,
@@ -150,7 +155,7 @@
         )
         self._services = ServiceCalls(
             self._loop,
-            self._fleet,
+            peers,
             self._targets,
             self._loads,
             self._breakers,
@@ -349,6 +354,9 @@
         match fact.kind:
             case kind if kind == ENDPOINT_LOAD:
                 self._loads.report(fact.subject, load_report(fact.load))  # type: ignore[arg-type]
+            case kind if kind == REGION_LOAD:
+                region = RegionId(fact.subject.partition("/")[0])
+                self._breakers.encourage(region_circuit(region))
             case kind if kind == CRASH_BLAME:
                 self._quarantine.blame(Fingerprint(fact.subject), list(fact.blame.endpoints))
                 self._exchanger.push_soon()
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/forward_client.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/forward_client.py
@@ -7,6 +7,8 @@
 
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import Problem
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
 from primroseferry_once.table import StoredAnswer
 from primroseferry_peers.peer_client import ForwardTimeouts
 from primroseferry_peers.peer_client import PeerError
@@ -87,7 +89,7 @@
     ) -> AttemptOutcome | PeerProblem:
         """Stream a chat answer, or the rest of one, from another region."""
         stream.start_attempt()
-        request = self._request(context, payload)
+        request = self._request(peer, context, payload)
         request.events_delivered = stream.last_event
         problems: list[Problem] = []
 
@@ -136,7 +138,7 @@
                     outcome.append(PeerProblem(_problem(event.problem)))
             return True
 
-        lost = self._run(peer, self._request(context, payload), on_event)
+        lost = self._run(peer, self._request(peer, context, payload), on_event)
         if outcome:
             return outcome[0]
         return lost or PeerLost("the peer ended without an end mark", is_sent=True)
@@ -159,7 +161,16 @@
             return PeerLost(str(error), error.is_sent)
         return None
 
-    def _request(self, context: RequestContext, payload: ForwardPayload) -> ForwardRequest:
+    def _request(
+        self, peer: PeerAddress, context: RequestContext, payload: ForwardPayload
+    ) -> ForwardRequest:
+        if peer.region != context.here:
+            log_event(
+                Event.REQUEST_FORWARDED,
+                request_id=context.request_id,
+                from_region=context.here,
+                to_region=peer.region,
+            )
         return ForwardRequest(
             request_id=context.request_id,
             purpose=payload.purpose,  # type: ignore[arg-type]
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/orders.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/orders.py
@@ -55,6 +55,7 @@
 
 if TYPE_CHECKING:
     from primroseferry_core.ids import IncarnationId
+    from primroseferry_core.ids import RegionId
     from primroseferry_core.plans import Operation
     from primroseferry_once.claims import ClaimStore
     from primroseferry_once.table import OnceTable
@@ -226,9 +227,12 @@
         give_up_s = time.monotonic() + MOVED_WAIT_S
         reason = f"gateway {owner.instance} owns the key and cannot be reached"
         while context.remaining_ms > 0:
+            if self._table.owns(owner.incarnation):
+                return self.serve_as_owner(context, demand, operation, request)
             holder = self._current_holder(owner)
             if holder == self._identity.instance:
-                return self.serve_as_owner(context, demand, operation, request)
+                reason = f"the run of {holder} that owned the key has ended"
+                break
             peer = self._fleet.find_peer(holder)
             outcome: Answered | PeerProblem | PeerLost = PeerLost(reason, is_sent=False)
             if peer is not None and self._may_pass_to(context, peer.region):
@@ -320,13 +324,10 @@
         return CallFailed(reason, is_sent=False)
 
     def _dispatch_remote(
-        self, context: RequestContext, demand: Demand, request: ServiceRequest, region: str
+        self, context: RequestContext, demand: Demand, request: ServiceRequest, region: RegionId
     ) -> StoredAnswer | CallFailed:
         payload = _payload(SERVICE_DISPATCH, demand, request)
-        peers = self._fleet.remote_peers(region)  # type: ignore[arg-type]
-        if not peers:
-            return CallFailed(f"no gateway listed in {region}", is_sent=False)
-        match self._forwards.call_service(peers[0], context, payload):
+        match self._calls.call_region(context, region, payload, is_repeatable=False):
             case Answered(answer):
                 return answer
             case PeerProblem(problem):
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
@@ -31,16 +31,15 @@
     from primroseferry_policy.routing import Option
     from primroseferry_transport.curl_loop import CurlLoop
 
-    from .fleet import FleetView
     from .forward_client import ForwardClient
     from .metrics import Metrics
+    from .peer_choice import PeerChoice
     from .request_context import RequestContext
     from .service_call import ServiceRequest
     from .targets import Demand
     from .targets import TargetChooser
 
 MAX_ATTEMPTS = 4
-PEERS_TO_TRY = 2
 ATTEMPT_TIMEOUT_MS = 4_000
 RETRIED_STATUSES = frozenset({502, 503, 504})
 
@@ -51,7 +50,7 @@
     def __init__(
         self,
         loop: CurlLoop,
-        fleet: FleetView,
+        peers: PeerChoice,
         targets: TargetChooser,
         loads: LoadView,
         breakers: Breakers,
@@ -60,7 +59,7 @@
         metrics: Metrics,
     ) -> None:
         self._loop = loop
-        self._fleet = fleet
+        self._peers = peers
         self._targets = targets
         self._loads = loads
         self._breakers = breakers
@@ -128,17 +127,29 @@
         return outcome
 
     def call_region(
-        self, context: RequestContext, region: RegionId, payload: ForwardPayload
+        self,
+        context: RequestContext,
+        region: RegionId,
+        payload: ForwardPayload,
+        is_repeatable: bool,
     ) -> Answered | PeerProblem | PeerLost:
-        """Send one call to a gateway of another region; a second one is tried if none saw it."""
+        """Send one call to a gateway of another region.
+
+        A second gateway is tried where the first cannot have seen the call, or where the call is
+        repeatable and the retry budget allows it.
+        """
         circuit = region_circuit(region)
         outcome: Answered | PeerProblem | PeerLost = PeerLost("no gateway listed", is_sent=False)
         self._breakers.begin(circuit)
-        for peer in self._fleet.remote_peers(region)[:PEERS_TO_TRY]:
+        for peer in self._peers.ordered(region):
             self._metrics.count_forward(region)
             context.trace.note("forwarded", f"{peer.instance} in {region}")
             outcome = self._forwards.call_service(peer, context, payload)
-            if not (isinstance(outcome, PeerLost) and not outcome.is_sent):
+            if not isinstance(outcome, PeerLost):
+                self._peers.succeed(peer)
+                break
+            self._peers.fail(peer)
+            if outcome.is_sent and not (is_repeatable and self._budget.spend()):
                 break
         if isinstance(outcome, PeerLost):
             self._breakers.fail(circuit)
@@ -167,7 +178,7 @@
                     request.path,
                     request.content_type,
                 )
-                match self.call_region(context, region, payload):
+                match self.call_region(context, region, payload, is_repeatable=True):
                     case Answered(answer):
                         return answer
                     case PeerProblem(problem):
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/state.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/state.py
@@ -90,6 +90,7 @@
                 serves: [asdict(load) for load in self._fleet.region_loads(serves)]
                 for serves in self._fleet.served_elsewhere()
             },
+            "circuits": {name: state.value for name, state in self._breakers.states().items()},
             "capacity": [
                 {"plan": key.plan, "target": key.target, "open_requests": count}
                 for key, count in self._capacity.open_requests().items()
--- a/packages/primroseferry-policy/src/primroseferry_policy/breaker.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/breaker.py
@@ -47,7 +47,12 @@
 class Breakers:
     """The circuit breakers of every endpoint that one gateway uses."""
 
-    def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        clock_s: Callable[[], float] = time.monotonic,
+        failures_to_open: int = FAILURES_TO_OPEN,
+    ) -> None:
+        self._failures_to_open = failures_to_open
         self._circuits: dict[EndpointId, _Circuit] = {}
         self._clock_s = clock_s
         self._lock = threading.Lock()
@@ -93,7 +98,7 @@
             circuit = self._circuits.setdefault(endpoint, _Circuit())
             circuit.failures += 1
             is_trial = circuit.state is BreakerState.HALF_OPEN
-            if not is_trial and circuit.failures < FAILURES_TO_OPEN:
+            if not is_trial and circuit.failures < self._failures_to_open:
                 return
             if circuit.state is BreakerState.CLOSED:
                 log_event(Event.ENDPOINT_SUSPECTED, endpoint=endpoint)
@@ -102,6 +107,13 @@
             circuit.state = BreakerState.OPEN
             circuit.retry_at_s = self._clock_s() + circuit.wait_s
 
+    def encourage(self, endpoint: EndpointId) -> None:
+        """Let the next trial be made now, because something was heard from the far side."""
+        with self._lock:
+            circuit = self._circuits.get(endpoint)
+            if circuit is not None and circuit.state is BreakerState.OPEN:
+                circuit.retry_at_s = min(circuit.retry_at_s, self._clock_s())
+
     def ramp_share(self, endpoint: EndpointId) -> float:
         """Return the share of its capacity that a returning endpoint is given, 0 to 1."""
         with self._lock:
--- a/packages/primroseferry-policy/tests/test_breaker.py
+++ b/packages/primroseferry-policy/tests/test_breaker.py
@@ -4,6 +4,7 @@
 from primroseferry_core.ids import EndpointId
 from primroseferry_policy.breaker import FAILURES_TO_OPEN
 from primroseferry_policy.breaker import FIRST_WAIT_S
+from primroseferry_policy.breaker import MAX_WAIT_S
 from primroseferry_policy.breaker import RAMP_S
 from primroseferry_policy.breaker import Breakers
 
@@ -69,6 +70,18 @@
     assert breakers.permits(ENGINE)
 
 
+def test_sign_of_life_lets_a_trial_be_made_at_once(breakers: Breakers, clock: Clock) -> None:
+    open_circuit(breakers)
+    for _ in range(10):
+        clock.now_s += MAX_WAIT_S
+        breakers.begin(ENGINE)
+        breakers.fail(ENGINE)
+    clock.now_s += 1.0
+    assert not breakers.permits(ENGINE)
+    breakers.encourage(ENGINE)
+    assert breakers.permits(ENGINE)
+
+
 def test_returning_endpoint_gets_its_load_in_steps(breakers: Breakers, clock: Clock) -> None:
     open_circuit(breakers)
     clock.now_s += FIRST_WAIT_S
--- a/standins/src/primroseferry_standins/engine.py
+++ b/standins/src/primroseferry_standins/engine.py
@@ -8,6 +8,7 @@
 
 import json
 import os
+import sys
 import threading
 import time
 from collections import OrderedDict
@@ -38,6 +39,7 @@
 PREFIX_BLOCK_CHARACTERS = 256
 DEFAULT_MAX_TOKENS = 64
 CHARACTERS_A_TOKEN = 4
+MAX_PROMPT_SHOWN = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,9 +90,9 @@
         self._crash_marker = ""
         self._break_after_events = 0
         self._gap_every = 0
+        self._hold_at_event = 0
         self._is_leaving = False
         self._is_frozen = False
-        self._started_requests: list[str] = []
         self._orders: list[dict[str, Any]] = []
         self._fence = 0
         self._version = "v1"
@@ -109,7 +111,7 @@
 
     def set_fault(self, fault: dict[str, Any]) -> None:
         """Switch faults: ``crash_marker``, ``break_after_events``, ``gap_every``, ``leaving``,
-        ``frozen``.
+        ``frozen``, ``hold_at_event`` (streams stand still before this event).
         """
         with self._lock:
             self._crash_marker = str(fault.get("crash_marker", self._crash_marker))
@@ -119,14 +121,19 @@
             self._gap_every = int(fault.get("gap_every", self._gap_every))
             self._is_leaving = bool(fault.get("leaving", self._is_leaving))
             self._is_frozen = bool(fault.get("frozen", self._is_frozen))
+            self._hold_at_event = int(fault.get("hold_at_event", self._hold_at_event))
             self._lock.notify_all()
 
     def state(self) -> dict[str, Any]:
-        """What runs, which requests were started, and the orders taken."""
+        """What runs, what is held, and the orders taken. Starts are written to standard error."""
         with self._lock:
             return {
                 "running": [stream.request_id for stream in self._running],
-                "started": list(self._started_requests),
+                "held": [
+                    stream.request_id
+                    for stream in self._running
+                    if stream.next_event == self._hold_at_event and stream.prefill_left_ms <= 0
+                ],
                 "orders": list(self._orders),
                 **self._order_state(),
             }
@@ -159,7 +166,12 @@
 
     def _enter(self, stream: _Stream) -> None:
         with self._lock:
-            self._started_requests.append(stream.request_id)
+            started = {
+                "request_id": stream.request_id,
+                "at_s": time.time(),
+                "prompt": stream.prompt[:MAX_PROMPT_SHOWN],
+            }
+            print(json.dumps({"started": started}), file=sys.stderr, flush=True)
             stream.prefill_left_ms = self._prefill_ms(stream.prompt)
             self._queued.append(stream)
             self._queued.sort(key=lambda queued: -queued.priority)
@@ -239,6 +251,8 @@
         if self._break_after_events and stream.next_event > self._break_after_events:
             return False
         index = stream.next_event
+        if index == self._hold_at_event:
+            return True
         if index > stream.last_event:
             stream.write(b"data: [DONE]\n\n")
             return False
@@ -303,7 +317,7 @@
 
 def event_bytes(model: str, prompt: str, index: int, is_last: bool) -> bytes:
     """Return one server-sent event of a streamed answer; ``index`` counts from 1."""
-    word = f"{xxhash.xxh3_64_intdigest(f'{prompt}{index}'.encode()) & 0xFFFFF:05x} "
+    word = _word(prompt, index)
     reason = '"stop"' if is_last else "null"
     return (
         f'id: {index}\ndata: {{"object":"chat.completion.chunk","model":"{model}",'
@@ -311,6 +325,16 @@
     ).encode()
 
 
+def answer_words(content: str, count: int) -> tuple[str, ...]:
+    """Return the words with which any engine answers one user message."""
+    prompt = json.dumps([{"role": "user", "content": content}], sort_keys=True)
+    return tuple(_word(prompt, index) for index in range(1, count + 1))
+
+
+def _word(prompt: str, index: int) -> str:
+    return f"{xxhash.xxh3_64_intdigest(f'{prompt}{index}'.encode()) & 0xFFFFF:05x} "
+
+
 def run(port: int, control_port: int, shape: EngineShape) -> None:
     """Run the stand-in until it is killed."""
     engine = Engine(shape)
--- a/standins/src/primroseferry_standins/kv.py
+++ b/standins/src/primroseferry_standins/kv.py
@@ -21,6 +21,7 @@
 from .control import json_response
 from .control import run_until_killed
 from .control import serve_routes
+from .gate import Gate
 
 if TYPE_CHECKING:
     from primroseferry_transport.serving import Exchange
@@ -140,6 +141,9 @@
         self._delay_ms = 0
         self._lost_answers_left = 0
         self._lost_key_prefix = ""
+        self._held_key_prefix = ""
+        self._before_write = Gate()
+        self._after_write = Gate()
 
     def routes(self) -> Router:
         """The service's own routes."""
@@ -154,11 +158,19 @@
         return router
 
     def set_fault(self, fault: dict[str, Any]) -> None:
-        """Switch faults: ``down``, ``delay_ms``, ``lose_answers`` (a count), ``lapse``."""
+        """Switch faults: ``down``, ``delay_ms``, ``lose_answers`` (a count), ``lapse``.
+
+        ``hold_before`` and ``hold_after`` hold writes of keys that start with ``hold_prefix``.
+        """
         self._is_down = bool(fault.get("down", self._is_down))
         self._delay_ms = int(fault.get("delay_ms", self._delay_ms))
         self._lost_answers_left = int(fault.get("lose_answers", self._lost_answers_left))
         self._lost_key_prefix = str(fault.get("lose_answers_prefix", self._lost_key_prefix))
+        self._held_key_prefix = str(fault.get("hold_prefix", self._held_key_prefix))
+        if "hold_before" in fault:
+            self._before_write.set_held(bool(fault["hold_before"]))
+        if "hold_after" in fault:
+            self._after_write.set_held(bool(fault["hold_after"]))
         if "lapse" in fault:
             self.store.lapse(str(fault["lapse"]))
         if fault.get("reset_counts"):
@@ -167,7 +179,12 @@
     def state(self) -> dict[str, Any]:
         """The number of calls by kind, and the keys."""
         keys = {key: entry.revision for key, entry in self.store.list_keys("").items()}
-        return {"counts": dict(self._counts), "keys": keys}
+        return {
+            "counts": dict(self._counts),
+            "keys": keys,
+            "held_before": self._before_write.waiting,
+            "held_after": self._after_write.waiting,
+        }
 
     def _admit(self, kind: str) -> None:
         self._counts[kind] += 1
@@ -196,7 +213,13 @@
             return json_response({"error": "value too large"}, 413)
         expected = exchange.request.args.get("expected_revision", type=int)
         lease = exchange.request.args.get("lease", "")
-        return self._answer_write(exchange, key, self.store.swap(key, expected, value, lease))
+        is_held = key.startswith(self._held_key_prefix)
+        if is_held:
+            self._before_write.pass_through()
+        revision = self.store.swap(key, expected, value, lease)
+        if is_held:
+            self._after_write.pass_through()
+        return self._answer_write(exchange, key, revision)
 
     def _delete(self, exchange: Exchange, key: str) -> Response | None:
         self._admit("write")
--- a/standins/src/primroseferry_standins/link.py
+++ b/standins/src/primroseferry_standins/link.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import re
 import threading
 from collections import deque
 from typing import TYPE_CHECKING
@@ -27,6 +28,7 @@
 
 READ_BYTES = 65_536
 RESUME_CHECK_S = 0.02
+MAX_WORD_BYTES = 64
 
 
 class LinkState:
@@ -47,22 +49,25 @@
         self._ports: dict[str, int] = {}
         self._writers: set[asyncio.StreamWriter] = set()
         self._bytes = {"forward": 0, "backward": 0}
+        self._marker = b""
+        self._marked: set[str] = set()
         threading.Thread(target=self._loop.run_forever, name="link", daemon=True).start()
 
     def set_fault(self, fault: dict[str, Any]) -> None:
         """Switch faults: ``delay_ms``, ``cut`` (``both``, ``forward``, ``backward``, ``none``),
-        ``reset``.
+        ``reset``, ``marker`` (words that start with it are noted).
         """
         self._state.delay_ms = float(fault.get("delay_ms", self._state.delay_ms))
         if "cut" in fault:
             self._state.is_cut_forward = fault["cut"] in ("both", "forward")
             self._state.is_cut_backward = fault["cut"] in ("both", "backward")
+        self._marker = str(fault.get("marker", self._marker.decode())).encode()
         if fault.get("reset"):
             self._loop.call_soon_threadsafe(self._reset)
 
     def state(self) -> dict[str, Any]:
-        """The ports by target and the bytes carried."""
-        return {"ports": self._ports, "bytes": self._bytes}
+        """The ports by target, the bytes carried, and the marked words seen on the way."""
+        return {"ports": self._ports, "bytes": self._bytes, "marked": sorted(self._marked)}
 
     def open_route(self, exchange: Exchange) -> Response:
         """Listen on a free port for ``target`` and answer the port."""
@@ -138,10 +143,22 @@
                     writer.close()
                 return
             self._bytes[direction] += len(data)
+            self._note_marked(data)
             with contextlib.suppress(OSError):
                 writer.write(data)
                 await writer.drain()
 
+    def _note_marked(self, data: bytes) -> None:
+        """Keep the words that start with the marker; a word cut in two pieces is missed."""
+        if not self._marker:
+            return
+        start = data.find(self._marker)
+        while start >= 0:
+            word = re.match(rb"[A-Za-z0-9-]+", data[start : start + MAX_WORD_BYTES])
+            if word is not None:
+                self._marked.add(word[0].decode())
+            start = data.find(self._marker, start + 1)
+
     def _is_cut(self, direction: str) -> bool:
         if direction == "forward":
             return self._state.is_cut_forward
--- a/standins/src/primroseferry_standins/service.py
+++ b/standins/src/primroseferry_standins/service.py
@@ -1,11 +1,14 @@
 """A stand-in for a plain service: orders and bookings that run once each call, and look-ups.
 
-It does not filter repeated keys, so a second dispatch shows in its log of what it ran.
+It does not filter repeated keys, so a second dispatch shows in its log of what it ran. It writes
+that log to standard error too, where it outlives a crash.
 """
 
 from __future__ import annotations
 
+import json
 import os
+import sys
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -17,6 +20,7 @@
 from .control import json_response
 from .control import run_until_killed
 from .control import serve_routes
+from .gate import Gate
 
 if TYPE_CHECKING:
     from primroseferry_transport.serving import Exchange
@@ -34,8 +38,8 @@
         self._is_leaving = False
         self._drop_answers_left = 0
         self._crash = ""
-        self._hold = threading.Event()
-        self._hold.set()
+        self._before_run = Gate()
+        self._after_run = Gate()
 
     def routes(self) -> Router:
         """The service's own routes."""
@@ -51,19 +55,26 @@
 
     def set_fault(self, fault: dict[str, Any]) -> None:
         """Switch faults: ``drop_answers``, ``crash`` (``before`` or ``after``), ``work_ms``,
-        ``hold``, ``leaving``.
+        ``hold_before``, ``hold_after``, ``leaving``.
         """
         self._drop_answers_left = int(fault.get("drop_answers", self._drop_answers_left))
         self._crash = str(fault.get("crash", self._crash))
         self._work_ms = int(fault.get("work_ms", self._work_ms))
         self._is_leaving = bool(fault.get("leaving", self._is_leaving))
-        if "hold" in fault:
-            (self._hold.clear if fault["hold"] else self._hold.set)()
+        if "hold_before" in fault:
+            self._before_run.set_held(bool(fault["hold_before"]))
+        if "hold_after" in fault:
+            self._after_run.set_held(bool(fault["hold_after"]))
 
     def state(self) -> dict[str, Any]:
         """The log of what ran."""
         with self._lock:
-            return {"log": list(self._log), "running": self._running}
+            return {
+                "log": list(self._log),
+                "running": self._running,
+                "held_before": self._before_run.waiting,
+                "held_after": self._after_run.waiting,
+            }
 
     def _run(self, exchange: Exchange) -> Response | None:
         body = exchange.read_body()
@@ -71,11 +82,12 @@
         with self._lock:
             self._running += 1
         try:
-            self._hold.wait()
+            self._before_run.pass_through()
             if self._crash == "before":
                 os._exit(134)
             time.sleep(self._work_ms / 1000)
             number = self._record(exchange, key, body)
+            self._after_run.pass_through()
         finally:
             with self._lock:
                 self._running -= 1
@@ -92,12 +104,14 @@
             number = len(self._log) + 1
             row = {
                 "number": number,
+                "at_s": time.time(),
                 "key": key,
                 "path": exchange.request.path,
                 "request_id": exchange.request.headers.get("X-Request-Id", ""),
                 "body": body.decode(errors="replace"),
             }
             self._log.append(row)
+            print(json.dumps({"ran": row}), file=sys.stderr, flush=True)
             return number
 
     def _find_run(self, exchange: Exchange, key: str) -> Response:
