Order engines under fencing numbers, end stops at the limit, bound claims

Found by the new tests, failing first: - A caller's own key in a region cut off from the key-value service got no answer within 30 s: three writes and reads with the client's full timeouts. The process now ends once its logs are written.

Change: one gateway a region orders engines to load the version that the plans name, spaced by the weight store's rate, under a number from a compare-and-swap; claims hang on one lease an hour, so that the platform removes them.

--- a/packages/primroseferry-cli/src/primroseferry_cli/console/commands/gateway.py
+++ b/packages/primroseferry-cli/src/primroseferry_cli/console/commands/gateway.py
@@ -84,6 +84,10 @@
     load_poll_ms: Annotated[
         str, _option("load-poll-ms", "Time between two load reports of an endpoint.", "INTEGER")
     ] = "500",
+    weight_loads_per_minute: Annotated[
+        str,
+        _option("weight-loads-per-minute", "Loads of weights in this region a minute.", "INTEGER"),
+    ] = "6",
 ) -> None:
     """Run a gateway until SIGTERM; a second signal cuts the graceful shutdown short.
 
@@ -117,9 +121,12 @@
             token_gap_timeout_ms=_whole_number("token_gap_timeout_ms", token_gap_timeout_ms, 100),
             drain_timeout_ms=_whole_number("drain_timeout_ms", drain_timeout_ms, 100),
             once_retention_s=_whole_number("once_retention_s", once_retention_s, 60),
+            weight_loads_per_minute=_whole_number(
+                "weight_loads_per_minute", weight_loads_per_minute, 1, 6_000
+            ),
             load_poll_ms=_whole_number("load_poll_ms", load_poll_ms, 50),
         )
         check_settings(settings)
     except SettingError as error:
         fail(OutputFormat.TEXT, str(error))
-    raise typer.Exit(run_gateway(settings))
+    run_gateway(settings)
--- a/packages/primroseferry-core/src/primroseferry_core/plan_format.py
+++ b/packages/primroseferry-core/src/primroseferry_core/plan_format.py
@@ -116,14 +116,18 @@
             "tail_latency": use.weights.tail_latency,
             "share_sent_away": use.weights.share_sent_away,
         },
-        "models": [
-            {"model": str(model.model), "max_open_requests": model.max_open_requests}
-            for model in use.models
-        ],
+        "models": [_model_to_data(model) for model in use.models],
         "services": [_service_to_data(service) for service in use.services],
     }
 
 
+def _model_to_data(use: ModelUse) -> dict[str, Any]:
+    row: dict[str, Any] = {"model": str(use.model), "max_open_requests": use.max_open_requests}
+    if use.version:
+        row["version"] = use.version
+    return row
+
+
 def _service_to_data(use: ServiceUse) -> dict[str, Any]:
     operations = []
     for operation in use.operations:
@@ -147,6 +151,7 @@
     plans = table.rows("plans", _parse_plan)
     _check_unique([str(row.customer) for row in customers], "customers", "customer")
     _check_unique([str(use.plan) for use in plans], "plans", "plan")
+    _check_versions(plans)
     known = {use.plan for use in plans}
     for index, row in enumerate(customers):
         if row.plan not in known:
@@ -160,6 +165,17 @@
     )
 
 
+def _check_versions(plans: tuple[PlanUse, ...]) -> None:
+    """An engine can have one version of its model, so all plans must wish for the same."""
+    wished: dict[ModelId, str] = {}
+    for plan_index, plan in enumerate(plans):
+        for model_index, use in enumerate(plan.models):
+            if use.version and wished.setdefault(use.model, use.version) != use.version:
+                path = f"plans[{plan_index}].models[{model_index}].version"
+                expected = f"{wished[use.model]!r} as in the plans before"
+                raise PlanFormatError(path, expected, repr(use.version))
+
+
 def _check_unique(names: list[str], where: str, field_name: str) -> None:
     seen: set[str] = set()
     for index, name in enumerate(names):
@@ -221,8 +237,12 @@
 
 
 def _parse_model(data: object, path: str) -> ModelUse:
-    table = _Table(data, path, ("model", "max_open_requests"))
-    return ModelUse(ModelId(table.name("model")), table.whole_number("max_open_requests", 1))
+    table = _Table(data, path, ("model", "max_open_requests", "version"))
+    return ModelUse(
+        ModelId(table.name("model")),
+        table.whole_number("max_open_requests", 1),
+        table.text("version", default=""),
+    )
 
 
 def _parse_service(data: object, path: str) -> ServiceUse:
--- a/packages/primroseferry-core/src/primroseferry_core/plans.py
+++ b/packages/primroseferry-core/src/primroseferry_core/plans.py
@@ -42,10 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ModelUse:
-    """One model that a plan may use and how many requests it may have open fleet-wide."""
+    """One model that a plan may use and how many requests it may have open fleet-wide.
+
+    ``version`` is what engines of the model are to have loaded; empty leaves it to them. Plans that
+    name a version of one model must name the same.
+    """
 
     model: ModelId
     max_open_requests: int
+    version: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,6 +157,11 @@
         """Return what the customer's plan may use, or ``None`` for a customer without a plan."""
         return self._plan_by_customer.get(customer)
 
+    def wished_versions(self) -> dict[ModelId, str]:
+        """Return the version that engines of each model are to have loaded."""
+        uses = [use for plan in self.plans for use in plan.models]
+        return {use.model: use.version for use in uses if use.version}
+
     def has_change(self, change_id: ChangeId) -> bool:
         """Tell whether the change is in the history that the document still keeps."""
         return any(change.change_id == change_id for change in self.history)
--- a/packages/primroseferry-core/tests/test_plan_format.py
+++ b/packages/primroseferry-core/tests/test_plan_format.py
@@ -71,6 +71,20 @@
         parse_yaml(text)
 
 
+def test_plans_that_wish_for_different_versions_are_refused() -> None:
+    other = """
+  - plan: other
+    regions: [dakar]
+    urgency: low
+    accepted_cost: 1
+    models: [{model: small, max_open_requests: 1, version: v2}]
+"""
+    text = GOOD.replace("max_open_requests: 4}", "max_open_requests: 4, version: v1}") + other
+
+    with pytest.raises(PlanFormatError, match=r"plans\[1\].models\[0\].version: expected 'v1'"):
+        parse_yaml(text)
+
+
 def test_stored_garbage_is_refused() -> None:
     with pytest.raises(PlanFormatError):
         parse_stored(b"garbage")
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import logging
+import os
 import signal
 import sys
 import threading
 import time
 from typing import TYPE_CHECKING
+from typing import NoReturn
 
 from primroseferry_core.events import Event
 from primroseferry_core.ids import Fingerprint
@@ -45,6 +48,7 @@
 from .claim_store import KeyValueClaims
 from .crash_watch import CrashWatch
 from .decisions import DecisionLog
+from .engine_orders import EngineOrders
 from .entry import EntryDirectory
 from .fleet import FleetView
 from .forward_client import ForwardClient
@@ -79,6 +83,7 @@
 HEARTBEAT_S = 2.0
 HEARTBEAT_TTL_MS = 6_000
 GOODBYE_S = 0.5
+CLAIM_TIMEOUT_MS = 1_500
 THREAD_STACK_BYTES = 512 * 1024
 SWITCH_INTERVAL_S = 0.001
 
@@ -163,16 +168,27 @@
             forwards,
             self._metrics,
         )
+        claim_service = KeyValueClient(
+            self._loop, settings.key_value_address, CLAIM_TIMEOUT_MS, CLAIM_TIMEOUT_MS
+        )
         self._orders = OrderService(
             self.identity,
             self._table,
-            KeyValueClaims(key_value),
+            KeyValueClaims(claim_service, settings.once_retention_s),
             self._facts,
             self._fleet,
             self._targets,
             self._services,
             forwards,
         )
+        self._engine_orders = EngineOrders(
+            self.identity,
+            self._loop,
+            key_value,
+            self._fleet,
+            self._plans,
+            settings.weight_loads_per_minute,
+        )
         self._hand_over = HandOver(
             self.identity,
             self._table,
@@ -242,6 +258,7 @@
         self._fleet.start()
         self._plans.start()
         self._poller.start()
+        self._engine_orders.start()
         self._peer_loop.submit(self._exchanger.run())
         threading.Thread(target=self._run_heartbeat, name="heartbeat", daemon=True).start()
         self._http.start()
@@ -277,6 +294,7 @@
         self._http.stop()
         self._plans.stop()
         self._poller.stop()
+        self._engine_orders.stop()
         self._fleet.stop()
         return is_finished
 
@@ -364,9 +382,12 @@
                 self._exchanger.push_soon()
 
 
-def run_gateway(settings: GatewaySettings) -> int:
-    """Run a gateway until it is told to stop; return the exit code."""
+def run_gateway(settings: GatewaySettings) -> NoReturn:
+    """Run a gateway until it is told to stop, and end the process."""
     configure_logs(settings.log_level)
     threading.stack_size(THREAD_STACK_BYTES)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
-    return Gateway(settings).run()
+    code = Gateway(settings).run()
+    logging.shutdown()
+    # The pools' threads may still hold requests that were cut off; they must not keep the process.
+    os._exit(code)
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/settings.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/settings.py
@@ -52,6 +52,7 @@
     drain_timeout_ms: int = 60_000
     once_retention_s: int = 86_400
     load_poll_ms: int = 500
+    weight_loads_per_minute: int = 6
 
 
 def check_settings(settings: GatewaySettings) -> GatewaySettings:
--- a/packages/primroseferry-once/src/primroseferry_once/claims.py
+++ b/packages/primroseferry-once/src/primroseferry_once/claims.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Protocol
 from urllib.parse import quote
@@ -21,14 +22,42 @@
 CLAIM_KEY_PREFIX = "claims/"
 
 
+class CreateOutcome(Enum):
+    """What came of a create-if-absent write."""
+
+    CREATED = "created"
+    PRESENT = "present"
+    NOT_KNOWN = "not-known"
+
+
+@dataclass(frozen=True, slots=True)
+class Found:
+    """The key has this value."""
+
+    value: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Absent:
+    """The key has no value now; a write whose answer was lost may still arrive."""
+
+
+@dataclass(frozen=True, slots=True)
+class Unreadable:
+    """The service gave no answer."""
+
+
+ReadOutcome = Found | Absent | Unreadable
+
+
 class ClaimStore(Protocol):
     """What claims need of the key-value service."""
 
-    def create(self, key: str, value: bytes) -> bool | None:
-        """Create ``key`` if absent: ``True`` created, ``False`` present, ``None`` not known."""
+    def create(self, key: str, value: bytes) -> CreateOutcome:
+        """Create ``key`` if it is absent."""
 
-    def read(self, key: str) -> bytes | None:
-        """Return the value, or ``None`` where it is absent or cannot be read."""
+    def read(self, key: str) -> ReadOutcome:
+        """Read ``key``."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,16 +80,21 @@
 
     A write whose answer was lost is settled by reading. An absent key after such a write proves
     nothing, because the write may still arrive; it is then written again, and every write of one
-    claimant has the same value, so the order in which they arrive does not matter.
+    claimant has the same value, so the order in which they arrive does not matter. A service that
+    answers neither a write nor a read is given up on at once.
     """
     path = f"{CLAIM_KEY_PREFIX}{quote(scoped_key.customer, safe='')}/{scoped_key.key}"
     for _ in range(CLAIM_ATTEMPTS):
-        created = store.create(path, owner_to_text(claimant).encode())
-        if created:
+        outcome = store.create(path, owner_to_text(claimant).encode())
+        if outcome is CreateOutcome.CREATED:
             log_event(Event.KEY_CLAIMED)
             return ClaimedBy(claimant)
-        held = store.read(path)
-        if held is not None:
-            return ClaimedBy(owner_from_text(held.decode()))
+        match store.read(path):
+            case Found(value):
+                return ClaimedBy(owner_from_text(value.decode()))
+            case Unreadable() if outcome is CreateOutcome.NOT_KNOWN:
+                break
+            case _:
+                continue
     log_event(Event.KEY_CLAIM_FAILED)
     return NotClaimed()
--- a/packages/primroseferry-once/tests/test_once_table.py
+++ b/packages/primroseferry-once/tests/test_once_table.py
@@ -14,8 +14,13 @@
 from primroseferry_core.ids import IdempotencyKey
 from primroseferry_core.ids import IncarnationId
 from primroseferry_core.ids import InstanceId
+from primroseferry_once.claims import Absent
 from primroseferry_once.claims import ClaimedBy
+from primroseferry_once.claims import CreateOutcome
+from primroseferry_once.claims import Found
 from primroseferry_once.claims import NotClaimed
+from primroseferry_once.claims import ReadOutcome
+from primroseferry_once.claims import Unreadable
 from primroseferry_once.claims import claim_key
 from primroseferry_once.keys import Owner
 from primroseferry_once.keys import ScopedKey
@@ -164,23 +169,27 @@
     def __init__(self, faults: list[str]) -> None:
         self.values: dict[str, bytes] = {}
         self.late: list[tuple[str, bytes]] = []
+        self.reads = 0
         self._faults = faults
 
-    def create(self, key: str, value: bytes) -> bool | None:
+    def create(self, key: str, value: bytes) -> CreateOutcome:
         fault = self._faults.pop(0) if self._faults else ""
         if fault == "down":
-            return None
+            return CreateOutcome.NOT_KNOWN
         if fault == "late":
             self.late.append((key, value))
-            return None
+            return CreateOutcome.NOT_KNOWN
         if key in self.values:
-            return False
+            return CreateOutcome.PRESENT
         self.values[key] = value
-        return None if fault == "answer lost" else True
+        return CreateOutcome.NOT_KNOWN if fault == "answer lost" else CreateOutcome.CREATED
 
-    def read(self, key: str) -> bytes | None:
+    def read(self, key: str) -> ReadOutcome:
+        self.reads += 1
         fault = self._faults.pop(0) if self._faults else ""
-        return None if fault == "down" else self.values.get(key)
+        if fault == "down":
+            return Unreadable()
+        return Found(self.values[key]) if key in self.values else Absent()
 
 
 ME = Owner(IncarnationId("0" * 16), InstanceId("gateway-1"))
@@ -199,6 +208,7 @@
     store = LossyStore(["down"] * 10)
 
     assert claim_key(store, scoped(1), ME) == NotClaimed()
+    assert store.reads == 1
 
 
 def test_issued_key_names_its_owner() -> None:
--- a/packages/primroseferry-platform/src/primroseferry_platform/key_value.py
+++ b/packages/primroseferry-platform/src/primroseferry_platform/key_value.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 from urllib.parse import quote
+from urllib.parse import urlencode
 
 from primroseferry_transport.calls import FailureStage
 from primroseferry_transport.calls import HttpCall
@@ -58,13 +59,21 @@
 class KeyValueClient:
     """Reads, compare-and-swap writes and watches. No method raises for an outage."""
 
-    def __init__(self, loop: CurlLoop, address: str) -> None:
+    def __init__(
+        self,
+        loop: CurlLoop,
+        address: str,
+        read_timeout_ms: int = READ_TIMEOUT_MS,
+        write_timeout_ms: int = WRITE_TIMEOUT_MS,
+    ) -> None:
         self._loop = loop
         self._base_url = f"http://{address}"
+        self._read_timeout_ms = read_timeout_ms
+        self._write_timeout_ms = write_timeout_ms
 
     def get(self, key: str) -> Result[Entry | None, Unreachable]:
         """Return the entry of ``key``, or ``None`` where there is none."""
-        call = HttpCall("GET", self._key_url("kv", key), timeout_ms=READ_TIMEOUT_MS)
+        call = HttpCall("GET", self._key_url("kv", key), timeout_ms=self._read_timeout_ms)
         return _read(self._loop.call(call).map_err(lambda failure: Unreachable(failure.reason)))
 
     def watch(
@@ -78,7 +87,7 @@
     def list_entries(self, prefix: str) -> Result[list[ListedEntry], Unreachable]:
         """Return the entries whose keys start with ``prefix``, in the order of their keys."""
         url = f"{self._base_url}/v1/keys?prefix={quote(prefix, safe='')}"
-        answer = self._loop.call(HttpCall("GET", url, timeout_ms=READ_TIMEOUT_MS))
+        answer = self._loop.call(HttpCall("GET", url, timeout_ms=self._read_timeout_ms))
         match answer:
             case Ok(HttpReply(status=200, body=body)):
                 rows = json.loads(body)["entries"]
@@ -89,25 +98,49 @@
                 return Err(Unreachable(failure.reason))
 
     def put(
-        self, key: str, value: bytes, expected_revision: int | None
+        self, key: str, value: bytes, expected_revision: int | None, lease: str = ""
     ) -> Result[int, WriteFailure]:
         """Write if the key's revision is ``expected_revision`` (0: absent); return the new one.
 
-        ``None`` writes whatever is there.
+        ``None`` writes whatever is there. The entry ends with ``lease``, if one is named.
         """
-        return self._write("PUT", key, expected_revision, value)
+        return self._write("PUT", key, expected_revision, value, lease)
+
+    def grant_lease(self, ttl_ms: int) -> Result[str, Unreachable]:
+        """Return a lease that ends after ``ttl_ms`` unless it is renewed."""
+        url = f"{self._base_url}/v1/leases?ttl_ms={ttl_ms}"
+        call = HttpCall("POST", url, body=b"", timeout_ms=self._write_timeout_ms)
+        match self._loop.call(call):
+            case Ok(HttpReply(status=200, body=body)):
+                return Ok(str(json.loads(body)["lease"]))
+            case Ok(reply):
+                return Err(Unreachable(f"status {reply.status}"))
+            case Err(failure):
+                return Err(Unreachable(failure.reason))
+            case _:
+                raise AssertionError("a result is an answer or a failure")
 
     def delete(self, key: str, expected_revision: int | None) -> Result[int, WriteFailure]:
         """Delete under the same condition as :meth:`put`."""
         return self._write("DELETE", key, expected_revision, None)
 
     def _write(
-        self, method: str, key: str, expected_revision: int | None, value: bytes | None
+        self,
+        method: str,
+        key: str,
+        expected_revision: int | None,
+        value: bytes | None,
+        lease: str = "",
     ) -> Result[int, WriteFailure]:
-        url = self._key_url("kv", key)
+        conditions = {}
         if expected_revision is not None:
-            url += f"?expected_revision={expected_revision}"
-        call = HttpCall(method, url, body=value, timeout_ms=WRITE_TIMEOUT_MS, is_repeatable=False)
+            conditions["expected_revision"] = str(expected_revision)
+        if lease:
+            conditions["lease"] = lease
+        url = f"{self._key_url('kv', key)}?{urlencode(conditions)}"
+        call = HttpCall(
+            method, url, body=value, timeout_ms=self._write_timeout_ms, is_repeatable=False
+        )
         match self._loop.call(call):
             case Ok(HttpReply(status=200, body=body)):
                 return Ok(int(json.loads(body)["revision"]))
--- a/standins/src/primroseferry_standins/engine.py
+++ b/standins/src/primroseferry_standins/engine.py
@@ -308,7 +308,7 @@
                 return json_response({"error": "old fencing number", "fence": self._fence}, 409)
             self._fence = max(self._fence, fence)
             self._version = str(order["version"])
-            self._orders.append(order)
+            self._orders.append({**order, "at_s": time.time()})
             return json_response(self._order_state())
 
     def _order_state(self) -> dict[str, Any]:
