--- a/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
@@ -219,6 +219,7 @@
             self._plans,
             self._fleet,
             self._facts,
+            self._exchanger,
             self._gate,
             self._loads,
             self._breakers,
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/state.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/state.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from primroseferry_once.table import OnceTable
+    from primroseferry_peers.exchanger import Exchanger
     from primroseferry_peers.exchanger import SelfIdentity
     from primroseferry_peers.fact_store import FactStore
     from primroseferry_policy.breaker import Breakers
@@ -34,6 +35,7 @@
         plans: PlanKeeper,
         fleet: FleetView,
         facts: FactStore,
+        exchanger: Exchanger,
         gate: WorkGate,
         loads: LoadView,
         breakers: Breakers,
@@ -49,6 +51,7 @@
         self._plans = plans
         self._fleet = fleet
         self._facts = facts
+        self._exchanger = exchanger
         self._gate = gate
         self._loads = loads
         self._breakers = breakers
@@ -103,6 +106,7 @@
                 "owned_incarnations": self._table.owned_incarnations(),
             },
             "facts": len(self._facts),
+            "exchange_bytes": self._exchanger.message_bytes,
             "traces": len(self._decisions),
         }
 
--- a/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
+++ b/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
@@ -101,8 +101,14 @@
         self._urgent = asyncio.Event()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._joined: set[str] = set()
+        self._bytes = 0
         facts.listen(self._note_joined)
 
+    @property
+    def message_bytes(self) -> int:
+        """Bytes of all messages sent and received in exchanges, without HTTP/2 framing."""
+        return self._bytes
+
     async def run(self) -> None:
         """Exchange until cancelled."""
         self._loop = asyncio.get_running_loop()
@@ -124,12 +130,14 @@
         is_remote = request.region != self._identity.region
         sequence = self._facts.sequence
         since = request.since if request.since <= sequence else 0
-        return ExchangeReply(
+        reply = ExchangeReply(
             incarnation=self._identity.incarnation,
             sequence=sequence,
             facts=self._facts.since(since, request.incarnation, only_fleet_wide=is_remote),
             plans_revision=self._plans.held_revision(),
         )
+        self._bytes += request.ByteSize() + reply.ByteSize()
+        return reply
 
     async def _wait_round(self) -> bool:
         pause_s = ROUND_S * self._random.uniform(0.8, 1.2)
@@ -178,6 +186,7 @@
         except PeerError as error:
             log_event(Event.PEER_EXCHANGE_FAILED, peer=peer.instance, reason=str(error))
             return
+        self._bytes += request.ByteSize() + reply.ByteSize()
         if reply.incarnation != progress.incarnation:
             self._progress[peer.address] = _PeerProgress(incarnation=reply.incarnation)
         else:
