Bound the wait of less urgent requests, close circuits with the first token

Cause: an engine that honours priorities strictly never ran a low-urgency request while urgent ones kept coming (test_urgency: not whole after 25 s). A half-open circuit kept others away until a whole long answer had ended. The time to first token was never recorded.

Change: a request without a first token after 2 s is sent to the engine again with a priority above every plan's; the first event of an attempt closes its circuit and is recorded. Matrix rows for a crash request and for the lapse of a lease; the stand-in's cache events come late.

Ruled out: ageing inside the engine, which is not ours.

--- a/faults/cells.py
+++ b/faults/cells.py
@@ -31,6 +31,8 @@
 OUTAGE_S = 2.0
 RETRIES = 3
 HELD_EVENT = 5
+CRASH_MARKER = "poison"
+MAX_DEATHS = 2
 
 
 class Fault(Enum):
@@ -46,6 +48,8 @@
     LOST_ANSWER = "write with lost answer"
     OPERATOR_RACE = "operator race"
     ENDPOINT_CRASH = "endpoint crash"
+    CRASH_REQUEST = "crash request"
+    LEASE_LAPSE = "lapse of a lease under a pause"
     LEAVING = "endpoint leaving"
     PLANNED_STOP = "planned stop"
 
@@ -307,11 +311,24 @@
                 self._start(lambda: self._world.change_plans("eva"))
             case Fault.ENDPOINT_CRASH:
                 deployment.endpoints[self._busy_endpoint()].kill()
+            case Fault.CRASH_REQUEST:
+                self._send_crash_request()
             case Fault.LEAVING:
                 self._leave(self._busy_endpoint())
             case Fault.PLANNED_STOP:
                 deployment.gateways[self._subject].terminate()
 
+    def _send_crash_request(self) -> None:
+        """Send a request that kills each engine that runs it, and wait for its refusal."""
+        word = f"{CRASH_MARKER}-{self._world.new_word('shop')}"
+        for process in self._engines():
+            process.fault(crash_marker=CRASH_MARKER)
+        alive = len(self._engines())
+        self._world.send_chat(FAR_ENTRY, word)
+        dead = alive - sum(process.is_running() for process in self._engines())
+        if dead > MAX_DEATHS:
+            raise CellError(f"one request killed {dead} engines")
+
     def _leave(self, name: str) -> None:
         deployment = self._world.deployment
         serves = "orders" if "orders" in name else "small"
--- a/faults/not_run.py
+++ b/faults/not_run.py
@@ -15,6 +15,11 @@
     match cell.fault:
         case Fault.LOST_ANSWER if not (is_plan or is_claim):
             return "the step writes nothing to the key-value service"
+        case Fault.LEASE_LAPSE:
+            return (
+                "no lease decides anything; claims end with a lease that outlives the retention. "
+                "Facts that lapse under a pause are the row 'pause until others believe it gone'"
+            )
         case Fault.ENDPOINT_CRASH | Fault.LEAVING if is_plan:
             return "no endpoint takes part in a change of plans"
         case _:
--- a/faults/world.py
+++ b/faults/world.py
@@ -90,6 +90,7 @@
         endpoints=(
             EndpointShape("dakar-engine-1", "dakar", "small"),
             EndpointShape("dakar-engine-2", "dakar", "small"),
+            EndpointShape("dakar-engine-3", "dakar", "small"),
             EndpointShape("thies-orders-1", "thies", "orders", is_engine=False),
             EndpointShape("thies-orders-2", "thies", "orders", is_engine=False),
             EndpointShape("saint-louis-engine-1", "saint-louis", "small"),
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/answer_stream.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/answer_stream.py
@@ -8,10 +8,14 @@
 from __future__ import annotations
 
 import zlib
+from typing import TYPE_CHECKING
 from typing import Protocol
 
 from primroseferry_core.errors import PrimroseferryError
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 DONE_EVENT = b"data: [DONE]\n\n"
 EVENT_END = b"\n\n"
 MAX_EVENT_BYTES = 1024 * 1024
@@ -40,6 +44,7 @@
         self.is_done = False
         self.is_caller_gone = False
         self.error: StreamError | None = None
+        self._on_progress: Callable[[], None] | None = None
 
     @property
     def last_event(self) -> int:
@@ -56,8 +61,12 @@
         """The CRC-32 of all bytes passed on, as 8 hexadecimal digits."""
         return f"{self._crc32:08x}"
 
-    def start_attempt(self) -> None:
-        """Drop what the last engine left unfinished."""
+    def start_attempt(self, on_progress: Callable[[], None] | None = None) -> None:
+        """Drop what the last engine left unfinished.
+
+        ``on_progress`` is called once, with the first event that this attempt adds.
+        """
+        self._on_progress = on_progress
         self._remainder = b""
         self.error = None
 
@@ -105,6 +114,9 @@
     def _pass_on(self, events: bytes, count: int) -> bool:
         self._crc32 = zlib.crc32(events, self._crc32)
         self._next_event += count
+        if self._on_progress is not None:
+            self._on_progress()
+            self._on_progress = None
         if not self._sink.write(events):
             self.is_caller_gone = True
             return False
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/attempt_notes.py
@@ -0,0 +1,30 @@
+"""What is noted of an attempt that failed."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from primroseferry_policy.routing import LocalTarget
+from primroseferry_policy.routing import RemoteTarget
+
+from .decisions import describe_target
+from .targets import region_circuit
+
+if TYPE_CHECKING:
+    from primroseferry_policy.routing import Option
+
+    from .request_context import RequestContext
+
+
+def note_failure(context: RequestContext, option: Option, reason: str) -> None:
+    """Trace and log a failed attempt, and leave its target out of the request's next choice."""
+    target = describe_target(option.target)
+    context.trace.note("attempt failed", f"{target}: {reason}")
+    log_event(Event.ATTEMPT_FAILED, request_id=context.request_id, target=target, reason=reason)
+    match option.target:
+        case LocalTarget(endpoint):
+            context.excluded_endpoints.add(endpoint)
+        case RemoteTarget(region):
+            context.excluded_endpoints.add(region_circuit(region))
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
@@ -15,6 +15,7 @@
 from primroseferry_policy.routing import LocalTarget
 from primroseferry_policy.routing import RemoteTarget
 
+from .attempt_notes import note_failure
 from .decisions import describe_target
 from .engine_call import Broken
 from .engine_call import CallerGone
@@ -40,6 +41,7 @@
     from .answer_stream import AnswerStream
     from .crash_watch import CrashWatch
     from .engine_call import AttemptOutcome
+    from .engine_call import EngineBody
     from .fleet import Endpoint
     from .forward_client import ForwardClient
     from .metrics import Metrics
@@ -151,7 +153,7 @@
         context: RequestContext,
         demand: Demand,
         option: Option,
-        body: bytes,
+        body: EngineBody,
         stream: AnswerStream,
     ) -> AttemptOutcome | PeerProblem:
         match option.target:
@@ -165,7 +167,7 @@
         context: RequestContext,
         demand: Demand,
         name: EndpointId,
-        body: bytes,
+        body: EngineBody,
         stream: AnswerStream,
     ) -> AttemptOutcome:
         is_suspect = self._crashes.is_suspected(context.fingerprint)
@@ -200,7 +202,7 @@
         return name
 
     def _run(
-        self, context: RequestContext, endpoint: Endpoint, body: bytes, stream: AnswerStream
+        self, context: RequestContext, endpoint: Endpoint, body: EngineBody, stream: AnswerStream
     ) -> AttemptOutcome:
         self._breakers.begin(endpoint.endpoint)
         self._loads.begin(endpoint.endpoint)
@@ -213,12 +215,19 @@
                 body,
                 stream,
                 max(1, context.remaining_ms),
+                lambda: self._note_progress(context, endpoint.endpoint),
             )
         finally:
             self._loads.end(endpoint.endpoint)
         self._judge(context, endpoint, outcome)
         return outcome
 
+    def _note_progress(self, context: RequestContext, circuit: EndpointId) -> None:
+        """A first token closes the circuit: nobody waits for the end of a long trial."""
+        self._breakers.succeed(circuit)
+        if context.may_leave_region:
+            self._metrics.observe_first_token(time.monotonic() - context.trace.began_s)
+
     def _judge(self, context: RequestContext, endpoint: Endpoint, outcome: AttemptOutcome) -> None:
         match outcome:
             case Completed():
@@ -236,17 +245,19 @@
         context: RequestContext,
         demand: Demand,
         region: RegionId,
-        body: bytes,
+        body: EngineBody,
         stream: AnswerStream,
     ) -> AttemptOutcome | PeerProblem:
-        payload = ForwardPayload(CHAT, demand.serves, body)
+        payload = ForwardPayload(CHAT, demand.serves, body.first)
         circuit = region_circuit(region)
         outcome: AttemptOutcome | PeerProblem = Broken("no gateway listed", False, False)
         self._breakers.begin(circuit)
         for peer in self._peers.ordered(region):
             self._metrics.count_forward(region)
             context.trace.note("forwarded", f"{peer.instance} in {region}")
-            outcome = self._forwards.stream_chat(peer, context, payload, stream)
+            outcome = self._forwards.stream_chat(
+                peer, context, payload, stream, lambda: self._note_progress(context, circuit)
+            )
             if not isinstance(outcome, Broken):
                 self._peers.succeed(peer)
                 break
@@ -287,9 +298,9 @@
             case PeerProblem(problem) if problem.kind in _FINAL_PEER_PROBLEMS:
                 raise problem_error(problem.kind, problem.detail, problem.retry_after_s)
             case PeerProblem(problem):
-                self._note_failure(context, option, f"{problem.kind.value}: {problem.detail}")
+                note_failure(context, option, f"{problem.kind.value}: {problem.detail}")
             case Broken(reason=reason):
-                self._note_failure(context, option, reason)
+                note_failure(context, option, reason)
         if stream.last_event:
             self._metrics.count_resume()
             log_event(
@@ -297,16 +308,6 @@
             )
         return False
 
-    def _note_failure(self, context: RequestContext, option: Option, reason: str) -> None:
-        target = describe_target(option.target)
-        context.trace.note("attempt failed", f"{target}: {reason}")
-        log_event(Event.ATTEMPT_FAILED, request_id=context.request_id, target=target, reason=reason)
-        match option.target:
-            case LocalTarget(endpoint):
-                context.excluded_endpoints.add(endpoint)
-            case RemoteTarget(region):
-                context.excluded_endpoints.add(region_circuit(region))
-
 
 _FINAL_PEER_PROBLEMS = frozenset(
     {ErrorKind.REQUEST_QUARANTINED, ErrorKind.ENDPOINT_REFUSED, ErrorKind.DEADLINE_PASSED}
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/engine_call.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/engine_call.py
@@ -5,9 +5,11 @@
 import json
 import time
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
+from primroseferry_core.plans import Urgency
 from primroseferry_transport.calls import FailureStage
 from primroseferry_transport.calls import Header
 from primroseferry_transport.calls import HttpCall
@@ -16,8 +18,9 @@
 from result import Ok
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from primroseferry_core.ids import RequestId
-    from primroseferry_core.plans import Urgency
     from primroseferry_transport.curl_loop import CurlLoop
     from primroseferry_transport.curl_loop import HttpResult
 
@@ -27,7 +30,9 @@
 
 DEATH_PROBE_TIMEOUT_MS = 500
 DEADLINE_SLACK_S = 0.15
-ENGINE_PRIORITIES = {"high": 2, "normal": 1, "low": 0}
+ENGINE_PRIORITIES = {Urgency.HIGH: 2, Urgency.NORMAL: 1, Urgency.LOW: 0}
+AGED_PRIORITY = 3
+MAX_WAIT_IN_LINE_MS = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,9 +69,28 @@
 AttemptOutcome = Completed | CallerGone | Refused | Broken | OutOfTime
 
 
-def engine_body(request: dict[str, Any], urgency: Urgency) -> bytes:
-    """Return the body that engines get: always streamed, with the plan's urgency as priority."""
-    body = {**request, "stream": True, "priority": ENGINE_PRIORITIES[urgency.value]}
+@dataclass(frozen=True, slots=True)
+class EngineBody:
+    """A request as engines get it: always streamed, with the plan's urgency as priority.
+
+    ``aged`` goes before every plan's requests. It is sent in place of ``first`` once a request has
+    waited in line for too long, so that urgent plans cannot starve the others.
+    """
+
+    first: bytes
+    aged: bytes
+
+
+def engine_body(request: dict[str, Any], urgency: Urgency) -> EngineBody:
+    """Return the bodies that engines get for one request."""
+    return EngineBody(
+        first=_body_with_priority(request, ENGINE_PRIORITIES[urgency]),
+        aged=_body_with_priority(request, AGED_PRIORITY),
+    )
+
+
+def _body_with_priority(request: dict[str, Any], priority: int) -> bytes:
+    body = {**request, "stream": True, "priority": priority}
     return json.dumps(body, separators=(",", ":")).encode()
 
 
@@ -75,19 +99,54 @@
     settings: GatewaySettings,
     endpoint: Endpoint,
     request_id: RequestId,
-    body: bytes,
+    body: EngineBody,
     stream: AnswerStream,
     remaining_ms: int,
+    on_progress: Callable[[], None],
 ) -> AttemptOutcome:
-    """Stream one answer, or the rest of one, from an engine and wait for its end."""
-    stream.start_attempt()
+    """Stream one answer, or the rest of one, from an engine and wait for its end.
+
+    A request without a first token after ``MAX_WAIT_IN_LINE_MS`` is sent to the engine again with
+    the priority of an aged one.
+    """
+    deadline_s = time.monotonic() + remaining_ms / 1000
+    before = stream.last_event
+    stream.start_attempt(on_progress)
+    first = _call(settings, endpoint, request_id, body.first, stream, remaining_ms)
+    if min(settings.first_token_timeout_ms, remaining_ms) > MAX_WAIT_IN_LINE_MS:
+        first = replace(first, first_byte_timeout_ms=MAX_WAIT_IN_LINE_MS)
+        result = loop.call(first)
+        if stream.last_event > before or not _waited_in_line(result):
+            return _outcome(loop, endpoint, stream, result, deadline_s)
+        stream.start_attempt(on_progress)
+        left_ms = max(1, int((deadline_s - time.monotonic()) * 1000))
+        first = _call(settings, endpoint, request_id, body.aged, stream, left_ms)
+    return _outcome(loop, endpoint, stream, loop.call(first), deadline_s)
+
+
+def _waited_in_line(result: HttpResult) -> bool:
+    match result:
+        case Err(failure):
+            return failure.stage is FailureStage.TIMED_OUT
+        case _:
+            return False
+
+
+def _call(
+    settings: GatewaySettings,
+    endpoint: Endpoint,
+    request_id: RequestId,
+    body: bytes,
+    stream: AnswerStream,
+    remaining_ms: int,
+) -> HttpCall:
     headers = [
         Header("Content-Type", "application/json"),
         Header("X-Request-Id", request_id),
     ]
     if stream.last_event:
         headers.append(Header("Last-Event-ID", str(stream.last_event)))
-    call = HttpCall(
+    return HttpCall(
         "POST",
         f"http://{endpoint.address}/v1/chat/completions",
         headers=tuple(headers),
@@ -97,10 +156,6 @@
         idle_timeout_ms=settings.token_gap_timeout_ms,
         on_chunk=stream.feed,
     )
-    deadline_s = time.monotonic() + remaining_ms / 1000
-    result = loop.call(call)
-    is_late = time.monotonic() >= deadline_s - DEADLINE_SLACK_S
-    return _outcome(loop, endpoint, stream, result, is_late)
 
 
 def _outcome(
@@ -108,8 +163,9 @@
     endpoint: Endpoint,
     stream: AnswerStream,
     result: HttpResult,
-    is_late: bool,
+    deadline_s: float,
 ) -> AttemptOutcome:
+    is_late = time.monotonic() >= deadline_s - DEADLINE_SLACK_S
     if stream.is_caller_gone:
         return CallerGone()
     if stream.error is not None:
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/forward_client.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/forward_client.py
@@ -23,6 +23,8 @@
 from .engine_call import OutOfTime
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from primroseferry_peers.exchanger import PeerAddress
     from primroseferry_peers.loop_thread import LoopThread
     from primroseferry_peers.peer_client import PeerClient
@@ -86,9 +88,10 @@
         context: RequestContext,
         payload: ForwardPayload,
         stream: AnswerStream,
+        on_progress: Callable[[], None],
     ) -> AttemptOutcome | PeerProblem:
         """Stream a chat answer, or the rest of one, from another region."""
-        stream.start_attempt()
+        stream.start_attempt(on_progress)
         request = self._request(peer, context, payload)
         request.events_delivered = stream.last_event
         problems: list[Problem] = []
@@ -144,7 +147,7 @@
         return lost or PeerLost("the peer ended without an end mark", is_sent=True)
 
     def _run(
-        self, peer: PeerAddress, request: ForwardRequest, on_event: _OnEvent
+        self, peer: PeerAddress, request: ForwardRequest, on_event: Callable[[ForwardEvent], bool]
     ) -> PeerLost | None:
         is_chat = request.purpose == CHAT
         first_chunk_s = self._settings.first_token_timeout_ms / 1000 + GAP_SLACK_S
@@ -208,9 +211,3 @@
     except ValueError:
         kind = ErrorKind.INTERNAL
     return Problem(kind, message.detail, retry_after_s, message.is_ran_unknown)
-
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    _OnEvent = Callable[[ForwardEvent], bool]
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/peer_sink.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/peer_sink.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+import threading
 
 MAX_PENDING_BYTES = 1024 * 1024
 
@@ -16,7 +16,8 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
-        self._pieces: deque[bytes] = deque()
+        self._pieces: list[bytes] = []
+        self._lock = threading.Lock()
         self._pending_bytes = 0
         self._arrived = asyncio.Event()
         self._is_waking = False
@@ -26,11 +27,12 @@
         """Take events on any thread; ``False`` once the peer is gone."""
         if self.is_abandoned:
             return False
-        self._pieces.append(events)
-        self._pending_bytes += len(events)
-        if self._pending_bytes > MAX_PENDING_BYTES:
-            self.is_abandoned = True
-            return False
+        with self._lock:
+            self._pieces.append(events)
+            self._pending_bytes += len(events)
+            if self._pending_bytes > MAX_PENDING_BYTES:
+                self.is_abandoned = True
+                return False
         self.wake()
         return True
 
@@ -45,9 +47,8 @@
         await self._arrived.wait()
         self._arrived.clear()
         self._is_waking = False
-        pieces = []
-        while self._pieces:
-            pieces.append(self._pieces.popleft())
-        data = b"".join(pieces)
-        self._pending_bytes -= len(data)
+        with self._lock:
+            data = b"".join(self._pieces)
+            self._pieces.clear()
+            self._pending_bytes = 0
         return data
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
@@ -6,13 +6,12 @@
 
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import problem_error
-from primroseferry_core.events import Event
-from primroseferry_core.logs import log_event
 from primroseferry_once.table import StoredAnswer
 from primroseferry_peers.proto.peer_pb2 import SERVICE_IDEMPOTENT
 from primroseferry_policy.routing import LocalTarget
 from primroseferry_policy.routing import RemoteTarget
 
+from .attempt_notes import note_failure
 from .decisions import describe_target
 from .forward_client import Answered
 from .forward_client import ForwardPayload
@@ -88,7 +87,7 @@
             if isinstance(outcome, StoredAnswer):
                 return outcome
             reason = outcome.reason
-            self._note_failure(context, best, reason)
+            note_failure(context, best, reason)
             if context.remaining_ms == 0:
                 raise problem_error(ErrorKind.DEADLINE_PASSED, reason)
         if reason:
@@ -185,13 +184,3 @@
                         return CallFailed(f"{problem.kind.value}: {problem.detail}", True)
                     case PeerLost(reason, is_sent):
                         return CallFailed(reason, is_sent)
-
-    def _note_failure(self, context: RequestContext, option: Option, reason: str) -> None:
-        target = describe_target(option.target)
-        context.trace.note("attempt failed", f"{target}: {reason}")
-        log_event(Event.ATTEMPT_FAILED, request_id=context.request_id, target=target, reason=reason)
-        match option.target:
-            case LocalTarget(endpoint):
-                context.excluded_endpoints.add(endpoint)
-            case RemoteTarget(region):
-                context.excluded_endpoints.add(region_circuit(region))
--- a/standins/src/primroseferry_standins/engine.py
+++ b/standins/src/primroseferry_standins/engine.py
@@ -39,6 +39,7 @@
 PREFIX_BLOCK_CHARACTERS = 256
 DEFAULT_MAX_TOKENS = 64
 CHARACTERS_A_TOKEN = 4
+MAX_CACHE_EVENTS = 1_024
 MAX_PROMPT_SHOWN = 200
 
 
@@ -57,10 +58,19 @@
     prefill_tokens_per_s: float = 20_000.0
     cache_blocks: int = 256
     load_lag_ms: int = 0
+    cache_event_lag_ms: int = 500
     price: float = 1.0
     checks_fence: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class _CacheEvent:
+    at_s: float
+    sequence: int
+    block: int
+    is_added: bool
+
+
 @dataclass(slots=True)
 class _Stream:
     request_id: str
@@ -82,7 +92,7 @@
         self._running: list[_Stream] = []
         self._queued: list[_Stream] = []
         self._cache: OrderedDict[int, None] = OrderedDict()
-        self._cache_events: deque[tuple[int, int, bool]] = deque(maxlen=1_024)
+        self._cache_events: deque[_CacheEvent] = deque(maxlen=MAX_CACHE_EVENTS)
         self._cache_sequence = 0
         self._reports: deque[tuple[float, dict[str, Any]]] = deque([(0.0, self._report())])
         self._tokens_sent = 0
@@ -211,7 +221,8 @@
         self._cache_sequence += 1
         if self._gap_every and self._cache_sequence % self._gap_every == 0:
             return
-        self._cache_events.append((self._cache_sequence, block, is_added))
+        event = _CacheEvent(time.monotonic(), self._cache_sequence, block, is_added)
+        self._cache_events.append(event)
 
     def _run_batch(self) -> None:
         next_step_s = time.monotonic()
@@ -293,9 +304,14 @@
 
     def _get_cache_events(self, exchange: Exchange) -> Response:
         after = exchange.request.args.get("after", 0, type=int)
+        shown_until_s = time.monotonic() - self.shape.cache_event_lag_ms / 1000
         with self._lock:
-            rows = [row for row in self._cache_events if row[0] > after]
-        events = [{"sequence": row[0], "block": row[1], "added": row[2]} for row in rows]
+            rows = [row for row in self._cache_events if row.sequence > after]
+        events = [
+            {"sequence": row.sequence, "block": row.block, "added": row.is_added}
+            for row in rows
+            if row.at_s <= shown_until_s
+        ]
         return json_response({"events": events})
 
     def _cancel(self, exchange: Exchange, request_id: str) -> Response:
