Handle a stop signal whichever thread it reaches; split the largest modules

Cause: test_stop_finishes_what_runs waited 30 s in vain for a drain, once in seven runs. The kernel may give SIGTERM to any thread; Python runs the handler on the main thread, which slept in an Event.wait without a timeout and was never woken. Ruled out: the gate and the drain itself (six runs alone passed), a handler that was not yet set (the gateway was ready).

Change: the main thread looks four times a second. The new test sends the signal to another thread of the process: the gateway was still there after 20 s before, and exits with 0 now.

A refusal by a gateway that was passed an operation but did not look in its table no longer counts as the owner's "not run".

--- a/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
@@ -31,10 +31,6 @@
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import RegionId
-    from primroseferry_policy.breaker import Breakers
-    from primroseferry_policy.load_view import LoadView
-    from primroseferry_policy.probation import Probation
-    from primroseferry_policy.retry_budget import RetryBudget
     from primroseferry_policy.routing import Option
     from primroseferry_transport.curl_loop import CurlLoop
 
@@ -46,6 +42,7 @@
     from .forward_client import ForwardClient
     from .metrics import Metrics
     from .peer_choice import PeerChoice
+    from .policy_parts import PolicyParts
     from .request_context import RequestContext
     from .settings import GatewaySettings
     from .targets import Demand
@@ -72,11 +69,8 @@
         loop: CurlLoop,
         peers: PeerChoice,
         targets: TargetChooser,
-        loads: LoadView,
-        breakers: Breakers,
-        budget: RetryBudget,
+        policy: PolicyParts,
         crashes: CrashWatch,
-        probation: Probation,
         forwards: ForwardClient,
         metrics: Metrics,
     ) -> None:
@@ -84,11 +78,11 @@
         self._loop = loop
         self._peers = peers
         self._targets = targets
-        self._loads = loads
-        self._breakers = breakers
-        self._budget = budget
+        self._loads = policy.loads
+        self._breakers = policy.breakers
+        self._budget = policy.budget
         self._crashes = crashes
-        self._probation = probation
+        self._probation = policy.probation
         self._forwards = forwards
         self._metrics = metrics
 
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
@@ -34,18 +34,13 @@
 from primroseferry_platform.client_directory import ClientDirectory
 from primroseferry_platform.instance_list import InstanceListClient
 from primroseferry_platform.key_value import KeyValueClient
-from primroseferry_policy.breaker import Breakers
-from primroseferry_policy.capacity import PlanCapacity
-from primroseferry_policy.load_view import LoadView
-from primroseferry_policy.probation import Probation
-from primroseferry_policy.quarantine import Quarantine
-from primroseferry_policy.retry_budget import RetryBudget
 from primroseferry_policy.routing_policy import ROUTING_POLICIES
 from primroseferry_transport.curl_loop import CurlLoop
 from primroseferry_transport.serving import HttpServer
 from primroseferry_transport.serving import ServerLimits
 
 from .chat import ChatService
+from .chat_route import ChatRoute
 from .claim_store import KeyValueClaims
 from .crash_watch import CrashWatch
 from .decisions import DecisionLog
@@ -59,9 +54,14 @@
 from .load_poller import LoadPoller
 from .load_poller import load_report
 from .metrics import Metrics
+from .order_dispatch import OrderDispatcher
+from .order_lookup import OrderLookup
 from .orders import OrderService
 from .peer_choice import PeerChoice
 from .plan_keeper import PlanKeeper
+from .policy_parts import PolicyParts
+from .request_intake import RequestIntake
+from .service_route import ServiceRoute
 from .services import ServiceCalls
 from .state import StateDump
 from .targets import TargetChooser
@@ -84,6 +84,7 @@
 HEARTBEAT_S = 2.0
 HEARTBEAT_TTL_MS = 6_000
 GOODBYE_S = 0.5
+SIGNAL_CHECK_S = 0.25
 CLAIM_TIMEOUT_MS = 1_500
 THREAD_STACK_BYTES = 512 * 1024
 SWITCH_INTERVAL_S = 0.001
@@ -121,13 +122,9 @@
         self._cut_off = threading.Event()
 
     def _build_policy(self) -> None:
-        self._loads = LoadView()
-        self._breakers = Breakers()
-        self._budget = RetryBudget()
-        self._capacity = PlanCapacity()
-        self._quarantine = Quarantine()
+        self._policy = PolicyParts()
         self._crashes = CrashWatch(
-            self.identity, self._quarantine, self._facts, self._exchanger, self._fleet
+            self.identity, self._policy.quarantine, self._facts, self._exchanger, self._fleet
         )
         self._poller = LoadPoller(
             self.identity,
@@ -135,12 +132,14 @@
             self._fleet,
             self._facts,
             self._exchanger,
-            self._loads,
-            self._breakers,
+            self._policy.loads,
+            self._policy.breakers,
             self._settings.load_poll_ms,
         )
         policy = ROUTING_POLICIES[self._settings.routing_policy]
-        self._targets = TargetChooser(self._fleet, self._loads, self._breakers, policy)
+        self._targets = TargetChooser(
+            self._fleet, self._policy.loads, self._policy.breakers, policy
+        )
 
     def _build_services(self, key_value: KeyValueClient) -> None:
         settings = self._settings
@@ -152,11 +151,8 @@
             self._loop,
             peers,
             self._targets,
-            self._loads,
-            self._breakers,
-            self._budget,
+            self._policy,
             self._crashes,
-            Probation(),
             forwards,
             self._metrics,
         )
@@ -164,23 +160,22 @@
             self._loop,
             peers,
             self._targets,
-            self._loads,
-            self._breakers,
-            self._budget,
+            self._policy,
             forwards,
             self._metrics,
         )
         claim_service = KeyValueClient(
             self._loop, settings.key_value_address, CLAIM_TIMEOUT_MS, CLAIM_TIMEOUT_MS
         )
+        self._dispatcher = OrderDispatcher(self._table, self._targets, self._services)
         self._orders = OrderService(
             self.identity,
             self._table,
             KeyValueClaims(claim_service, settings.once_retention_s),
             self._facts,
             self._fleet,
-            self._targets,
-            self._services,
+            self._dispatcher,
+            OrderLookup(self._fleet, self._services),
             forwards,
         )
         self._engine_orders = EngineOrders(
@@ -212,6 +207,7 @@
             self._chat,
             self._services,
             self._orders,
+            self._dispatcher,
         )
         state = StateDump(
             self.identity,
@@ -221,29 +217,30 @@
             self._facts,
             self._exchanger,
             self._gate,
-            self._loads,
-            self._breakers,
-            self._capacity,
-            self._budget,
-            self._quarantine,
+            self._policy,
             self._table,
             self._decisions,
             self._metrics,
         )
         clients = ClientDirectory(self._loop, settings.directory_address)
-        api = HttpApi(
+        intake = RequestIntake(
             settings,
-            self._loop,
             clients,
             self._fleet,
             self._plans,
             self._gate,
-            self._capacity,
+            self._policy.capacity,
+            self._decisions,
+            self._metrics,
+        )
+        api = HttpApi(
+            intake,
+            ChatRoute(intake, self._chat, self._loop, settings.default_chat_timeout_ms),
+            ServiceRoute(intake, self._services, self._orders, settings.default_service_timeout_ms),
             EntryDirectory(self.identity, self._fleet, self._gate),
+            self._plans,
+            self._gate,
             self._decisions,
-            self._chat,
-            self._services,
-            self._orders,
             self._metrics,
             state,
         )
@@ -308,7 +305,9 @@
         signal.signal(signal.SIGINT, self._on_signal)
         self.start()
         threading.Thread(target=self._log_ready, name="ready", daemon=True).start()
-        self._stopping.wait()
+        # A signal that the kernel gives to another thread does not wake this one.
+        while not self._stopping.wait(SIGNAL_CHECK_S):
+            continue
         return 0 if self.stop() else 1
 
     async def exchange(self, request: ExchangeRequest) -> ExchangeReply:
@@ -375,12 +374,12 @@
     def _hear_fact(self, fact: Fact) -> None:
         match fact.kind:
             case kind if kind == ENDPOINT_LOAD:
-                self._loads.report(fact.subject, load_report(fact.load))  # type: ignore[arg-type]
+                self._policy.loads.report(fact.subject, load_report(fact.load))  # type: ignore[arg-type]
             case kind if kind == REGION_LOAD:
                 region = RegionId(fact.subject.partition("/")[0])
-                self._breakers.encourage(region_circuit(region))
+                self._policy.breakers.encourage(region_circuit(region))
             case kind if kind == CRASH_BLAME:
-                self._quarantine.blame(Fingerprint(fact.subject), list(fact.blame.endpoints))
+                self._policy.quarantine.blame(Fingerprint(fact.subject), list(fact.blame.endpoints))
                 self._exchanger.push_soon()
             case kind if kind == GATEWAY and fact.gateway.draining:
                 self._exchanger.push_soon()
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/forward_client.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/forward_client.py
@@ -32,7 +32,9 @@
     from .answer_stream import AnswerStream
     from .engine_call import AttemptOutcome
     from .request_context import RequestContext
+    from .service_call import ServiceRequest
     from .settings import GatewaySettings
+    from .targets import Demand
 
 ACCEPT_TIMEOUT_S = 1.5
 GAP_SLACK_S = 2.0
@@ -52,6 +54,19 @@
     owner_incarnation: str = ""
 
 
+def service_payload(purpose: int, demand: Demand, request: ServiceRequest) -> ForwardPayload:
+    """Return the payload of one call of a plain service."""
+    return ForwardPayload(
+        purpose,
+        demand.serves,
+        request.body,
+        request.method,
+        request.path,
+        request.content_type,
+        request.idempotency_key,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Answered:
     """The peer got the service's answer."""
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/forward_server.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/forward_server.py
@@ -52,6 +52,7 @@
 
     from .chat import ChatService
     from .decisions import DecisionLog
+    from .order_dispatch import OrderDispatcher
     from .orders import OrderService
     from .plan_keeper import PlanKeeper
     from .services import ServiceCalls
@@ -72,6 +73,7 @@
         chat: ChatService,
         services: ServiceCalls,
         orders: OrderService,
+        dispatcher: OrderDispatcher,
     ) -> None:
         self._here = here
         self._plans = plans
@@ -80,6 +82,7 @@
         self._chat = chat
         self._services = services
         self._orders = orders
+        self._dispatcher = dispatcher
         self._pool = ThreadPoolExecutor(MAX_FORWARD_THREADS, "forward")
 
     async def serve(
@@ -158,7 +161,7 @@
             case purpose if purpose == SERVICE_IDEMPOTENT:
                 return self._services.serve_idempotent(context, demand, call)
             case purpose if purpose == SERVICE_DISPATCH:
-                return self._orders.dispatch_for_owner(context, demand, call)
+                return self._dispatcher.dispatch_for_owner(context, demand, call)
             case purpose if purpose == SERVICE_OWNER:
                 if not self._orders.owns(IncarnationId(request.owner_incarnation)):
                     raise problem_error(
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/orders.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/orders.py
@@ -10,7 +10,6 @@
 import time
 from concurrent.futures import CancelledError
 from concurrent.futures import Future
-from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -18,11 +17,9 @@
 from primroseferry_core.errors import Problem
 from primroseferry_core.errors import ProblemError
 from primroseferry_core.errors import problem_error
-from primroseferry_core.events import Event
 from primroseferry_core.hashing import fingerprint_of
 from primroseferry_core.ids import Fingerprint
 from primroseferry_core.ids import InstanceId
-from primroseferry_core.logs import log_event
 from primroseferry_once.claims import ClaimedBy
 from primroseferry_once.claims import NotClaimed
 from primroseferry_once.claims import claim_key
@@ -39,23 +36,15 @@
 from primroseferry_once.table import Started
 from primroseferry_once.table import StoredAnswer
 from primroseferry_peers.proto.peer_pb2 import KEYS_MOVED
-from primroseferry_peers.proto.peer_pb2 import SERVICE_DISPATCH
 from primroseferry_peers.proto.peer_pb2 import SERVICE_OWNER
-from primroseferry_policy.routing import LocalTarget
-from primroseferry_policy.routing import RemoteTarget
 
-from .decisions import describe_target
 from .forward_client import Answered
-from .forward_client import ForwardPayload
 from .forward_client import PeerLost
 from .forward_client import PeerProblem
-from .service_call import CallFailed
-from .service_call import ServiceRequest
-from .targets import region_circuit
+from .forward_client import service_payload
 
 if TYPE_CHECKING:
     from primroseferry_core.ids import IncarnationId
-    from primroseferry_core.ids import RegionId
     from primroseferry_core.plans import Operation
     from primroseferry_once.claims import ClaimStore
     from primroseferry_once.table import OnceTable
@@ -64,20 +53,14 @@
 
     from .fleet import FleetView
     from .forward_client import ForwardClient
+    from .order_dispatch import OrderDispatcher
+    from .order_lookup import OrderLookup
     from .request_context import RequestContext
-    from .services import ServiceCalls
+    from .service_call import ServiceRequest
     from .targets import Demand
-    from .targets import TargetChooser
 
-MAX_DISPATCH_ATTEMPTS = 4
-DISPATCH_TIMEOUT_MS = 30_000
 MOVED_WAIT_S = 1.0
 MOVED_CHECK_S = 0.1
-MAX_DISPATCH_THREADS = 512
-UNKNOWN_ADVICE = (
-    "it is never dispatched again under this key; look the operation up, or come back with the "
-    "same key and the same body"
-)
 
 
 class OrderService:
@@ -90,8 +73,8 @@
         claims: ClaimStore,
         facts: FactStore,
         fleet: FleetView,
-        targets: TargetChooser,
-        calls: ServiceCalls,
+        dispatcher: OrderDispatcher,
+        lookup: OrderLookup,
         forwards: ForwardClient,
     ) -> None:
         self._identity = identity
@@ -99,10 +82,9 @@
         self._claims = claims
         self._facts = facts
         self._fleet = fleet
-        self._targets = targets
-        self._calls = calls
+        self._dispatcher = dispatcher
+        self._lookup = lookup
         self._forwards = forwards
-        self._dispatchers = ThreadPoolExecutor(MAX_DISPATCH_THREADS, "dispatch")
 
     def serve(
         self,
@@ -115,13 +97,12 @@
         scoped_key = ScopedKey(context.customer, parse_key(request.idempotency_key))
         try:
             context.check_region()
-            if self._is_owned_here(scoped_key):
-                return self.serve_as_owner(context, demand, operation, request)
-            owner = self._find_owner(scoped_key)
+            is_owner = self._is_owned_here(scoped_key)
+            owner = self._owner() if is_owner else self._find_owner(scoped_key)
         except ProblemError as error:
             raise self._prove(scoped_key, error.problem) from error
         context.trace.note("owner", f"{owner.instance} incarnation {owner.incarnation}")
-        if self._table.owns(owner.incarnation):
+        if is_owner or self._table.owns(owner.incarnation):
             return self.serve_as_owner(context, demand, operation, request)
         return self._pass_to_owner(context, demand, operation, request, owner)
 
@@ -138,9 +119,7 @@
         fingerprint = Fingerprint(fingerprint_of(context.customer, text, request.body))
         match self._table.begin(scoped_key, fingerprint):
             case Started(record):
-                self._dispatchers.submit(
-                    self._dispatch, context, demand, operation, request, record
-                )
+                self._dispatcher.start(context, demand, request, record)
                 return self._await_record(context, demand, operation, request, record)
             case Joined(record):
                 context.trace.note("joined", record.state.value)
@@ -165,21 +144,6 @@
         """Whether the keys of an incarnation are dispatched here and nowhere else."""
         return self._table.owns(incarnation)
 
-    def dispatch_for_owner(
-        self, context: RequestContext, demand: Demand, request: ServiceRequest
-    ) -> StoredAnswer:
-        """Run one dispatch for an owner in another region, on an endpoint of this region.
-
-        Raises a ``ran: no`` problem only where no endpoint can have seen the operation.
-        """
-        context.check_region()
-        answer = self._run_dispatch(context, demand, request)
-        if isinstance(answer, StoredAnswer):
-            return answer
-        if answer.is_sent:
-            raise problem_error(ErrorKind.OUTCOME_UNKNOWN, answer.reason)
-        raise problem_error(ErrorKind.NO_ENDPOINT, answer.reason)
-
     def _owner(self) -> Owner:
         return Owner(self._identity.incarnation, self._identity.instance)
 
@@ -222,7 +186,7 @@
         owner: Owner,
     ) -> StoredAnswer:
         payload = replace(
-            _payload(SERVICE_OWNER, demand, request), owner_incarnation=owner.incarnation
+            service_payload(SERVICE_OWNER, demand, request), owner_incarnation=owner.incarnation
         )
         give_up_s = time.monotonic() + MOVED_WAIT_S
         reason = f"gateway {owner.instance} owns the key and cannot be reached"
@@ -240,16 +204,18 @@
             match outcome:
                 case Answered(answer):
                     return answer
-                case PeerProblem(problem) if problem.kind is not ErrorKind.OUTCOME_UNKNOWN:
+                case PeerProblem(problem) if problem.kind is ErrorKind.OUTCOME_UNKNOWN:
+                    reason = problem.detail
+                case PeerProblem(problem) if problem.kind in _OWNERS_PROOFS:
                     raise ProblemError(problem)
                 case PeerProblem(problem):
-                    reason = problem.detail
+                    raise ProblemError(problem.without_proof())
                 case PeerLost(lost):
                     reason = lost
             if time.monotonic() >= give_up_s and self._current_holder(owner) == holder:
                 break
             time.sleep(MOVED_CHECK_S)
-        return self._reconcile_or_raise(context, demand, operation, request, reason)
+        return self._lookup.reconcile(context, demand, operation, request, reason)
 
     def _current_holder(self, owner: Owner) -> InstanceId:
         moved = self._facts.find(KEYS_MOVED, owner.incarnation)
@@ -260,82 +226,6 @@
             return True
         return context.may_leave_region and region in context.plan.regions
 
-    def _dispatch(
-        self,
-        context: RequestContext,
-        demand: Demand,
-        operation: Operation,
-        request: ServiceRequest,
-        record: OnceRecord,
-    ) -> None:
-        """Dispatch a held record and store what came of it, even after the caller's deadline."""
-        deadline_s = time.monotonic() + DISPATCH_TIMEOUT_MS / 1000
-        unhurried = replace(context, deadline_s=deadline_s)
-        try:
-            answer = self._run_dispatch(unhurried, demand, request, record)
-        except Exception as error:
-            log_event(Event.REQUEST_CRASHED, path=request.path, error=type(error).__name__)
-            answer = CallFailed("the gateway failed while it dispatched", is_sent=True)
-        if isinstance(answer, StoredAnswer):
-            self._table.finish(record, answer)
-            return
-        if not answer.is_sent and self._table.abandon(record):
-            return
-        self._table.lose(record)
-        log_event(Event.ORDER_OUTCOME_UNKNOWN, request_id=context.request_id, reason=answer.reason)
-
-    def _run_dispatch(
-        self,
-        context: RequestContext,
-        demand: Demand,
-        request: ServiceRequest,
-        record: OnceRecord | None = None,
-    ) -> StoredAnswer | CallFailed:
-        """Try targets until one may have seen the operation; ``is_sent=False`` if none did."""
-        reason = f"no endpoint for {demand.serves} in {', '.join(context.permitted_regions())}"
-        for _ in range(MAX_DISPATCH_ATTEMPTS):
-            options = self._targets.rank(context, demand)
-            if not options:
-                break
-            best = options[0]
-            context.trace.note("chosen", describe_target(best.target), tuple(options))
-            if record is not None and not self._table.dispatch(record):
-                return CallFailed("the key is no longer held here", is_sent=False)
-            log_event(
-                Event.ORDER_DISPATCHED,
-                request_id=context.request_id,
-                target=describe_target(best.target),
-            )
-            match best.target:
-                case LocalTarget(name):
-                    outcome = self._calls.call_local(
-                        context, demand, name, request, DISPATCH_TIMEOUT_MS, is_repeatable=False
-                    )
-                    context.excluded_endpoints.add(name)
-                case RemoteTarget(region):
-                    outcome = self._dispatch_remote(context, demand, request, region)
-                    context.excluded_endpoints.add(region_circuit(region))
-            if isinstance(outcome, StoredAnswer) or outcome.is_sent:
-                return outcome
-            reason = outcome.reason
-            context.trace.note("attempt not sent", reason)
-            if record is not None:
-                self._table.prove_not_sent(record)
-        return CallFailed(reason, is_sent=False)
-
-    def _dispatch_remote(
-        self, context: RequestContext, demand: Demand, request: ServiceRequest, region: RegionId
-    ) -> StoredAnswer | CallFailed:
-        payload = _payload(SERVICE_DISPATCH, demand, request)
-        match self._calls.call_region(context, region, payload, is_repeatable=False):
-            case Answered(answer):
-                return answer
-            case PeerProblem(problem):
-                is_sent = problem.kind not in _NOT_DISPATCHED
-                return CallFailed(f"{problem.kind.value}: {problem.detail}", is_sent)
-            case PeerLost(reason, is_sent):
-                return CallFailed(reason, is_sent)
-
     def _await_record(
         self,
         context: RequestContext,
@@ -348,7 +238,7 @@
         if record.answer is not None:
             return record.answer
         if settled is OnceState.UNKNOWN or record.state is OnceState.UNKNOWN:
-            answer = self._reconcile_or_raise(
+            answer = self._lookup.reconcile(
                 context, demand, operation, request, "the endpoint gave no answer"
             )
             self._table.finish(record, answer)
@@ -369,64 +259,7 @@
         except (TimeoutError, CancelledError):
             return None
 
-    def _reconcile_or_raise(
-        self,
-        context: RequestContext,
-        demand: Demand,
-        operation: Operation,
-        request: ServiceRequest,
-        reason: str,
-    ) -> StoredAnswer:
-        """Ask the service's look-up whether the operation ran; only a yes settles it."""
-        answer = self._look_up(context, demand, operation, request)
-        if answer is not None:
-            log_event(Event.ORDER_RECONCILED, request_id=context.request_id)
-            context.trace.note("reconciled", "the service's look-up says that it ran")
-            return answer
-        raise problem_error(ErrorKind.OUTCOME_UNKNOWN, f"{reason}; {UNKNOWN_ADVICE}")
-
-    def _look_up(
-        self,
-        context: RequestContext,
-        demand: Demand,
-        operation: Operation,
-        request: ServiceRequest,
-    ) -> StoredAnswer | None:
-        if not operation.lookup_path:
-            return None
-        path = operation.lookup_path.replace("{key}", request.idempotency_key)
-        lookup = ServiceRequest("GET", path, "", b"")
-        context.excluded_endpoints.clear()
-        for endpoint in self._fleet.endpoints(demand.serves, context.here, is_engine=False):
-            outcome = self._calls.call_local(
-                context, demand, endpoint.endpoint, lookup, 2_000, is_repeatable=True
-            )
-            if isinstance(outcome, StoredAnswer) and 200 <= outcome.status < 300:
-                return outcome
-        return None
-
 
-_NOT_DISPATCHED = frozenset(
-    {
-        ErrorKind.NO_ENDPOINT,
-        ErrorKind.GATEWAY_DRAINING,
-        ErrorKind.GATEWAY_NOT_READY,
-        ErrorKind.REGION_NOT_PERMITTED,
-        ErrorKind.NOT_PERMITTED,
-        ErrorKind.NO_PLAN,
-        ErrorKind.UNKNOWN_OPERATION,
-        ErrorKind.REGION_LOOP,
-    }
+_OWNERS_PROOFS = frozenset(
+    {ErrorKind.NO_ENDPOINT, ErrorKind.GATEWAY_DRAINING, ErrorKind.KEY_REUSED}
 )
-
-
-def _payload(purpose: int, demand: Demand, request: ServiceRequest) -> ForwardPayload:
-    return ForwardPayload(
-        purpose,
-        demand.serves,
-        request.body,
-        request.method,
-        request.path,
-        request.content_type,
-        request.idempotency_key,
-    )
--- /dev/null
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/policy_parts.py
@@ -0,0 +1,25 @@
+"""The policy's state of one gateway, in one piece."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from primroseferry_policy.breaker import Breakers
+from primroseferry_policy.capacity import PlanCapacity
+from primroseferry_policy.load_view import LoadView
+from primroseferry_policy.probation import Probation
+from primroseferry_policy.quarantine import Quarantine
+from primroseferry_policy.retry_budget import RetryBudget
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyParts:
+    """What the gateway believes of loads and failures, and what it has given out."""
+
+    loads: LoadView = field(default_factory=LoadView)
+    breakers: Breakers = field(default_factory=Breakers)
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    capacity: PlanCapacity = field(default_factory=PlanCapacity)
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    probation: Probation = field(default_factory=Probation)
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
@@ -17,6 +17,7 @@
 from .forward_client import ForwardPayload
 from .forward_client import PeerLost
 from .forward_client import PeerProblem
+from .forward_client import service_payload
 from .service_call import CallFailed
 from .service_call import call_service
 from .targets import region_circuit
@@ -24,15 +25,13 @@
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import RegionId
-    from primroseferry_policy.breaker import Breakers
-    from primroseferry_policy.load_view import LoadView
-    from primroseferry_policy.retry_budget import RetryBudget
     from primroseferry_policy.routing import Option
     from primroseferry_transport.curl_loop import CurlLoop
 
     from .forward_client import ForwardClient
     from .metrics import Metrics
     from .peer_choice import PeerChoice
+    from .policy_parts import PolicyParts
     from .request_context import RequestContext
     from .service_call import ServiceRequest
     from .targets import Demand
@@ -51,18 +50,16 @@
         loop: CurlLoop,
         peers: PeerChoice,
         targets: TargetChooser,
-        loads: LoadView,
-        breakers: Breakers,
-        budget: RetryBudget,
+        policy: PolicyParts,
         forwards: ForwardClient,
         metrics: Metrics,
     ) -> None:
         self._loop = loop
         self._peers = peers
         self._targets = targets
-        self._loads = loads
-        self._breakers = breakers
-        self._budget = budget
+        self._loads = policy.loads
+        self._breakers = policy.breakers
+        self._budget = policy.budget
         self._forwards = forwards
         self._metrics = metrics
 
@@ -169,14 +166,7 @@
                     return CallFailed(f"status {outcome.status}", is_sent=True)
                 return outcome
             case RemoteTarget(region):
-                payload = ForwardPayload(
-                    SERVICE_IDEMPOTENT,
-                    demand.serves,
-                    request.body,
-                    request.method,
-                    request.path,
-                    request.content_type,
-                )
+                payload = service_payload(SERVICE_IDEMPOTENT, demand, request)
                 match self.call_region(context, region, payload, is_repeatable=True):
                     case Answered(answer):
                         return answer
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/state.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/state.py
@@ -11,16 +11,12 @@
     from primroseferry_peers.exchanger import Exchanger
     from primroseferry_peers.exchanger import SelfIdentity
     from primroseferry_peers.fact_store import FactStore
-    from primroseferry_policy.breaker import Breakers
-    from primroseferry_policy.capacity import PlanCapacity
-    from primroseferry_policy.load_view import LoadView
-    from primroseferry_policy.quarantine import Quarantine
-    from primroseferry_policy.retry_budget import RetryBudget
 
     from .decisions import DecisionLog
     from .fleet import FleetView
     from .metrics import Metrics
     from .plan_keeper import PlanKeeper
+    from .policy_parts import PolicyParts
     from .settings import GatewaySettings
     from .work_gate import WorkGate
 
@@ -37,11 +33,7 @@
         facts: FactStore,
         exchanger: Exchanger,
         gate: WorkGate,
-        loads: LoadView,
-        breakers: Breakers,
-        capacity: PlanCapacity,
-        budget: RetryBudget,
-        quarantine: Quarantine,
+        policy: PolicyParts,
         table: OnceTable,
         decisions: DecisionLog,
         metrics: Metrics,
@@ -53,11 +45,7 @@
         self._facts = facts
         self._exchanger = exchanger
         self._gate = gate
-        self._loads = loads
-        self._breakers = breakers
-        self._capacity = capacity
-        self._budget = budget
-        self._quarantine = quarantine
+        self._policy = policy
         self._table = table
         self._decisions = decisions
         self._metrics = metrics
@@ -93,13 +81,15 @@
                 serves: [asdict(load) for load in self._fleet.region_loads(serves)]
                 for serves in self._fleet.served_elsewhere()
             },
-            "circuits": {name: state.value for name, state in self._breakers.states().items()},
+            "circuits": {
+                name: state.value for name, state in self._policy.breakers.states().items()
+            },
             "capacity": [
                 {"plan": key.plan, "target": key.target, "open_requests": count}
-                for key, count in self._capacity.open_requests().items()
+                for key, count in self._policy.capacity.open_requests().items()
             ],
-            "retry_budget": self._budget.saved,
-            "quarantined": self._quarantine.quarantined(),
+            "retry_budget": self._policy.budget.saved,
+            "quarantined": self._policy.quarantine.quarantined(),
             "once": {
                 "records": len(self._table),
                 "open": self._table.count_open(),
@@ -114,12 +104,12 @@
         return self._fleet.region_endpoints()
 
     def _describe_endpoint(self, endpoint: Any) -> dict[str, Any]:
-        states = self._breakers.states()
+        states = self._policy.breakers.states()
         return {
             "endpoint": endpoint,
             "is_leaving": self._fleet.is_leaving(endpoint),
-            "own_open": self._loads.own_open(endpoint),
+            "own_open": self._policy.loads.own_open(endpoint),
             "circuit": states[endpoint].value if endpoint in states else "closed",
-            "ramp_share": self._breakers.ramp_share(endpoint),
-            **asdict(self._loads.estimate(endpoint)),
+            "ramp_share": self._policy.breakers.ramp_share(endpoint),
+            **asdict(self._policy.loads.estimate(endpoint)),
         }
--- a/packages/primroseferry-gateway/tests/test_forward_server.py
+++ b/packages/primroseferry-gateway/tests/test_forward_server.py
@@ -34,7 +34,7 @@
 def serve(here: str, request: ForwardRequest) -> StoredAnswer | AnswerStream | Problem:
     plans = SimpleNamespace(document=parse_yaml(PLANS))
     server = ForwardServer(
-        RegionId(here), plans, WorkGate(), DecisionLog(), None, None, None  # type: ignore[arg-type]
+        RegionId(here), plans, WorkGate(), DecisionLog(), None, None, None, None  # type: ignore[arg-type]
     )
     return server._serve_checked(request, None)  # type: ignore[arg-type]
 
@@ -93,7 +93,7 @@
     gate.close()
     plans = SimpleNamespace(document=parse_yaml(PLANS))
     server = ForwardServer(
-        RegionId("thies"), plans, gate, DecisionLog(), None, None, None  # type: ignore[arg-type]
+        RegionId("thies"), plans, gate, DecisionLog(), None, None, None, None  # type: ignore[arg-type]
     )
     problem = server._serve_checked(request_of(CHAT, "dakar", ["dakar"]), None)  # type: ignore[arg-type]
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import ctypes
+import os
+import signal
 import threading
 from typing import TYPE_CHECKING
 
@@ -86,6 +89,16 @@
             return str(entry["idempotency_key_prefix"])
 
 
+def test_signal_that_reaches_another_thread_stops_the_gateway(deployment: Deployment) -> None:
+    """The kernel may give a signal to any thread, while Python handles it on the main one."""
+    process = deployment.gateways["dakar-1"]
+    threads = [int(name) for name in os.listdir(f"/proc/{process.pid}/task")]
+    other = max(thread for thread in threads if thread != process.pid)
+    ctypes.CDLL(None).tgkill(process.pid, other, int(signal.SIGTERM))
+
+    assert process.wait() == 0
+
+
 def test_second_signal_ends_the_stop_and_says_what_was_cut_off(deployment: Deployment) -> None:
     stopping = deployment.gateways["dakar-1"]
     deployment.endpoints["dakar-engine-1"].fault(hold_at_event=5)
