Measure the ways to run an order at most once

Cause: the comparison in docs/design/at-most-once.md was reasoned, not measured.

Change: make once-bench runs four ways against the stand-ins.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CHECKED := packages standins tests benchmarks demo faults
 LIBRARIES := $(wildcard packages/*) standins
 
-.PHONY: venv test check unit demo faults faults-fixed bench policy-bench capacity format clean
+.PHONY: venv test check unit demo faults faults-fixed bench policy-bench once-bench capacity format clean
 
 venv: $(VENV)/.installed
 
@@ -40,6 +40,9 @@
 policy-bench: venv
 	$(BIN)/python benchmarks/policy.py
 
+once-bench: venv
+	$(BIN)/python benchmarks/once_ways.py
+
 capacity: venv
 	$(BIN)/python benchmarks/capacity.py
 
