Say "not run" of a chat only before its first attempt

Cause: a chat whose only engine died while it worked on it was answered "no-endpoint, ran: no", because after the failed attempt no endpoint was left.

Change: without an endpoint after an attempt the answer is endpoint-failed, ran: unknown. Ruled out: telling apart attempts that provably sent nothing; a chat may be asked again either way.

--- a/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
@@ -114,8 +114,8 @@
             context.excluded_endpoints.clear()
             options = self._targets.rank(context, demand)
         if not options:
-            kind = ErrorKind.ANSWER_INCOMPLETE if stream.last_event else ErrorKind.NO_ENDPOINT
             permitted = ", ".join(context.permitted_regions())
+            kind = _kind_without_endpoint(stream, is_first)
             raise problem_error(kind, f"no endpoint for {demand.serves} in {permitted}")
         best = options[0]
         context.trace.note("chosen", describe_target(best.target), tuple(options))
@@ -303,6 +303,13 @@
         return False
 
 
+def _kind_without_endpoint(stream: AnswerStream, is_first: bool) -> ErrorKind:
+    """Say ``not run`` only before the first attempt: an endpoint that failed may have worked."""
+    if stream.last_event:
+        return ErrorKind.ANSWER_INCOMPLETE
+    return ErrorKind.NO_ENDPOINT if is_first else ErrorKind.ENDPOINT_FAILED
+
+
 _FINAL_PEER_PROBLEMS = frozenset(
     {ErrorKind.REQUEST_QUARANTINED, ErrorKind.ENDPOINT_REFUSED, ErrorKind.DEADLINE_PASSED}
 )
