--- a/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
@@ -6,18 +6,18 @@
 
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import problem_error
-from primroseferry_core.events import Event
-from primroseferry_core.logs import log_event
 from primroseferry_once.table import StoredAnswer
 from primroseferry_peers.proto.peer_pb2 import SERVICE_IDEMPOTENT
 from primroseferry_policy.routing import LocalTarget
 from primroseferry_policy.routing import RemoteTarget
 
+from .attempt_notes import note_failure
 from .decisions import describe_target
 from .forward_client import Answered
 from .forward_client import ForwardPayload
 from .forward_client import PeerLost
 from .forward_client import PeerProblem
+from .forward_client import service_payload
 from .service_call import CallFailed
 from .service_call import call_service
 from .targets import region_circuit
@@ -25,15 +25,13 @@
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import RegionId
-    from primroseferry_policy.breaker import Breakers
-    from primroseferry_policy.load_view import LoadView
-    from primroseferry_policy.retry_budget import RetryBudget
     from primroseferry_policy.routing import Option
     from primroseferry_transport.curl_loop import CurlLoop
 
     from .forward_client import ForwardClient
     from .metrics import Metrics
     from .peer_choice import PeerChoice
+    from .policy_parts import PolicyParts
     from .request_context import RequestContext
     from .service_call import ServiceRequest
     from .targets import Demand
@@ -52,18 +50,16 @@
         loop: CurlLoop,
         peers: PeerChoice,
         targets: TargetChooser,
-        loads: LoadView,
-        breakers: Breakers,
-        budget: RetryBudget,
+        policy: PolicyParts,
         forwards: ForwardClient,
         metrics: Metrics,
     ) -> None:
         self._loop = loop
         self._peers = peers
         self._targets = targets
-        self._loads = loads
-        self._breakers = breakers
-        self._budget = budget
+        self._loads = policy.loads
+        self._breakers = policy.breakers
+        self._budget = policy.budget
         self._forwards = forwards
         self._metrics = metrics
 
@@ -88,7 +84,7 @@
             if isinstance(outcome, StoredAnswer):
                 return outcome
             reason = outcome.reason
-            self._note_failure(context, best, reason)
+            note_failure(context, best, reason)
             if context.remaining_ms == 0:
                 raise problem_error(ErrorKind.DEADLINE_PASSED, reason)
         if reason:
@@ -170,14 +166,7 @@
                     return CallFailed(f"status {outcome.status}", is_sent=True)
                 return outcome
             case RemoteTarget(region):
-                payload = ForwardPayload(
-                    SERVICE_IDEMPOTENT,
-                    demand.serves,
-                    request.body,
-                    request.method,
-                    request.path,
-                    request.content_type,
-                )
+                payload = service_payload(SERVICE_IDEMPOTENT, demand, request)
                 match self.call_region(context, region, payload, is_repeatable=True):
                     case Answered(answer):
                         return answer
@@ -185,13 +174,3 @@
                         return CallFailed(f"{problem.kind.value}: {problem.detail}", True)
                     case PeerLost(reason, is_sent):
                         return CallFailed(reason, is_sent)
-
-    def _note_failure(self, context: RequestContext, option: Option, reason: str) -> None:
-        target = describe_target(option.target)
-        context.trace.note("attempt failed", f"{target}: {reason}")
-        log_event(Event.ATTEMPT_FAILED, request_id=context.request_id, target=target, reason=reason)
-        match option.target:
-            case LocalTarget(endpoint):
-                context.excluded_endpoints.add(endpoint)
-            case RemoteTarget(region):
-                context.excluded_endpoints.add(region_circuit(region))
