Admit by the whole answer, and count own requests in other regions

Change: an option whose whole answer is expected too late is passed over, and the request refused if none is left; how much of max_tokens answers use is learned. A region's load is corrected by the gateway's own requests there, as an endpoint's is.

--- a/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
@@ -12,6 +12,9 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 from primroseferry_peers.proto.peer_pb2 import CHAT
+from primroseferry_policy.admission import expected_lateness_ms
+from primroseferry_policy.admission import in_time
+from primroseferry_policy.routing import TYPICAL_ANSWER_TOKENS
 from primroseferry_policy.routing import LocalTarget
 from primroseferry_policy.routing import RemoteTarget
 
@@ -27,6 +30,7 @@
 from .forward_client import ForwardPayload
 from .forward_client import PeerProblem
 from .targets import region_circuit
+from .targets import region_target
 
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
@@ -59,6 +63,11 @@
     body: dict[str, Any]
     demand: Demand
 
+    @property
+    def max_tokens(self) -> int:
+        """The longest answer that the caller accepts."""
+        return int(self.body.get("max_tokens") or TYPICAL_ANSWER_TOKENS)
+
 
 class ChatService:
     """Serves chat requests of this region's callers and of other regions' gateways."""
@@ -83,6 +92,7 @@
         self._budget = policy.budget
         self._crashes = crashes
         self._probation = policy.probation
+        self._lengths = policy.answer_lengths
         self._forwards = forwards
         self._metrics = metrics
 
@@ -98,6 +108,8 @@
                 self._spend_retry(context, stream)
             outcome = self._attempt(context, request.demand, option, body, stream)
             self._metrics.count_attempt(type(outcome).__name__.lower())
+            if isinstance(outcome, Completed) and context.may_leave_region:
+                self._lengths.learn(request.demand.serves, request.max_tokens, stream.delivered)
             if self._is_over(context, option, outcome, stream):
                 return not isinstance(outcome, CallerGone)
         raise problem_error(
@@ -117,21 +129,20 @@
             permitted = ", ".join(context.permitted_regions())
             kind = _kind_without_endpoint(stream, is_first)
             raise problem_error(kind, f"no endpoint for {demand.serves} in {permitted}")
-        best = options[0]
-        context.trace.note("chosen", describe_target(best.target), tuple(options))
-        if is_first:
+        timely = in_time(options, context.remaining_ms)
+        if is_first and not timely:
             self._refuse_late(context, options)
+        best = timely[0] if timely else options[0]
+        context.trace.note("chosen", describe_target(best.target), tuple(options))
         return best
 
     def _refuse_late(self, context: RequestContext, options: list[Option]) -> None:
-        fastest = min(options, key=lambda option: option.first_token_ms)
-        if fastest.first_token_ms <= context.remaining_ms:
-            return
-        late_ms = fastest.first_token_ms - context.remaining_ms
+        late_ms = expected_lateness_ms(options, context.remaining_ms)
+        context.trace.note("refused", f"{late_ms:.0f} ms too late", tuple(options))
         raise problem_error(
             ErrorKind.WOULD_BE_LATE,
-            f"the first token is expected in {fastest.first_token_ms:.0f} ms and the answer is "
-            f"needed within {context.remaining_ms} ms",
+            f"the answer is needed within {context.remaining_ms} ms and expected {late_ms:.0f} ms "
+            "later",
             retry_after_s=max(1, round(late_ms / 1000)),
         )
 
@@ -246,6 +257,8 @@
         circuit = region_circuit(region)
         outcome: AttemptOutcome | PeerProblem = Broken("no gateway listed", False, False)
         self._breakers.begin(circuit)
+        counted = region_target(region, demand.serves)
+        self._loads.begin(counted)
         for peer in self._peers.ordered(region):
             self._metrics.count_forward(region)
             context.trace.note("forwarded", f"{peer.instance} in {region}")
@@ -259,6 +272,7 @@
             context.trace.note("peer failed", f"{peer.instance}: {outcome.reason}")
             if outcome.is_sent and not self._budget.spend():
                 break
+        self._loads.end(counted)
         match outcome:
             case Broken():
                 self._breakers.fail(circuit)
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
@@ -66,6 +66,7 @@
 from .state import StateDump
 from .targets import TargetChooser
 from .targets import region_circuit
+from .targets import region_target
 from .work_gate import WorkGate
 
 if TYPE_CHECKING:
@@ -378,6 +379,8 @@
             case kind if kind == REGION_LOAD:
                 region = RegionId(fact.subject.partition("/")[0])
                 self._policy.breakers.encourage(region_circuit(region))
+                name = region_target(region, fact.subject.partition("/")[2])
+                self._policy.loads.report(name, load_report(fact.load))
             case kind if kind == CRASH_BLAME:
                 self._policy.quarantine.blame(Fingerprint(fact.subject), list(fact.blame.endpoints))
                 self._exchanger.push_soon()
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/policy_parts.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/policy_parts.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+from primroseferry_policy.admission import AnswerLengths
 from primroseferry_policy.breaker import Breakers
 from primroseferry_policy.capacity import PlanCapacity
 from primroseferry_policy.load_view import LoadView
@@ -23,3 +24,4 @@
     capacity: PlanCapacity = field(default_factory=PlanCapacity)
     quarantine: Quarantine = field(default_factory=Quarantine)
     probation: Probation = field(default_factory=Probation)
+    answer_lengths: AnswerLengths = field(default_factory=AnswerLengths)
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
@@ -21,6 +21,7 @@
 from .service_call import CallFailed
 from .service_call import call_service
 from .targets import region_circuit
+from .targets import region_target
 
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
@@ -137,6 +138,8 @@
         circuit = region_circuit(region)
         outcome: Answered | PeerProblem | PeerLost = PeerLost("no gateway listed", is_sent=False)
         self._breakers.begin(circuit)
+        counted = region_target(region, payload.target)
+        self._loads.begin(counted)
         for peer in self._peers.ordered(region):
             self._metrics.count_forward(region)
             context.trace.note("forwarded", f"{peer.instance} in {region}")
@@ -147,6 +150,7 @@
             self._peers.fail(peer)
             if outcome.is_sent and not (is_repeatable and self._budget.spend()):
                 break
+        self._loads.end(counted)
         if isinstance(outcome, PeerLost):
             self._breakers.fail(circuit)
         else:
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/targets.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/targets.py
@@ -25,7 +25,6 @@
 
     from .fleet import Endpoint
     from .fleet import FleetView
-    from .fleet import RegionLoad
     from .request_context import RequestContext
 
 
@@ -105,7 +104,10 @@
     def _remote_options(self, context: RequestContext, demand: Demand) -> list[Option]:
         return [
             estimate_option(
-                RemoteTarget(load.region), _as_estimate(load), demand.work, is_cached=False
+                RemoteTarget(load.region),
+                self._loads.estimate(region_target(load.region, demand.serves)),
+                demand.work,
+                is_cached=False,
             )
             for load in self._fleet.region_loads(demand.serves)
             if load.slots > 0 and self._may_use_region(context, load.region)
@@ -129,10 +131,11 @@
         ]
 
 
+def region_target(region: RegionId, serves: str) -> EndpointId:
+    """Return the name under which the requests sent to a region are counted against its load."""
+    return EndpointId(f"region/{region}/{serves}")
+
+
 def region_circuit(region: RegionId) -> EndpointId:
     """Return the name under which a region has its circuit breaker."""
     return EndpointId(f"region/{region}")
-
-
-def _as_estimate(load: RegionLoad) -> LoadEstimate:
-    return LoadEstimate(load.open_requests, load.slots, load.step_ms, load.price)
--- /dev/null
+++ b/packages/primroseferry-policy/src/primroseferry_policy/admission.py
@@ -0,0 +1,46 @@
+"""Admission: refusing at once what would be late, and learning how long answers are."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from .routing import Option
+
+LEARNING_RATE = 0.05
+
+
+class AnswerLengths:
+    """How much of ``max_tokens`` the answers of each model use, learned from whole answers.
+
+    >>> lengths = AnswerLengths()
+    >>> lengths.expected_tokens("small", 100)
+    100
+    """
+
+    def __init__(self) -> None:
+        self._share: dict[str, float] = {}
+        self._lock = threading.Lock()
+
+    def expected_tokens(self, model: str, max_tokens: int) -> int:
+        """Return how many tokens an answer is expected to have."""
+        return max(1, round(max_tokens * self._share.get(model, 1.0)))
+
+    def learn(self, model: str, max_tokens: int, tokens: int) -> None:
+        """Take in the length of a whole answer."""
+        with self._lock:
+            share = self._share.get(model, 1.0)
+            self._share[model] = share + LEARNING_RATE * (tokens / max(1, max_tokens) - share)
+
+
+def in_time(options: Sequence[Option], remaining_ms: float) -> list[Option]:
+    """Return the options whose whole answer is expected before it is needed, in their order."""
+    return [option for option in options if option.total_ms <= remaining_ms]
+
+
+def expected_lateness_ms(options: Sequence[Option], remaining_ms: float) -> float:
+    """Return by how much the fastest of some options is expected to be late."""
+    return min(option.total_ms for option in options) - remaining_ms
