Exchange facts with fixed neighbours, and tell a load once

With a random peer each half second every exchange carries nearly all facts, because all were repeated since the two last met; and both pollers of an endpoint told its load.

Ruled out: spreading less often alone (an exchange would carry the same facts); digests first (still all keys an exchange).

--- a/packages/primroseferry-gateway/src/primroseferry_gateway/load_poller.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/load_poller.py
@@ -1,7 +1,8 @@
 """Polls the load of endpoints and tells the region, and sums it up for other regions.
 
-Two gateways of a region poll each endpoint. A report spreads only when it changed enough to matter,
-or shortly before the last one would expire.
+Two gateways of a region poll each endpoint. A report spreads only when it differs enough from what
+the region was told, by whichever of the two, or before that expires; the second poller waits a
+little longer for that, so that only one of them repeats it.
 """
 
 from __future__ import annotations
@@ -9,7 +10,6 @@
 import json
 import threading
 import time
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
@@ -42,20 +42,15 @@
 
 POLLERS_PER_ENDPOINT = 2
 POLL_TIMEOUT_MS = 1_000
-LOAD_TTL_MS = 10_000
-REFRESH_S = 4.0
+LOAD_TTL_MS = 20_000
+REFRESH_S = 8.0
+SECOND_POLLER_PATIENCE_S = 3.0
 SIGNIFICANT_SHARE_OF_SLOTS = 0.1
 REGION_LOAD_S = 1.0
 REGION_LOAD_TTL_MS = 6_000
 LEAVING_TTL_MS = 30_000
 
 
-@dataclass(frozen=True, slots=True)
-class _Published:
-    load: LoadFact
-    at_s: float
-
-
 class LoadPoller:
     """Polls the endpoints that fall to this gateway."""
 
@@ -78,7 +73,6 @@
         self._loads = loads
         self._breakers = breakers
         self._poll_s = poll_ms / 1000
-        self._published: dict[EndpointId, _Published] = {}
         self._known: set[EndpointId] = set()
         self._next_summary_s = 0.0
         self._stopping = threading.Event()
@@ -95,7 +89,7 @@
         while not self._stopping.wait(self._poll_s):
             endpoints = self._fleet.region_endpoints()
             self._forget_unlisted(endpoints)
-            self._poll([endpoint for endpoint in endpoints if self._is_poller(endpoint)])
+            self._poll([endpoint for endpoint in endpoints if self._rank(endpoint) is not None])
             if time.monotonic() >= self._next_summary_s:
                 self._next_summary_s = time.monotonic() + REGION_LOAD_S
                 self._publish_region_loads(endpoints)
@@ -105,15 +99,16 @@
         for endpoint in self._known - listed:
             self._loads.forget(endpoint)
             self._breakers.forget(endpoint)
-            self._published.pop(endpoint, None)
         self._known = listed
 
-    def _is_poller(self, endpoint: Endpoint) -> bool:
+    def _rank(self, endpoint: Endpoint) -> int | None:
+        """Return this gateway's place among the pollers of an endpoint, ``None`` if it is none."""
         live = [str(row.instance) for row in self._fleet.live_gateways(self._identity.region)]
         if self._identity.instance not in live:
             live.append(self._identity.instance)
         pollers = rendezvous_order(f"load/{endpoint.endpoint}", live)[:POLLERS_PER_ENDPOINT]
-        return self._identity.instance in pollers
+        me = str(self._identity.instance)
+        return pollers.index(me) if me in pollers else None
 
     def _poll(self, endpoints: list[Endpoint]) -> None:
         calls = [
@@ -144,24 +139,25 @@
             step_ms=float(report["step_ms"]),
             price=float(report["price"]),
         )
-        if self._is_significant(endpoint.endpoint, load):
-            self._published[endpoint.endpoint] = _Published(load, time.monotonic())
+        if self._is_news(endpoint, load):
             self._publish(ENDPOINT_LOAD, endpoint.endpoint, load, LOAD_TTL_MS, fleet_wide=False)
         else:
             self._loads.report(endpoint.endpoint, load_report(load))
 
-    def _is_significant(self, endpoint: EndpointId, load: LoadFact) -> bool:
-        last = self._published.get(endpoint)
-        if last is None or time.monotonic() - last.at_s > REFRESH_S:
+    def _is_news(self, endpoint: Endpoint, load: LoadFact) -> bool:
+        """Whether the region should be told: it knows another load, or soon none."""
+        held = self._facts.find(ENDPOINT_LOAD, endpoint.endpoint)
+        if held is None:
+            return True
+        told = held.load
+        if (load.slots, load.step_ms, load.price) != (told.slots, told.step_ms, told.price):
             return True
-        if (load.slots, load.step_ms, load.price) != (
-            last.load.slots,
-            last.load.step_ms,
-            last.load.price,
-        ):
+        change = abs(load.running + load.queued - told.running - told.queued)
+        if change > load.slots * SIGNIFICANT_SHARE_OF_SLOTS:
             return True
-        change = abs(load.running + load.queued - last.load.running - last.load.queued)
-        return change > load.slots * SIGNIFICANT_SHARE_OF_SLOTS
+        age_ms = LOAD_TTL_MS - self._facts.time_left_ms(ENDPOINT_LOAD, endpoint.endpoint)
+        patience_s = REFRESH_S + (self._rank(endpoint) or 0) * SECOND_POLLER_PATIENCE_S
+        return age_ms > patience_s * 1000
 
     def _publish(
         self, kind: int, subject: str, load: LoadFact, ttl_ms: int, fleet_wide: bool
--- a/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
+++ b/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
@@ -1,14 +1,19 @@
 """Spreads facts and the number of the plan revision among gateways.
 
-Each round a gateway exchanges with one random peer of its region; the few gateways that bridge
-regions also exchange with one gateway of each other region. An urgent change is pushed to a few
-peers at once, each of which pushes it on, so that it crosses a region in a few round trips.
+Each round a gateway exchanges with two fixed neighbours of its region, the next one by name and
+one about the square root of the region's size further on, so that an exchange carries only what
+changed since the last round. Now and then it exchanges with a random peer too, which heals whatever
+the neighbours missed. The few gateways that bridge regions also exchange with one gateway of each
+other region. An urgent change is pushed to a few random peers at once, each of which pushes it on,
+so that it crosses a region in a few round trips.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import random
+import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -22,6 +27,8 @@
 from .proto.peer_pb2 import ExchangeRequest
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from primroseferry_core.ids import IncarnationId
     from primroseferry_core.ids import InstanceId
     from primroseferry_core.ids import RegionId
@@ -30,7 +37,9 @@
     from .peer_client import PeerClient
     from .proto.peer_pb2 import Fact
 
-ROUND_S = 0.5
+ROUND_S = 1.0
+RANDOM_PEER_ROUNDS = 10
+FAILED_PEER_REST_S = 5.0
 URGENT_FANOUT = 3
 URGENT_DELAY_S = 0.02
 
@@ -78,6 +87,21 @@
     incarnation: str = ""
     seen_sequence: int = 0
     sent_sequence: int = 0
+    rest_until_s: float = 0.0
+
+
+def neighbours(me: str, peers: Sequence[PeerAddress]) -> list[PeerAddress]:
+    """Return the peers with which ``me`` exchanges each round.
+
+    The next one by name joins all into a ring; the one a square root of the size further on makes
+    the way around it short.
+    """
+    ordered = sorted(peers, key=lambda peer: (peer.instance <= me, peer.instance))
+    if not ordered:
+        return []
+    skip = round(math.sqrt(len(ordered) + 1)) - 1
+    far = ordered[skip]
+    return [ordered[0]] if far is ordered[0] else [ordered[0], far]
 
 
 class Exchanger:
@@ -101,6 +125,7 @@
         self._urgent = asyncio.Event()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._joined: set[str] = set()
+        self._round = 0
         self._bytes = 0
         facts.listen(self._note_joined)
 
@@ -152,9 +177,28 @@
     async def _run_round(self, is_urgent: bool) -> None:
         self._note_lost(self._facts.drop_expired())
         region_peers = self._partners.region_peers()
-        count = min(len(region_peers), URGENT_FANOUT if is_urgent else 1)
-        chosen = self._random.sample(region_peers, count) + self._partners.bridged_peers()
-        await asyncio.gather(*(self._exchange(peer) for peer in chosen))
+        if is_urgent:
+            chosen = self._random.sample(region_peers, min(len(region_peers), URGENT_FANOUT))
+        else:
+            chosen = self._round_peers(region_peers)
+        bridged = self._partners.bridged_peers()
+        await asyncio.gather(*(self._exchange(peer) for peer in [*chosen, *bridged]))
+
+    def _round_peers(self, region_peers: list[PeerAddress]) -> list[PeerAddress]:
+        """Return this round's neighbours, and at times a random peer."""
+        now_s = time.monotonic()
+        usable = [
+            peer
+            for peer in region_peers
+            if self._progress.get(peer.address, _PeerProgress()).rest_until_s <= now_s
+        ]
+        self._round += 1
+        chosen = neighbours(self._identity.instance, usable)
+        if region_peers and self._round % RANDOM_PEER_ROUNDS == 0:
+            extra = self._random.choice(region_peers)
+            if extra not in chosen:
+                chosen.append(extra)
+        return chosen
 
     def _note_joined(self, fact: Fact) -> None:
         if fact.kind == GATEWAY and fact.subject not in self._joined:
@@ -184,8 +228,10 @@
         try:
             reply = await self._client.exchange(peer.address, request)
         except PeerError as error:
+            progress.rest_until_s = time.monotonic() + FAILED_PEER_REST_S
             log_event(Event.PEER_EXCHANGE_FAILED, peer=peer.instance, reason=str(error))
             return
+        progress.rest_until_s = 0.0
         self._bytes += request.ByteSize() + reply.ByteSize()
         if reply.incarnation != progress.incarnation:
             self._progress[peer.address] = _PeerProgress(incarnation=reply.incarnation)
--- a/packages/primroseferry-peers/src/primroseferry_peers/fact_store.py
+++ b/packages/primroseferry-peers/src/primroseferry_peers/fact_store.py
@@ -114,6 +114,14 @@
                 return None
             return held.fact
 
+    def time_left_ms(self, kind: int, subject: str) -> int:
+        """Return how long the fact about ``subject`` still lives, 0 where there is none."""
+        with self._lock:
+            held = self._held.get(FactKey(kind, subject))
+            if held is None:
+                return 0
+            return max(0, int((held.expires_s - self._clock_s()) * 1000))
+
     def of_kind(self, kind: int) -> list[Fact]:
         """Return every live fact of one kind."""
         with self._lock:
