--- a/faults/cells.py
+++ b/faults/cells.py
@@ -24,7 +24,7 @@
     from .world import World
 
 DWELL_S = 0.6
-LONG_PAUSE_S = 7.0
+LONG_PAUSE_S = 16.0
 FREEZE_S = 1.0
 LEAVING_S = 3.2
 CUT_S = 3.0
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/fleet.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/fleet.py
@@ -33,7 +33,7 @@
     from primroseferry_platform.instance_list import InstanceListClient
 
 REFRESH_S = 1.0
-UNHEARD_GRACE_S = 12.0
+UNHEARD_GRACE_S = 15.0
 BRIDGES_PER_REGION = 2
 LEAVING_TTL_MS = 600_000
 
