Let each region tell the others its own load, on change

Change: a bridge tells its own region's loads only, on a change of a tenth or each 4 s. Blames and moved keys are still passed on.

Ruled out: fewer bridge exchanges, which would slow plans and blames too.

--- a/packages/primroseferry-gateway/src/primroseferry_gateway/load_poller.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/load_poller.py
@@ -47,7 +47,8 @@
 SECOND_POLLER_PATIENCE_S = 3.0
 SIGNIFICANT_SHARE_OF_SLOTS = 0.1
 REGION_LOAD_S = 1.0
-REGION_LOAD_TTL_MS = 6_000
+REGION_LOAD_TTL_MS = 12_000
+REGION_REFRESH_S = 4.0
 LEAVING_TTL_MS = 30_000
 
 
@@ -146,18 +147,16 @@
 
     def _is_news(self, endpoint: Endpoint, load: LoadFact) -> bool:
         """Whether the region should be told: it knows another load, or soon none."""
-        held = self._facts.find(ENDPOINT_LOAD, endpoint.endpoint)
-        if held is None:
-            return True
-        told = held.load
-        if (load.slots, load.step_ms, load.price) != (told.slots, told.step_ms, told.price):
-            return True
-        change = abs(load.running + load.queued - told.running - told.queued)
-        if change > load.slots * SIGNIFICANT_SHARE_OF_SLOTS:
-            return True
-        age_ms = LOAD_TTL_MS - self._facts.time_left_ms(ENDPOINT_LOAD, endpoint.endpoint)
         patience_s = REFRESH_S + (self._rank(endpoint) or 0) * SECOND_POLLER_PATIENCE_S
-        return age_ms > patience_s * 1000
+        age_ms = LOAD_TTL_MS - self._facts.time_left_ms(ENDPOINT_LOAD, endpoint.endpoint)
+        held = self._facts.find(ENDPOINT_LOAD, endpoint.endpoint)
+        return held is None or age_ms > patience_s * 1000 or _differs(held.load, load)
+
+    def _is_region_news(self, subject: str, load: LoadFact) -> bool:
+        """Whether other regions should be told a sum anew."""
+        age_ms = REGION_LOAD_TTL_MS - self._facts.time_left_ms(REGION_LOAD, subject)
+        held = self._facts.find(REGION_LOAD, subject)
+        return held is None or age_ms > REGION_REFRESH_S * 1000 or _differs(held.load, load)
 
     def _publish(
         self, kind: int, subject: str, load: LoadFact, ttl_ms: int, fleet_wide: bool
@@ -206,7 +205,8 @@
                 price=min((estimate.price for estimate in estimates), default=0.0),
             )
             subject = f"{self._identity.region}/{serves}"
-            self._publish(REGION_LOAD, subject, total, REGION_LOAD_TTL_MS, fleet_wide=True)
+            if self._is_region_news(subject, total):
+                self._publish(REGION_LOAD, subject, total, REGION_LOAD_TTL_MS, fleet_wide=True)
 
 
 def load_report(load: LoadFact) -> LoadReport:
@@ -214,5 +214,13 @@
     return LoadReport(load.running, load.queued, load.slots, load.step_ms, load.price)
 
 
+def _differs(told: LoadFact, load: LoadFact) -> bool:
+    """Whether two loads differ enough to matter for routing."""
+    if (load.slots, load.step_ms, load.price) != (told.slots, told.step_ms, told.price):
+        return True
+    change = abs(load.running + load.queued - told.running - told.queued)
+    return change > load.slots * SIGNIFICANT_SHARE_OF_SLOTS
+
+
 def _mean(values: list[float]) -> float:
     return sum(values) / len(values) if values else 0.0
--- a/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
+++ b/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
@@ -158,7 +158,7 @@
         reply = ExchangeReply(
             incarnation=self._identity.incarnation,
             sequence=sequence,
-            facts=self._facts.since(since, request.incarnation, only_fleet_wide=is_remote),
+            facts=self._facts.since(since, request.incarnation, is_peer_remote=is_remote),
             plans_revision=self._plans.held_revision(),
         )
         self._bytes += request.ByteSize() + reply.ByteSize()
@@ -221,7 +221,7 @@
             region=self._identity.region,
             since=progress.seen_sequence,
             facts=self._facts.since(
-                progress.sent_sequence, progress.incarnation, only_fleet_wide=is_remote
+                progress.sent_sequence, progress.incarnation, is_peer_remote=is_remote
             ),
             plans_revision=self._plans.held_revision(),
         )
--- a/packages/primroseferry-peers/src/primroseferry_peers/fact_store.py
+++ b/packages/primroseferry-peers/src/primroseferry_peers/fact_store.py
@@ -14,6 +14,7 @@
 from typing import TYPE_CHECKING
 
 from .proto.peer_pb2 import CRASH_BLAME
+from .proto.peer_pb2 import REGION_LOAD
 from .proto.peer_pb2 import Fact
 
 if TYPE_CHECKING:
@@ -90,10 +91,12 @@
         self._held[key] = _Held(fact, now_s + fact.ttl_ms / 1000, self._sequence, heard_from)
         return fact
 
-    def since(self, sequence: int, peer: str = "", only_fleet_wide: bool = False) -> list[Fact]:
+    def since(self, sequence: int, peer: str = "", is_peer_remote: bool = False) -> list[Fact]:
         """Return the live facts accepted after ``sequence``, each with the time it has left.
 
-        What the incarnation ``peer`` told is left out.
+        What the incarnation ``peer`` told is left out, and for a peer of another region what stays
+        in this one. Regions tell each other their own loads: passed on they would travel as often
+        as there are regions, and a region that cannot be reached has no use for them.
         """
         with self._lock:
             now_s = self._clock_s()
@@ -103,9 +106,14 @@
                 if held.sequence > sequence
                 and not (peer and held.heard_from == peer)
                 and held.expires_s > now_s
-                and (held.fact.fleet_wide or not only_fleet_wide)
+                and not (is_peer_remote and self._stays_here(held.fact))
             ]
 
+    def _stays_here(self, fact: Fact) -> bool:
+        if fact.kind == REGION_LOAD:
+            return fact.region != self._region
+        return not fact.fleet_wide
+
     def find(self, kind: int, subject: str) -> Fact | None:
         """Return the live fact about ``subject``, or ``None``."""
         with self._lock:
--- a/packages/primroseferry-peers/tests/test_fact_store.py
+++ b/packages/primroseferry-peers/tests/test_fact_store.py
@@ -4,6 +4,7 @@
 from primroseferry_peers.fact_store import FactStore
 from primroseferry_peers.proto.peer_pb2 import CRASH_BLAME
 from primroseferry_peers.proto.peer_pb2 import GATEWAY
+from primroseferry_peers.proto.peer_pb2 import REGION_LOAD
 from primroseferry_peers.proto.peer_pb2 import BlameFact
 from primroseferry_peers.proto.peer_pb2 import Fact
 
@@ -75,6 +76,20 @@
     assert [fact.subject for fact in store.since(0, peer="peer-1")] == ["b"]
 
 
+def test_remote_peer_is_told_blames_and_only_the_regions_own_load() -> None:
+    store = store_of_dakar()
+    loads = [
+        Fact(kind=REGION_LOAD, subject=f"{region}/m", region=region, fleet_wide=True, ttl_ms=1_000)
+        for region in ("dakar", "thies")
+    ]
+    for load in loads:
+        load.version = 1
+    store.accept([*loads, blame(["e1@1"]), gateway_fact("a", 1)])
+
+    told = [fact.subject for fact in store.since(0, is_peer_remote=True)]
+    assert told == ["dakar/m", "print"]
+
+
 def test_blames_of_several_gateways_add_up_whatever_their_order() -> None:
     one, other = store_of_dakar(), store_of_dakar()
     one.accept([blame(["e1@1"])])
