--- a/packages/primroseferry-gateway/src/primroseferry_gateway/fleet.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/fleet.py
@@ -110,6 +110,11 @@
             and row.peer_address
         ]
 
+    def listed_addresses(self) -> set[str]:
+        """Return the addresses of all other gateways that are listed."""
+        rows = self._instances
+        return {row.peer_address for row in rows if row.kind is InstanceKind.GATEWAY}
+
     def bridged_peers(self) -> list[PeerAddress]:
         """Return one gateway of each other region, if this gateway bridges regions."""
         if not self.has_region_role("bridge", BRIDGES_PER_REGION):
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/load_poller.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/load_poller.py
@@ -89,14 +89,18 @@
     def _run(self) -> None:
         while not self._stopping.wait(self._poll_s):
             endpoints = self._fleet.region_endpoints()
-            self._forget_unlisted(endpoints)
+            self._note_listed(endpoints)
             self._poll([endpoint for endpoint in endpoints if self._rank(endpoint) is not None])
             if time.monotonic() >= self._next_summary_s:
                 self._next_summary_s = time.monotonic() + REGION_LOAD_S
                 self._publish_region_loads(endpoints)
 
-    def _forget_unlisted(self, endpoints: list[Endpoint]) -> None:
+    def _note_listed(self, endpoints: list[Endpoint]) -> None:
+        """Forget endpoints that are gone; new ones have cold caches and get their load in steps."""
         listed = {endpoint.endpoint for endpoint in endpoints}
+        if self._known:
+            for endpoint in listed - self._known:
+                self._breakers.start_ramp(endpoint)
         for endpoint in self._known - listed:
             self._loads.forget(endpoint)
             self._breakers.forget(endpoint)
--- a/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
+++ b/packages/primroseferry-peers/src/primroseferry_peers/exchanger.py
@@ -68,6 +68,9 @@
     def region_peers(self) -> list[PeerAddress]:
         """Return the other gateways of the region."""
 
+    def listed_addresses(self) -> set[str]:
+        """Return the addresses of all other gateways that are listed."""
+
     def bridged_peers(self) -> list[PeerAddress]:
         """Return one gateway of each other region if this gateway bridges, else nothing."""
 
@@ -194,12 +197,21 @@
         ]
         self._round += 1
         chosen = neighbours(self._identity.instance, usable)
+        if self._round % RANDOM_PEER_ROUNDS == 0:
+            self._forget_unlisted()
         if region_peers and self._round % RANDOM_PEER_ROUNDS == 0:
             extra = self._random.choice(region_peers)
             if extra not in chosen:
                 chosen.append(extra)
         return chosen
 
+    def _forget_unlisted(self) -> None:
+        """Close what is kept for gateways that were replaced."""
+        listed = self._partners.listed_addresses()
+        self._client.forget_all_but(listed)
+        for address in self._progress.keys() - listed:
+            del self._progress[address]
+
     def _note_joined(self, fact: Fact) -> None:
         if fact.kind == GATEWAY and fact.subject not in self._joined:
             self._joined.add(fact.subject)
--- a/packages/primroseferry-platform/src/primroseferry_platform/key_value.py
+++ b/packages/primroseferry-platform/src/primroseferry_platform/key_value.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import base64
 import json
 from dataclasses import dataclass
 from enum import Enum
@@ -33,14 +32,6 @@
     revision: int
 
 
-@dataclass(frozen=True, slots=True)
-class ListedEntry:
-    """One entry of a listing, with its key."""
-
-    key: str
-    entry: Entry
-
-
 class WriteFailure(Enum):
     """How a write failed. Only ``UNKNOWN`` may have taken effect."""
 
@@ -84,19 +75,6 @@
         call = HttpCall("GET", url, timeout_ms=wait_ms + WATCH_SLACK_MS)
         return _read(self._loop.call(call).map_err(lambda failure: Unreachable(failure.reason)))
 
-    def list_entries(self, prefix: str) -> Result[list[ListedEntry], Unreachable]:
-        """Return the entries whose keys start with ``prefix``, in the order of their keys."""
-        url = f"{self._base_url}/v1/keys?prefix={quote(prefix, safe='')}"
-        answer = self._loop.call(HttpCall("GET", url, timeout_ms=self._read_timeout_ms))
-        match answer:
-            case Ok(HttpReply(status=200, body=body)):
-                rows = json.loads(body)["entries"]
-                return Ok([_listed_entry(row) for row in rows])
-            case Ok(reply):
-                return Err(Unreachable(f"status {reply.status}"))
-            case Err(failure):
-                return Err(Unreachable(failure.reason))
-
     def put(
         self, key: str, value: bytes, expected_revision: int | None, lease: str = ""
     ) -> Result[int, WriteFailure]:
@@ -157,11 +135,6 @@
         return f"{self._base_url}/v1/{kind}/{quote(key, safe='/')}"
 
 
-def _listed_entry(row: dict[str, str | int]) -> ListedEntry:
-    value = base64.b64decode(str(row["value"]))
-    return ListedEntry(str(row["key"]), Entry(value, int(row["revision"])))
-
-
 def _read(answer: Result[HttpReply, Unreachable]) -> Result[Entry | None, Unreachable]:
     match answer:
         case Ok(HttpReply(status=200, headers=headers, body=body)):
--- a/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
@@ -37,11 +37,6 @@
         self._is_broken = False
         self._is_too_slow = False
 
-    @property
-    def is_broken(self) -> bool:
-        """Whether the caller is gone or was given up on."""
-        return self._is_broken
-
     @property
     def is_too_slow(self) -> bool:
         """Whether the caller was given up on because it read too slowly."""
