--- a/packages/primroseferry-gateway/src/primroseferry_gateway/fleet.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/fleet.py
@@ -116,10 +116,15 @@
         return {row.peer_address for row in rows if row.kind is InstanceKind.GATEWAY}
 
     def bridged_peers(self) -> list[PeerAddress]:
-        """Return one gateway of each other region, if this gateway bridges regions."""
-        if not self.has_region_role("bridge", BRIDGES_PER_REGION):
-            return []
-        return self._one_peer_of_each_other_region()
+        """Return one gateway of each other region to which this gateway is a bridge.
+
+        Each other region has its own bridges, so that a large region spreads the work.
+        """
+        return [
+            peer
+            for peer in self._one_peer_of_each_other_region()
+            if self.has_region_role(f"bridge/{peer.region}", BRIDGES_PER_REGION)
+        ]
 
     def known_peers(self) -> list[PeerAddress]:
         """Return the other gateways of this region, then one of each other region."""
