Hand the order table to a gateway that was not heard of yet, or to the next one

Cause: in a fresh clone test_successor failed once (new key answered 504, outcome unknown): the gateway stopped before it had heard its only neighbour's first heartbeat, which comes later since heartbeats are rarer, and chose nobody.

Change: listed gateways that were not heard of come last instead of never, and the next successor is tried as long as none can have seen any part. A refusal after a lost answer is no proof: it may follow an acceptance.

Ruled out: waiting for a heartbeat in the test; a gateway may be stopped at any moment.

--- a/packages/primroseferry-gateway/src/primroseferry_gateway/hand_over.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/hand_over.py
@@ -1,12 +1,14 @@
 """Moving the at-most-once table of a stopping gateway to one successor of its region.
 
 The stopping gateway gives its table up for good before it sends the first record, and tries one
-successor only. The successor owns the keys once the last part has arrived, and says so in a fact.
+successor only, unless that one cannot have seen any part. The successor owns the keys once the last
+part has arrived, and says so in a fact.
 """
 
 from __future__ import annotations
 
 import time
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
@@ -44,6 +46,14 @@
 RETRY_PAUSE_S = 0.2
 
 
+class _Sent(Enum):
+    """Whether a gateway took what it was sent, cannot have seen it, or may have."""
+
+    TAKEN = "taken"
+    NOTHING = "nothing"
+    PERHAPS = "perhaps"
+
+
 class HandOver:
     """Both sides of the hand-over of one gateway."""
 
@@ -68,23 +78,25 @@
         self._retention_s = retention_s
 
     def give(self) -> bool:
-        """Give the table to one live gateway of the region; ``False`` if none took it."""
+        """Give the table to one live gateway of the region; ``False`` if none took it.
+
+        Another successor is tried only while none can have seen any part.
+        """
         records = self._table.hand_over()
-        successor = self._choose_successor()
-        if successor is None:
-            log_event(Event.HANDOVER_FAILED, reason="no other live gateway in the region")
-            return False
-        peer = self._fleet.find_peer(successor)
-        if peer is None:
-            log_event(Event.HANDOVER_FAILED, reason=f"{successor} is no longer listed")
-            return False
         parts = self._parts(records)
-        for part in parts:
-            if not self._send(peer.address, part):
-                log_event(Event.HANDOVER_FAILED, reason=f"{successor} did not take a part")
+        for successor in self._successors():
+            peer = self._fleet.find_peer(successor)
+            if peer is None:
+                continue
+            sent = self._send_all(peer.address, parts)
+            if sent is _Sent.TAKEN:
+                log_event(Event.HANDOVER_DONE, successor=successor, records=len(records))
+                return True
+            if sent is _Sent.PERHAPS:
+                log_event(Event.HANDOVER_FAILED, reason=f"{successor} did not take every part")
                 return False
-        log_event(Event.HANDOVER_DONE, successor=successor, records=len(records))
-        return True
+        log_event(Event.HANDOVER_FAILED, reason="no other gateway of the region was reached")
+        return False
 
     async def take(self, request: HandOverRequest) -> HandOverReply:
         """Adopt a part of another gateway's table; the last part makes this one the owner."""
@@ -113,15 +125,16 @@
         self._facts.accept(facts)
         self._exchanger.push_soon()
 
-    def _choose_successor(self) -> InstanceId | None:
+    def _successors(self) -> list[InstanceId]:
+        """Return the other gateways of the region, those first that were heard of."""
         others = [
             str(row.instance)
             for row in self._fleet.live_gateways(self._identity.region)
             if row.instance != self._identity.instance
-            and self._fleet.gateway_fact(row.instance) is not None
         ]
         ordered = rendezvous_order(f"successor/{self._identity.incarnation}", others)
-        return InstanceId(ordered[0]) if ordered else None
+        ordered.sort(key=lambda name: self._fleet.gateway_fact(InstanceId(name)) is None)
+        return [InstanceId(name) for name in ordered]
 
     def _parts(self, records: list[OnceRecord]) -> list[HandOverRequest]:
         parts = [HandOverRequest(instance=self._identity.instance)]
@@ -137,15 +150,29 @@
         parts[-1].owned_incarnations.extend(self._table.owned_incarnations())
         return parts
 
-    def _send(self, address: str, part: HandOverRequest) -> bool:
+    def _send_all(self, address: str, parts: list[HandOverRequest]) -> _Sent:
+        for number, part in enumerate(parts):
+            sent = self._send(address, part)
+            if sent is _Sent.NOTHING and number > 0:
+                return _Sent.PERHAPS
+            if sent is not _Sent.TAKEN:
+                return sent
+        return _Sent.TAKEN
+
+    def _send(self, address: str, part: HandOverRequest) -> _Sent:
         """Send one part; sending it again to the same gateway changes nothing."""
+        outcome = _Sent.NOTHING
         for _ in range(SEND_ATTEMPTS):
             try:
-                return self._loop.submit(self._peers.hand_over(address, part)).result().accepted
+                reply = self._loop.submit(self._peers.hand_over(address, part)).result()
             except PeerError as error:
                 log_event(Event.PEER_EXCHANGE_FAILED, peer=address, reason=str(error))
+                if error.is_sent:
+                    outcome = _Sent.PERHAPS
                 time.sleep(RETRY_PAUSE_S)
-        return False
+                continue
+            return _Sent.TAKEN if reply.accepted else outcome
+        return outcome
 
 
 def _to_message(record: OnceRecord) -> OnceRecordMessage:
