Keep one plans key, one way to hear a blame, one reader of process usage

Cause: read once more: the key of the plans stood in two packages; the daemon repeated CrashWatch.hear, which nothing called; two benchmarks read /proc each in their own way; a constant of fleet.py had no use.

Change: each stands once. Behaviour is as before.

Ruled out here: Quarantine.forget, which nothing calls either.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -28,12 +28,14 @@
 from primroseferry_standins.deployment import gateway_state
 from primroseferry_standins.deployment import start_deployment
 from primroseferry_standins.deployment import wait_until
+from process_usage import CURRENT_MEMORY
+from process_usage import cpu_s
+from process_usage import memory_mb
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
     from primroseferry_standins.deployment import Deployment
-    from primroseferry_standins.process import Process
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 WINDOW_S = 12.0
@@ -121,10 +123,10 @@
         gateways = list(deployment.gateways.values())
         deployment.key_value.fault(reset_counts=True)
         bytes_before = [gateway_state(row)["exchange_bytes"] for row in gateways]
-        cpu_before = [_cpu_s(row) for row in gateways]
+        cpu_before = [cpu_s(row) for row in gateways]
         time.sleep(WINDOW_S)
         cpu = [
-            (_cpu_s(row) - before) / WINDOW_S
+            (cpu_s(row) - before) / WINDOW_S
             for row, before in zip(gateways, cpu_before, strict=True)
         ]
         sent = [
@@ -132,7 +134,7 @@
             for row, before in zip(gateways, bytes_before, strict=True)
         ]
         counts = deployment.key_value.control("/state")["counts"]
-        memory = [_memory_mb(row) for row in gateways]
+        memory = [memory_mb(row, CURRENT_MEMORY) for row in gateways]
     cost = Cost(
         cpu_share=float(np.mean(cpu)),
         cpu_share_most=max(cpu),
@@ -331,17 +333,5 @@
     return float(slope), float(intercept)
 
 
-def _cpu_s(process: Process) -> float:
-    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def _memory_mb(process: Process) -> float:
-    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/benchmarks/data_path.py
+++ b/benchmarks/data_path.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import os
 import subprocess
 import sys
 import time
@@ -18,6 +17,9 @@
 from primroseferry_standins.deployment import start_deployment
 from primroseferry_standins.process import Process
 from primroseferry_standins.process import process_environment
+from process_usage import PEAK_MEMORY
+from process_usage import cpu_s
+from process_usage import memory_mb
 
 STEP_MS = 43.0
 ENGINES = 4
@@ -86,8 +88,8 @@
                 f"| {count} | ratio {ratio:.3f}, target {TARGET_GAP_RATIO} | | | "
                 f"| target {TARGET_CPU_US} |"
             )
-        memory_mb = _memory_mb(gateway)
-        print(f"\nmemory of the gateway: {memory_mb:.0f} MB, target {TARGET_MEMORY_MB:.0f} MB")
+        peak_mb = memory_mb(gateway, PEAK_MEMORY)
+        print(f"\nmemory of the gateway: {peak_mb:.0f} MB, target {TARGET_MEMORY_MB:.0f} MB")
 
 
 def _run(addresses: list[str], streams: int, measured: Process | None) -> Load:
@@ -111,11 +113,11 @@
     client.stdin.write(json.dumps(task) + "\n")
     client.stdin.flush()
     client.stdout.readline()
-    before_s = _cpu_s(measured) if measured is not None else 0.0
+    before_s = cpu_s(measured) if measured is not None else 0.0
     client.stdin.write("go\n")
     client.stdin.flush()
     result = json.loads(client.stdout.readline())
-    used_s = _cpu_s(measured) - before_s if measured is not None else 0.0
+    used_s = cpu_s(measured) - before_s if measured is not None else 0.0
     client.wait()
     time.sleep(1.0)
     gaps = np.array(result["gaps_ms"])
@@ -155,18 +157,5 @@
     return (time.monotonic() - began_s) * 1000
 
 
-def _cpu_s(process: Process) -> float:
-    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
-    ticks = int(fields[11]) + int(fields[12])
-    return ticks / os.sysconf("SC_CLK_TCK")
-
-
-def _memory_mb(process: Process) -> float:
-    for line in Path(f"/proc/{process.pid}/status").read_text().splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
 if __name__ == "__main__":
     main()
--- a/packages/primroseferry-cli/src/primroseferry_cli/plan_store.py
+++ b/packages/primroseferry-cli/src/primroseferry_cli/plan_store.py
@@ -18,6 +18,7 @@
 from primroseferry_core.plan_diff import diff_documents
 from primroseferry_core.plan_format import MAX_DOCUMENT_BYTES
 from primroseferry_core.plan_format import MAX_HISTORY_CHANGES
+from primroseferry_core.plan_format import PLANS_KEY
 from primroseferry_core.plan_format import PlanFormatError
 from primroseferry_core.plan_format import parse_stored
 from primroseferry_core.plan_format import to_stored
@@ -34,7 +35,6 @@
     from primroseferry_core.plans import PlanDocument
     from primroseferry_platform.key_value import KeyValueClient
 
-PLANS_KEY = "plans"
 PREVIOUS_KEY_PREFIX = "plans-previous/"
 PREVIOUS_KEPT = 32
 WRITE_ATTEMPTS = 5
--- a/packages/primroseferry-core/src/primroseferry_core/plan_format.py
+++ b/packages/primroseferry-core/src/primroseferry_core/plan_format.py
@@ -39,6 +39,9 @@
     T = TypeVar("T")
     E = TypeVar("E", bound=Enum)
 
+PLANS_KEY = "plans"
+"""Where the key-value service keeps the document."""
+
 MAX_DOCUMENT_BYTES = 1_000_000
 MAX_HISTORY_CHANGES = 64
 METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/daemon.py
@@ -12,7 +12,6 @@
 from typing import NoReturn
 
 from primroseferry_core.events import Event
-from primroseferry_core.ids import Fingerprint
 from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import new_incarnation_id
 from primroseferry_core.logs import configure_logs
@@ -382,8 +381,7 @@
                 name = region_target(region, fact.subject.partition("/")[2])
                 self._policy.loads.report(name, load_report(fact.load))
             case kind if kind == CRASH_BLAME:
-                self._policy.quarantine.blame(Fingerprint(fact.subject), list(fact.blame.endpoints))
-                self._exchanger.push_soon()
+                self._crashes.hear(fact)
             case kind if kind == GATEWAY and fact.gateway.draining:
                 self._exchanger.push_soon()
 
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/fleet.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/fleet.py
@@ -35,7 +35,6 @@
 REFRESH_S = 1.0
 UNHEARD_GRACE_S = 15.0
 BRIDGES_PER_REGION = 2
-LEAVING_TTL_MS = 600_000
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/plan_keeper.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/plan_keeper.py
@@ -13,6 +13,7 @@
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
+from primroseferry_core.plan_format import PLANS_KEY
 from primroseferry_core.plan_format import PlanFormatError
 from primroseferry_core.plan_format import parse_stored
 from primroseferry_core.plans import EMPTY_DOCUMENT
@@ -29,7 +30,6 @@
     from primroseferry_peers.peer_client import PeerClient
     from primroseferry_platform.key_value import KeyValueClient
 
-PLANS_KEY = "plans"
 WATCH_HOLDERS_PER_REGION = 2
 WATCH_WAIT_MS = 10_000
 ROLE_CHECK_S = 1.0
