--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,8 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := packages/*/src standins/src
-CHECKED := packages standins tests benchmarks demo faults
+SOURCES := packages/*/src standins/src platform/primroseferry_fleet deploy
+CHECKED := packages standins tests benchmarks demo faults platform deploy
 LIBRARIES := $(wildcard packages/*) standins
 
 .PHONY: venv test check unit demo faults faults-fixed bench policy-bench once-bench capacity format clean
--- /dev/null
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -0,0 +1,99 @@
+"""Choosing the endpoint of a request by its expected time to the first byte."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_core.hashing import rendezvous_order
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from primroseferry_core.ids import EndpointId
+
+    from .endpoint_loads import OpenWork
+    from .prompt import Generation
+
+# Times of an engine that serves nothing else: docs/POLICY.md, "Expected time to the first event".
+ENGINE_FIRST_MS = 60.0
+PREFILL_TOKENS_PER_MS = 45.0
+# A batch slows each of its requests down a little.
+BATCH_MS_PER_REQUEST = 0.6
+# Expected time that a waiting request waits for each request that must end before it.
+ENGINE_SLOT_WAIT_MS = 40.0
+# An engine that runs out of memory preempts requests, which are then read anew.
+MEMORY_FULL_SHARE = 0.85
+MEMORY_FULL_MS = 1_500.0
+# Reading tokens again costs capacity that others need: what a cached part counts beyond its time.
+REREAD_WEIGHT = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """One endpoint as it stands. ``cache_tokens`` is 0 for a plain service."""
+
+    endpoint: EndpointId
+    slots: int
+    cache_tokens: int
+    work: OpenWork
+    cached_tokens: int
+    pace: float
+    overdue_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """A candidate with its expected time to the first byte and the score it is ranked by."""
+
+    endpoint: EndpointId
+    first_ms: float
+    unread_tokens: int
+    score: float
+
+
+def rank_engines(candidates: Sequence[Candidate], generation: Generation) -> list[Choice]:
+    """Return the engines for a generation, best first.
+
+    Equal engines are ordered by hashing the prompt's last shared part, so that all gateways send
+    requests with the same parts to the same engine without asking each other.
+    """
+    order = _hash_order(candidates, generation)
+    choices = [_engine_choice(candidate, generation) for candidate in candidates]
+    return sorted(choices, key=lambda choice: (round(choice.score, 1), order[choice.endpoint]))
+
+
+def rank_calls(candidates: Sequence[Candidate], call_ms: float) -> list[Choice]:
+    """Return the endpoints for a call of a plain service, the soonest free first."""
+    choices = []
+    for candidate in candidates:
+        ahead = max(0, candidate.work.requests + 1 - candidate.slots)
+        wait_ms = ahead / max(1, candidate.slots) * call_ms
+        busy_ms = candidate.work.requests / max(1, candidate.slots) * call_ms * 0.1
+        first_ms = (call_ms + wait_ms) * candidate.pace
+        score = first_ms + busy_ms + candidate.overdue_ms
+        choices.append(Choice(candidate.endpoint, first_ms, 0, score))
+    return sorted(choices, key=lambda choice: choice.score)
+
+
+def _engine_choice(candidate: Candidate, generation: Generation) -> Choice:
+    work = candidate.work
+    unread = max(0, generation.prompt_tokens - candidate.cached_tokens)
+    waiting = max(0, work.requests + 1 - candidate.slots)
+    read_ms = (work.unread_tokens + unread) / PREFILL_TOKENS_PER_MS
+    batch_ms = work.requests * BATCH_MS_PER_REQUEST
+    first_ms = ENGINE_FIRST_MS + read_ms + batch_ms + waiting * ENGINE_SLOT_WAIT_MS
+    memory = work.held_tokens + generation.held_tokens
+    if candidate.cache_tokens and memory > candidate.cache_tokens * MEMORY_FULL_SHARE:
+        first_ms += MEMORY_FULL_MS
+    first_ms *= candidate.pace
+    reread_ms = unread / PREFILL_TOKENS_PER_MS * REREAD_WEIGHT
+    return Choice(candidate.endpoint, first_ms, unread, first_ms + reread_ms + candidate.overdue_ms)
+
+
+def _hash_order(candidates: Sequence[Candidate], generation: Generation) -> dict[EndpointId, int]:
+    parts = generation.parts
+    key = parts[-2].part if len(parts) > 1 else (parts[0].part if parts else "")
+    names = [candidate.endpoint for candidate in candidates]
+    by_text = {str(name): name for name in names}
+    return {by_text[name]: at for at, name in enumerate(rendezvous_order(key, list(by_text)))}
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/__init__.py
@@ -0,0 +1,3 @@
+"""One request on one endpoint: what was sent and what came back."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -0,0 +1,123 @@
+"""One request on one endpoint: sent once, on a connection of its own.
+
+libcurl sends a request again, unasked, when a kept connection dies before the answer. A connection
+for each request rules that out, and late or extra answers never meet the next request.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_transport.calls import HttpCall
+
+from ..messages import WholeAnswer
+from ..messages import end_to_end_headers
+from .attempt_call import AttemptCall
+from .attempt_call import answer_head
+from .outcome import Answered
+from .outcome import Lost
+from .outcome import NotRun
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseferry_transport.calls import HttpFailure
+    from primroseferry_transport.calls import HttpReply
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from ..dialect import EndpointDialect
+    from ..dialect import ReplyFacts
+    from ..dialect import SendOrder
+    from ..endpoints.endpoint import Endpoint
+    from ..messages import RelayRequest
+    from .attempt_call import StreamSink
+    from .outcome import AttemptOutcome
+
+# Endpoints are in the same region: a connection that takes longer is not going to be made soon.
+CONNECT_TIMEOUT_MS = 400
+# Statuses that promise to the caller that its request has not run and will not run.
+PROMISE_STATUSES = frozenset({408, 421, 429, 503})
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointAttempt:
+    """What one attempt needs: whom to send what, and how long to wait.
+
+    ``first_byte_timeout_ms`` is set only where the request may be sent again.
+    """
+
+    endpoint: Endpoint
+    request: RelayRequest
+    request_id: str
+    order: SendOrder
+    first_byte_timeout_ms: int | None = None
+
+
+class EndpointCall(AttemptCall):
+    """An attempt on an endpoint of this region. ``on_reply`` gets what its headers say."""
+
+    def __init__(
+        self,
+        loop: CurlLoop,
+        dialect: EndpointDialect,
+        attempt: EndpointAttempt,
+        sink: StreamSink | None,
+        on_reply: Callable[[ReplyFacts], None],
+    ) -> None:
+        super().__init__(loop, sink)
+        self._dialect = dialect
+        self._attempt = attempt
+        self._on_reply = on_reply
+        self._facts: ReplyFacts | None = None
+        self._is_foreign = False
+
+    def _http_call(self) -> HttpCall:
+        attempt = self._attempt
+        request = attempt.request
+        headers = self._dialect.endpoint_headers(end_to_end_headers(request.headers), attempt.order)
+        has_body = bool(request.body) or request.method in ("POST", "PUT", "PATCH")
+        return HttpCall(
+            request.method,
+            f"http://{attempt.endpoint.address}/",
+            headers=tuple(headers),
+            body=request.body if has_body else None,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            timeout_ms=max(1, int(attempt.order.deadline_ms)),
+            first_byte_timeout_ms=attempt.first_byte_timeout_ms,
+            on_chunk=self._on_chunk if self._sink is not None else None,
+            on_head=self._on_head,
+            is_repeatable=False,
+            target=request.target,
+            has_only_given_headers=True,
+        )
+
+    def _on_head(self, head: HttpReply) -> bool:
+        super()._on_head(head)
+        self._facts = self._dialect.read_reply(head.headers)
+        self._is_foreign = self._facts.request_id not in ("", self._attempt.request_id)
+        if self._is_foreign:
+            return False
+        self._on_reply(self._facts)
+        return True
+
+    def _end_of_answer(self, reply: HttpReply) -> AttemptOutcome:
+        facts = self._facts
+        if facts is None:
+            return Lost("the endpoint's answer had no head")
+        is_success = 200 <= reply.status < 300
+        if facts.is_not_run and not is_success:
+            return NotRun(f"status {reply.status}, not run", is_sent=True)
+        if is_success and not facts.is_signed:
+            return Lost("the answer is not signed by the endpoint")
+        if is_success and self._sink is not None:
+            return self._end_of_stream(reply)
+        if reply.status in PROMISE_STATUSES:
+            return Lost(f"status {reply.status} without the proof that the request did not run")
+        answer = WholeAnswer(answer_head(reply), reply.body)
+        return Answered(answer, is_failure=reply.status >= 500)
+
+    def _failure(self, failure: HttpFailure) -> AttemptOutcome:
+        if self._is_foreign:
+            return Lost("the endpoint answered another request")
+        return super()._failure(failure)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
@@ -0,0 +1,111 @@
+"""Control items by way of peers, for a gateway that the store does not answer."""
+
+from __future__ import annotations
+
+import base64
+import json
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from primroseferry_transport.calls import HttpCall
+from primroseferry_transport.calls import HttpReply
+from result import Err
+from result import Ok
+
+from ..messages import WholeAnswer
+from ..messages import json_answer
+from .metadata_store import StoredItem
+
+if TYPE_CHECKING:
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from ..membership.peer_report import PeerReport
+    from ..membership.peer_table import PeerTable
+    from .control_state import ControlState
+
+CONTROL_PATH = "/primroseferry/control"
+# A watch brings a change sooner than this; a gateway that lags longer asks a peer.
+LAG_S = 0.4
+FETCH_TIMEOUT_MS = 1_500
+FETCH_PAUSE_S = 0.3
+
+
+class PeerSync:
+    """Fetches from a peer what it holds that this gateway lacks."""
+
+    def __init__(self, loop: CurlLoop, peers: PeerTable, state: ControlState) -> None:
+        self._loop = loop
+        self._peers = peers
+        self._state = state
+        self._behind_since_s: float | None = None
+        self._is_fetching = threading.Lock()
+
+    def tick(self) -> None:
+        """Look whether a peer is ahead; called many times a second, never blocks."""
+        ahead = [
+            peer for peer in self._peers.live() if peer.control_revision > self._state.revision
+        ]
+        if not ahead:
+            self._behind_since_s = None
+            return
+        now_s = time.monotonic()
+        if self._behind_since_s is None:
+            self._behind_since_s = now_s
+        if now_s - self._behind_since_s < LAG_S and self._state.revision > 0:
+            return
+        if self._is_fetching.acquire(blocking=False):
+            nearest = min(ahead, key=self._distance)
+            threading.Thread(target=self._fetch, args=(nearest,), daemon=True).start()
+
+    def answer(self, after: int) -> WholeAnswer:
+        """Return the items newer than a revision, as a peer asks for them."""
+        items = [
+            {
+                "key": item.key,
+                "value": None if item.value is None else base64.b64encode(item.value).decode(),
+                "revision": item.revision,
+            }
+            for item in self._state.items_after(after)
+        ]
+        return json_answer(200, {"items": items})
+
+    def _distance(self, peer: PeerReport) -> tuple[bool, int]:
+        return peer.region != self._peers.own_region, -peer.control_revision
+
+    def _fetch(self, peer: PeerReport) -> None:
+        after = self._state.revision
+        url = f"http://{peer.address.hop}{CONTROL_PATH}?after={after}"
+        try:
+            match self._loop.call(HttpCall("GET", url, timeout_ms=FETCH_TIMEOUT_MS)):
+                case Ok(HttpReply(status=200, body=body)):
+                    self._take(peer, after, body)
+                case Ok(reply):
+                    _log_failure(peer, f"status {reply.status}")
+                case Err(failure):
+                    _log_failure(peer, failure.reason)
+            time.sleep(FETCH_PAUSE_S)
+        finally:
+            self._is_fetching.release()
+
+    def _take(self, peer: PeerReport, after: int, body: bytes) -> None:
+        try:
+            items = [
+                StoredItem(
+                    str(item["key"]),
+                    None if item["value"] is None else base64.b64decode(item["value"]),
+                    int(item["revision"]),
+                )
+                for item in json.loads(body)["items"]
+            ]
+        except (ValueError, KeyError, TypeError) as error:
+            _log_failure(peer, f"its answer cannot be read: {error!r}")
+            return
+        taken = sum(self._state.apply(item) for item in items)
+        log_event(Event.CONTROL_FROM_PEER, peer=peer.instance, after=after, items=taken)
+
+
+def _log_failure(peer: PeerReport, reason: str) -> None:
+    log_event(Event.PEER_EXCHANGE_FAILED, peer=peer.instance, reason=f"control items: {reason}")
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/registration.py
@@ -0,0 +1,81 @@
+"""Names this gateway in the store, so that others find it: one key under a lease."""
+
+from __future__ import annotations
+
+import random
+import threading
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from result import Err
+from result import Ok
+
+from .metadata_store import StoreFailure
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import InstanceId
+
+    from .metadata_store import LeaseId
+    from .metadata_store import MetadataStore
+
+GATEWAY_PREFIX = "gateways/"
+LEASE_MS = 20_000
+RENEW_S = 6.0
+RETRY_S = 2.0
+
+
+class Registration:
+    """Keeps the key as long as the gateway runs, on a thread of its own."""
+
+    def __init__(self, store: MetadataStore, instance: InstanceId, report_address: str) -> None:
+        self._store = store
+        self._key = f"{GATEWAY_PREFIX}{instance}"
+        self._value = report_address.encode()
+        self._lease: LeaseId | None = None
+        self._stopping = threading.Event()
+        self._random = random.Random()
+        self._thread = threading.Thread(target=self._run, name="registration", daemon=True)
+
+    def start(self) -> None:
+        """Register, and renew from then on."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Give the key up."""
+        self._stopping.set()
+        if self._lease is not None:
+            match self._store.end_lease(self._lease):
+                case Err(failure):
+                    log_event(Event.REGISTRATION_FAILED, reason=failure.value)
+
+    def _run(self) -> None:
+        wait_s = 0.0
+        while not self._stopping.wait(wait_s):
+            failure = self._renew() if self._lease is not None else self._register()
+            if failure is not None:
+                log_event(Event.REGISTRATION_FAILED, reason=failure.value)
+            base_s = RENEW_S if failure is None else RETRY_S
+            wait_s = base_s * self._random.uniform(0.8, 1.2)
+
+    def _register(self) -> StoreFailure | None:
+        match self._store.grant_lease(LEASE_MS):
+            case Ok(lease):
+                match self._store.put(self._key, self._value, lease):
+                    case Ok(_):
+                        self._lease = lease
+                        return None
+                    case Err(failure):
+                        return failure
+            case Err(failure):
+                return failure
+
+    def _renew(self) -> StoreFailure | None:
+        assert self._lease is not None
+        match self._store.renew_lease(self._lease):
+            case Ok(_):
+                return None
+            case Err(failure):
+                if failure is StoreFailure.NO_LEASE:
+                    self._lease = None
+                return failure
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -0,0 +1,114 @@
+"""Keeps the control state up to date from the store, one thread for each watched prefix."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from result import Err
+from result import Ok
+
+from .metadata_store import StoreFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .control_state import ControlState
+    from .metadata_store import MetadataStore
+
+# A watch is asked anew after this time even without news: a connection that fell silent shows
+# within the time in which a change of the routes must be in force.
+WATCH_MS = 2_500
+FIRST_RETRY_S = 0.15
+MAX_RETRY_S = 1.5
+# An outage shorter than this cannot have let entries lapse.
+OUTAGE_S = 1.0
+
+
+class StoreWatch:
+    """Lists a prefix, then watches it, for as long as the process runs."""
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        state: ControlState,
+        prefix: str,
+        on_return: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._state = state
+        self._prefix = prefix
+        self._on_return = on_return
+        self._random = random.Random()
+        self._retry_s = FIRST_RETRY_S
+        self._answered_s = time.monotonic()
+        self._is_lost = False
+        self._is_open = True
+        self.is_listed = False
+        self._thread = threading.Thread(target=self._run, name=f"watch-{prefix}", daemon=True)
+
+    @property
+    def age_ms(self) -> float:
+        """How long ago the store last answered."""
+        return (time.monotonic() - self._answered_s) * 1000
+
+    def start(self) -> None:
+        """Start watching."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop with the next answer."""
+        self._is_open = False
+
+    def _run(self) -> None:
+        after: int | None = None
+        while self._is_open:
+            after = self._list() if after is None else self._watch(after)
+
+    def _list(self) -> int | None:
+        match self._store.list_items(self._prefix):
+            case Ok(listing):
+                self._note_answer()
+                self._state.apply_listing(self._prefix, listing.items, listing.as_of)
+                self.is_listed = True
+                return listing.as_of
+            case Err(failure):
+                self._note_failure(failure)
+                return None
+
+    def _watch(self, after: int) -> int | None:
+        match self._store.watch(self._prefix, after, WATCH_MS):
+            case Ok(changes):
+                self._note_answer()
+                for item in changes.items:
+                    self._state.apply(item)
+                return max(after, changes.as_of)
+            case Err(StoreFailure.HISTORY_LOST):
+                self._note_answer()
+                log_event(Event.STORE_HISTORY_LOST, prefix=self._prefix, after=after)
+                return None
+            case Err(failure):
+                self._note_failure(failure)
+                return after
+
+    def _note_answer(self) -> None:
+        now_s = time.monotonic()
+        if self._is_lost:
+            outage_s = now_s - self._answered_s
+            log_event(Event.PLATFORM_RECOVERED, prefix=self._prefix, outage_s=round(outage_s, 2))
+            if outage_s >= OUTAGE_S:
+                self._on_return()
+        self._is_lost = False
+        self._answered_s = now_s
+        self._retry_s = FIRST_RETRY_S
+
+    def _note_failure(self, failure: StoreFailure) -> None:
+        if not self._is_lost:
+            log_event(Event.PLATFORM_UNREACHABLE, prefix=self._prefix, reason=failure.value)
+        self._is_lost = True
+        time.sleep(self._retry_s * self._random.uniform(0.6, 1.4))
+        self._retry_s = min(MAX_RETRY_S, self._retry_s * 2)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -0,0 +1,75 @@
+"""The record of how one request was decided, written as one log line at its end."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+
+from .local_attempts import LocalOption
+
+if TYPE_CHECKING:
+    from .attempts.outcome import AttemptOutcome
+    from .region_choice import RegionOption
+
+
+@dataclass(slots=True)
+class DecisionRecord:
+    """What was known, chosen and came out, for one request."""
+
+    request_id: str
+    started_s: float
+    revision: int = 0
+    route: str = ""
+    service: str = ""
+    outcome: str = ""
+    reason: str = ""
+    status: int = 0
+    attempts: list[str] = field(default_factory=list)
+    options: str = ""
+
+    def note_options(self, local: LocalOption | None, remote: RegionOption | None) -> None:
+        """Note the best options of a choice with their expected times."""
+        here = f"{local.choice.first_ms:.0f}" if local is not None else "-"
+        there = f"{remote.region}:{remote.first_ms:.0f}" if remote is not None else "-"
+        self.options = f"here:{here} {there}"
+
+    def note_attempt(self, option: LocalOption | RegionOption) -> None:
+        """Note whom the request is sent to."""
+        target = (
+            option.endpoint.endpoint
+            if isinstance(option, LocalOption)
+            else f"{option.region}/{option.peer.instance}"
+        )
+        self.attempts.append(f"{target} ({self.options})")
+
+    def note_outcome(self, outcome: AttemptOutcome) -> None:
+        """Note what became of the last attempt."""
+        reason = getattr(outcome, "reason", "")
+        text = type(outcome).__name__ + (f": {reason}" if reason else "")
+        self.attempts[-1] += f" -> {text}"
+
+    @property
+    def elapsed_ms(self) -> int:
+        """Milliseconds since the request arrived."""
+        return round((time.monotonic() - self.started_s) * 1000)
+
+    def log(self) -> None:
+        """Write the record."""
+        is_good = self.outcome in ("answered", "caller-left")
+        log_event(
+            Event.REQUEST_DONE if is_good else Event.REQUEST_REFUSED,
+            request_id=self.request_id,
+            revision=self.revision,
+            route=self.route,
+            service=self.service,
+            outcome=self.outcome,
+            status=self.status,
+            reason=self.reason,
+            attempts=" | ".join(self.attempts),
+            duration_ms=self.elapsed_ms,
+        )
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/__init__.py
@@ -0,0 +1,3 @@
+"""Which endpoints there are and which may be given work."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -0,0 +1,165 @@
+"""The endpoints that may be given work, as far as this gateway knows.
+
+An entry that goes missing stops new work at once, with one exception: entries lapse while the
+store is away, and those of live endpoints are back shortly after its return. A removal that is seen
+within ``RETURN_S`` of the store's return therefore takes effect only when the entry is still
+missing after that.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+
+from .endpoint import Endpoint
+from .endpoint import EndpointState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import FailureDomainId
+    from primroseferry_core.ids import ServiceId
+
+# How long entries may take to come back after an outage of the store, as its operators state.
+RETURN_S = 2.0
+
+
+@dataclass(slots=True)
+class _Listed:
+    endpoint: Endpoint
+    cold_until_s: float
+    missing_until_s: float | None = None
+
+
+class EndpointCatalog:
+    """Entries by id, and the failure domains that are closed for work."""
+
+    def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
+        self._clock_s = clock_s
+        self._listed: dict[EndpointId, _Listed] = {}
+        self._evacuated: frozenset[FailureDomainId] = frozenset()
+        self._returned_s = float("-inf")
+        self._lock = threading.Lock()
+
+    def note_store_returned(self) -> None:
+        """Note that the store answers again after an outage."""
+        with self._lock:
+            self._returned_s = self._clock_s()
+
+    def put(self, endpoint: Endpoint) -> None:
+        """Take in a new or changed entry."""
+        with self._lock:
+            held = self._listed.get(endpoint.endpoint)
+            cold_until_s = self._clock_s() + endpoint.cold_left_ms / 1000
+            if held is None or not held.endpoint.is_same_run(endpoint):
+                change = "new"
+            else:
+                is_changed = held.endpoint.state is not endpoint.state
+                change = endpoint.state.value if is_changed else ""
+                if endpoint.cold_left_ms == held.endpoint.cold_left_ms:
+                    cold_until_s = held.cold_until_s
+            self._listed[endpoint.endpoint] = _Listed(endpoint, cold_until_s)
+        if change:
+            log_event(
+                Event.ENDPOINT_LISTED,
+                endpoint=endpoint.endpoint,
+                service=endpoint.service,
+                address=endpoint.address,
+                change=change,
+                cold_ms=endpoint.cold_left_ms,
+            )
+
+    def remove(self, endpoint: EndpointId) -> None:
+        """Take in that an entry is gone."""
+        with self._lock:
+            self._remove(endpoint, self._clock_s())
+
+    def replace_all(self, endpoints: Iterable[Endpoint]) -> None:
+        """Take in a whole list: what is not on it is gone."""
+        listed = {endpoint.endpoint: endpoint for endpoint in endpoints}
+        for endpoint in listed.values():
+            self.put(endpoint)
+        with self._lock:
+            now_s = self._clock_s()
+            for name in list(self._listed.keys() - listed.keys()):
+                self._remove(name, now_s)
+
+    def set_cold(self, endpoint: EndpointId, cold_ms: float) -> None:
+        """Note that an endpoint said itself how long it stays cold."""
+        with self._lock:
+            held = self._listed.get(endpoint)
+            if held is not None:
+                held.cold_until_s = self._clock_s() + cold_ms / 1000
+
+    def set_evacuated(self, domains: frozenset[FailureDomainId]) -> None:
+        """Close exactly these failure domains for work."""
+        with self._lock:
+            changed = domains ^ self._evacuated
+            self._evacuated = domains
+        for domain in changed:
+            log_event(Event.DOMAIN_EVACUATED, failure_domain=domain, closed=int(domain in domains))
+
+    def usable(self, service: ServiceId) -> list[Endpoint]:
+        """Return the endpoints of a service that take new work, cold ones too."""
+        with self._lock:
+            self._expire()
+            return [
+                held.endpoint
+                for held in self._listed.values()
+                if held.endpoint.service == service and self._takes_work(held.endpoint)
+            ]
+
+    def may_use(self, endpoint: Endpoint) -> bool:
+        """Whether exactly this run of an endpoint still takes new work."""
+        with self._lock:
+            self._expire()
+            held = self._listed.get(endpoint.endpoint)
+            if held is None or not held.endpoint.is_same_run(endpoint):
+                return False
+            return self._takes_work(held.endpoint)
+
+    def is_cold(self, endpoint: EndpointId) -> bool:
+        """Whether the endpoint is still cold."""
+        with self._lock:
+            held = self._listed.get(endpoint)
+            return held is not None and held.cold_until_s > self._clock_s()
+
+    def entries(self) -> Mapping[EndpointId, Endpoint]:
+        """Return every listed endpoint by its id."""
+        with self._lock:
+            return {name: held.endpoint for name, held in self._listed.items()}
+
+    @property
+    def evacuated(self) -> frozenset[FailureDomainId]:
+        """The failure domains that are closed for work."""
+        return self._evacuated
+
+    def _takes_work(self, endpoint: Endpoint) -> bool:
+        is_ready = endpoint.state is EndpointState.READY
+        return is_ready and endpoint.failure_domain not in self._evacuated
+
+    def _remove(self, endpoint: EndpointId, now_s: float) -> None:
+        held = self._listed.get(endpoint)
+        if held is None:
+            return
+        if held.missing_until_s is None and now_s < self._returned_s + RETURN_S:
+            held.missing_until_s = self._returned_s + RETURN_S
+            return
+        if held.missing_until_s is not None and now_s < held.missing_until_s:
+            return
+        del self._listed[endpoint]
+        log_event(Event.ENDPOINT_GONE, endpoint=endpoint)
+
+    def _expire(self) -> None:
+        now_s = self._clock_s()
+        for name, held in list(self._listed.items()):
+            if held.missing_until_s is not None and now_s >= held.missing_until_s:
+                self._remove(name, now_s)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
@@ -0,0 +1,113 @@
+"""One attempt that is made by a gateway of another region."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primroseferry_transport.calls import Header
+from primroseferry_transport.calls import HttpCall
+
+from ..attempts.attempt_call import AttemptCall
+from ..attempts.attempt_call import answer_head
+from ..attempts.outcome import Answered
+from ..attempts.outcome import Lost
+from ..attempts.outcome import NotRun
+from ..messages import AnswerHead
+from ..messages import WholeAnswer
+from ..messages import end_to_end_headers
+from .hop import HOP_HEADER
+from .hop import OUTCOME_HEADER
+from .hop import HopOutcome
+
+if TYPE_CHECKING:
+    from primroseferry_transport.calls import HttpReply
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from ..attempts.attempt_call import StreamSink
+    from ..attempts.outcome import AttemptOutcome
+    from ..messages import RelayRequest
+    from .hop import HopOrder
+
+# Two ways across the widest link and some waiting for a lost packet.
+CONNECT_TIMEOUT_MS = 700
+
+
+class HopCall(AttemptCall):
+    """An attempt through a gateway of another region.
+
+    Connections between gateways are kept. libcurl may send the request again on a new one when a
+    kept one breaks before the answer; the far gateway runs no attempt twice, by its hop id.
+    """
+
+    def __init__(
+        self,
+        loop: CurlLoop,
+        address: str,
+        request: RelayRequest,
+        order: HopOrder,
+        sink: StreamSink | None,
+    ) -> None:
+        super().__init__(loop, sink)
+        self._address = address
+        self._request = request
+        self._order = order
+        self.is_refused = False
+
+    def _http_call(self) -> HttpCall:
+        request = self._request
+        headers = [
+            header
+            for header in end_to_end_headers(request.headers)
+            if header.name.lower() not in (HOP_HEADER.lower(), OUTCOME_HEADER.lower())
+        ]
+        headers.append(Header(HOP_HEADER, self._order.encode()))
+        has_body = bool(request.body) or request.method in ("POST", "PUT", "PATCH")
+        return HttpCall(
+            request.method,
+            f"http://{self._address}/",
+            headers=tuple(headers),
+            body=request.body if has_body else None,
+            connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            timeout_ms=max(1, self._order.deadline_ms),
+            on_chunk=self._on_chunk if self._sink is not None else None,
+            on_head=self._on_head,
+            target=request.target,
+            has_only_given_headers=True,
+        )
+
+    def _on_head(self, head: HttpReply) -> bool:
+        is_ours = OUTCOME_HEADER.lower() in head.headers
+        return super()._on_head(head) and is_ours
+
+    def _visible_head(self, reply: HttpReply) -> AnswerHead:
+        return _without_outcome(answer_head(reply))
+
+    def _end_of_answer(self, reply: HttpReply) -> AttemptOutcome:
+        text, _, detail = reply.headers.get(OUTCOME_HEADER.lower(), "").partition(";")
+        try:
+            outcome = HopOutcome(text)
+        except ValueError:
+            return Lost("the far gateway's answer cannot be read")
+        match outcome:
+            case HopOutcome.NOT_RUN | HopOutcome.REFUSED:
+                self.is_refused = outcome is HopOutcome.REFUSED
+                return NotRun(detail, outcome is HopOutcome.NOT_RUN, _retry_after_s(reply))
+            case HopOutcome.LOST | HopOutcome.DIED:
+                return Lost(detail, is_death=outcome is HopOutcome.DIED)
+            case HopOutcome.ANSWERED | HopOutcome.FAILED:
+                if self._sink is not None and 200 <= reply.status < 300:
+                    return self._end_of_stream(reply)
+                answer = WholeAnswer(self._visible_head(reply), reply.body)
+                return Answered(answer, is_failure=outcome is HopOutcome.FAILED)
+
+
+def _retry_after_s(reply: HttpReply) -> float | None:
+    try:
+        return float(reply.headers["retry-after"])
+    except (KeyError, ValueError):
+        return None
+
+
+def _without_outcome(head: AnswerHead) -> AnswerHead:
+    headers = tuple(line for line in head.headers if line.name.lower() != OUTCOME_HEADER.lower())
+    return AnswerHead(head.status, head.reason, headers)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -0,0 +1,150 @@
+"""Attempts in other regions: which one, through which of its gateways."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import threading
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import RequestId
+from primroseferry_core.logs import log_event
+
+from ..attempts.outcome import Lost
+from ..attempts.outcome import NotRun
+from ..attempts.outcome import StreamBroken
+from ..region_choice import ROUND_TRIP_MS
+from ..region_choice import STALENESS_MS
+from ..region_choice import RegionOption
+from ..routes.route import RouteKind
+from .hop import HopOrder
+from .hop_call import HopCall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
+    from primroseferry_core.ids import RegionId
+    from primroseferry_core.ids import ServiceId
+    from primroseferry_policy.breaker import Breakers
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from ..attempts.attempt_call import AttemptCall
+    from ..attempts.attempt_call import StreamSink
+    from ..attempts.outcome import AttemptOutcome
+    from ..local_attempts import AttemptPlan
+    from ..membership.peer_report import PeerReport
+    from ..membership.peer_table import PeerTable
+    from ..routes.route import Route
+
+# What each own request under way in a region adds to its told expectation, for one endpoint there.
+OWN_REQUEST_MS = 25.0
+
+
+class RegionAttempts:
+    """The other regions, as one gateway uses them."""
+
+    def __init__(self, loop: CurlLoop, peers: PeerTable, breakers: Breakers) -> None:
+        self._loop = loop
+        self._peers = peers
+        self._breakers = breakers
+        self._open: Counter[tuple[RegionId, ServiceId]] = Counter()
+        self._lock = threading.Lock()
+        self._random = random.Random()
+
+    def best(
+        self,
+        service: ServiceId,
+        home_regions: frozenset[RegionId],
+        excluded: Collection[RegionId],
+    ) -> RegionOption | None:
+        """Return the permitted region with the soonest expected first byte, if there is one."""
+        options = [
+            option
+            for region in self._peers.regions()
+            if region not in excluded and (not home_regions or region in home_regions)
+            if (option := self._option(region, service)) is not None
+        ]
+        return min(options, key=lambda option: option.first_ms, default=None)
+
+    def run(
+        self,
+        option: RegionOption,
+        plan: AttemptPlan,
+        route: Route,
+        excluded: tuple[EndpointId, ...],
+        sink: StreamSink | None,
+        on_start: Callable[[AttemptCall], None],
+    ) -> AttemptOutcome:
+        """Make one attempt through the option's gateway."""
+        order = HopOrder(
+            secrets.token_hex(8),
+            self._peers.own_region,
+            RequestId(plan.request_id),
+            plan.service,
+            int(plan.remaining_ms),
+            int(route.latency_target_ms),
+            plan.priority,
+            route.kind is RouteKind.STREAM,
+            plan.may_be_repeated,
+            plan.last_event_id,
+            excluded,
+        )
+        call = HopCall(self._loop, option.peer.address.hop, plan.request, order, sink)
+        circuit = _circuit(option.peer)
+        self._breakers.begin(circuit)
+        on_start(call)
+        key = (option.region, plan.service)
+        with self._lock:
+            self._open[key] += 1
+        try:
+            outcome = call.run()
+        finally:
+            with self._lock:
+                self._open[key] -= 1
+        self._learn(option, outcome, call)
+        return outcome
+
+    def _learn(self, option: RegionOption, outcome: AttemptOutcome, call: HopCall) -> None:
+        circuit = _circuit(option.peer)
+        match outcome:
+            case NotRun(is_sent=False) if not call.is_refused:
+                self._breakers.fail(circuit)
+            case Lost(is_death=True) | StreamBroken(is_death=True) if call.first_byte_s is None:
+                self._breakers.fail(circuit)
+            case _:
+                self._breakers.succeed(circuit)
+        if isinstance(outcome, NotRun | Lost | StreamBroken):
+            log_event(
+                Event.ATTEMPT_FAILED,
+                endpoint=f"{option.region}/{option.peer.instance}",
+                reason=outcome.reason,
+            )
+
+    def _option(self, region: RegionId, service: ServiceId) -> RegionOption | None:
+        peers = [
+            peer
+            for peer in self._peers.ready_peers(region)
+            if service in peer.summaries and self._breakers.permits(_circuit(peer))
+        ]
+        if not peers:
+            return None
+        told = [peer.summaries[service] for peer in peers]
+        endpoints = max(summary.endpoints for summary in told)
+        if endpoints == 0:
+            return None
+        own_ms = self._open[region, service] / endpoints * OWN_REQUEST_MS
+        first_ms = min(summary.first_ms for summary in told if summary.endpoints > 0)
+        return RegionOption(
+            region,
+            self._random.choice(peers),
+            first_ms + own_ms + ROUND_TRIP_MS + STALENESS_MS,
+        )
+
+
+def _circuit(peer: PeerReport) -> EndpointId:
+    """Return the name under which a gateway of another region has its circuit breaker."""
+    return EndpointId(f"gateway/{peer.instance}")
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/__init__.py
@@ -0,0 +1,3 @@
+"""Settings, start and stop."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -0,0 +1,350 @@
+"""The relay gateway: its parts put together, started, and stopped gracefully."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+import time
+from typing import TYPE_CHECKING
+from typing import NoReturn
+
+from primroseferry_core.events import Event
+from primroseferry_core.ids import new_incarnation_id
+from primroseferry_core.logs import configure_logs
+from primroseferry_core.logs import log_event
+from primroseferry_policy.shared_budget import SharedRetryBudget
+from primroseferry_transport.curl_loop import CurlLoop
+
+from ..control.changes import DomainEvacuated
+from ..control.changes import EndpointChanged
+from ..control.changes import EndpointRemoved
+from ..control.changes import GatewayListed
+from ..control.changes import ItemIgnored
+from ..control.changes import RoutesChanged
+from ..control.control_state import ControlState
+from ..control.peer_sync import PeerSync
+from ..control.registration import GATEWAY_PREFIX
+from ..control.registration import Registration
+from ..control.store_watch import StoreWatch
+from ..endpoints.catalog import EndpointCatalog
+from ..forwarding.hop_server import HopServer
+from ..forwarding.region_attempts import RegionAttempts
+from ..ingress.directory import Directory
+from ..ingress.listener import Listener
+from ..local_attempts import LocalAttempts
+from ..membership.peer_report import GatewayState
+from ..membership.peer_report import PeerAddress
+from ..membership.peer_report import PeerReport
+from ..membership.peer_report import ServiceSummary
+from ..membership.peer_table import PeerTable
+from ..membership.reporter import Reporter
+from ..relay import Relay
+from ..relay_policy import RelayPolicy
+from ..routes.service import CallerLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import FailureDomainId
+    from primroseferry_core.ids import ServiceId
+
+    from ..control.changes import ControlDialect
+    from ..control.metadata_store import MetadataStore
+    from ..control.metadata_store import StoredItem
+    from ..dialect import EndpointDialect
+    from ..ingress.directory import DirectoryDialect
+    from ..routes.route_table import RouteTable
+    from .settings import RelaySettings
+
+THREAD_STACK_BYTES = 256 * 1024
+SWITCH_INTERVAL_S = 0.002
+SIGNAL_CHECK_S = 0.25
+# How long callers that asked before the stop may still come with new connections.
+ACCEPT_AFTER_STOP_S = 2.5
+IDLE_AFTER_STOP_S = 1.0
+# What is left of the stop's time when open requests are cut off, for the process to end.
+STOP_RESERVE_S = 0.4
+PEER_PORTS_MAX_CONNECTIONS = 256
+SUMMARY_MAX_AGE_S = 0.3
+_NO_LIMITS = CallerLimits()
+
+
+class RelayGateway:
+    """One gateway process that serves by a route table.
+
+    ``make_store`` gets the HTTP loop and returns the client of the platform's store.
+    """
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        make_store: Callable[[CurlLoop], MetadataStore],
+        control_dialect: ControlDialect,
+        endpoint_dialect: EndpointDialect,
+        directory_dialect: DirectoryDialect,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = new_incarnation_id()
+        self._loop = CurlLoop("relay")
+        self._store = make_store(self._loop)
+        self._control_dialect = control_dialect
+        self._table: RouteTable | None = None
+        self._evacuated: set[FailureDomainId] = set()
+        self._summaries: dict[ServiceId, ServiceSummary] = {}
+        self._summaries_s = 0.0
+        self._stopping = threading.Event()
+        limits = settings.retry_limits
+        self._policy = RelayPolicy(SharedRetryBudget(limits.window_s, limits.ratio, limits.slack))
+        self._catalog = EndpointCatalog()
+        self._peers = PeerTable(settings.instance, settings.region)
+        self._state = ControlState(self._apply)
+        self._sync = PeerSync(self._loop, self._peers, self._state)
+        self._reporter = Reporter(
+            settings.host,
+            settings.report_port,
+            self._peers,
+            self._own_report,
+            self._hear,
+            self._tick,
+        )
+        self._watches = [
+            StoreWatch(self._store, self._state, prefix, self._catalog.note_store_returned)
+            for prefix in (*control_dialect.prefixes, GATEWAY_PREFIX)
+        ]
+        self._registration = Registration(self._store, settings.instance, self._reporter.address)
+        self._build_listeners(endpoint_dialect, directory_dialect)
+
+    def _build_listeners(
+        self, endpoint_dialect: EndpointDialect, directory_dialect: DirectoryDialect
+    ) -> None:
+        settings = self._settings
+        local = LocalAttempts(
+            settings.region,
+            self._loop,
+            endpoint_dialect,
+            self._catalog,
+            self._peers,
+            self._policy,
+        )
+        self._local = local
+        regions = RegionAttempts(self._loop, self._peers, self._policy.breakers)
+        relay = Relay(
+            settings.region,
+            self._loop,
+            endpoint_dialect,
+            self._current_table,
+            local,
+            regions,
+            self._peers,
+            self._policy,
+            lambda record: record.log(),
+        )
+        hops = HopServer(
+            settings.region,
+            self._loop,
+            endpoint_dialect,
+            self._current_table,
+            local,
+            self._sync,
+        )
+        self._front = self._listener(
+            "front", settings.front_port, relay.serve, settings.max_connections
+        )
+        own_front = f"{settings.host}:{self._front.port}"
+        directory = Directory(self._peers, own_front, directory_dialect, self._current_table)
+        small = PEER_PORTS_MAX_CONNECTIONS
+        self._hops = self._listener("hops", settings.hop_port, hops.serve, settings.max_connections)
+        self._others = [
+            self._listener("ready", settings.ready_port, directory.serve, small),
+            self._listener("directory", settings.directory_port, directory.serve, small),
+        ]
+        self._address = PeerAddress(
+            own_front, f"{settings.host}:{self._hops.port}", self._reporter.address
+        )
+
+    def _listener(
+        self, name: str, port: int, handle: Callable[..., None], max_connections: int
+    ) -> Listener:
+        limits = self._caller_limits if name == "front" else lambda: _NO_LIMITS
+        return Listener(
+            name, self._settings.host, port, handle, limits, self._loop, max_connections
+        )
+
+    def start(self) -> None:
+        """Open the ports and start every background task."""
+        self._peers.add_candidates(self._settings.seeds)
+        for listener in (self._front, self._hops, *self._others):
+            listener.start()
+        self._reporter.start()
+        for watch in self._watches:
+            watch.start()
+        self._registration.start()
+        log_event(
+            Event.GATEWAY_STARTED,
+            instance=self._settings.instance,
+            incarnation=self._incarnation,
+            region=self._settings.region,
+            front=self._address.front,
+        )
+
+    def run(self) -> int:
+        """Run until a stop signal; return the exit code."""
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        self.start()
+        # A signal that the kernel gives to another thread does not wake this one.
+        while not self._stopping.wait(SIGNAL_CHECK_S):
+            continue
+        return 0 if self.stop() else 1
+
+    def stop(self) -> bool:
+        """Stop gracefully; ``False`` if requests were cut off at the limit.
+
+        Callers are sent away at once, but those that come all the same are served for a while: they
+        asked before the stop which gateways to use.
+        """
+        stopped_s = time.monotonic()
+        limit_s = stopped_s + self._settings.stop_timeout_ms / 1000 - STOP_RESERVE_S
+        log_event(Event.DRAIN_STARTED, open_requests=self._front.busy + self._hops.busy)
+        self._peers.own_state = GatewayState.DRAINING
+        self._front.drain()
+        self._reporter.send_now()
+        threading.Thread(target=self._registration.stop, daemon=True).start()
+        time.sleep(IDLE_AFTER_STOP_S)
+        self._front.close_idle()
+        time.sleep(max(0.0, ACCEPT_AFTER_STOP_S - (time.monotonic() - stopped_s)))
+        self._front.stop_accepting()
+        while time.monotonic() < limit_s and self._open_requests() > 0:
+            time.sleep(0.05)
+        cut_off = self._open_requests()
+        if cut_off == 0:
+            log_event(Event.DRAIN_FINISHED)
+        else:
+            log_event(Event.DRAIN_CUT_OFF, open_requests=cut_off)
+        return cut_off == 0
+
+    def _open_requests(self) -> int:
+        return self._front.open_connections + self._hops.busy
+
+    def _current_table(self) -> RouteTable | None:
+        return self._table
+
+    def _caller_limits(self) -> CallerLimits:
+        table = self._table
+        return table.limits if table is not None else _NO_LIMITS
+
+    def _on_stop(self, _number: int, _frame: object) -> None:
+        self._stopping.set()
+
+    def _on_reload(self, _number: int, _frame: object) -> None:
+        log_event(Event.SETTINGS_RELOADED, instance=self._settings.instance)
+
+    def _apply(self, item: StoredItem) -> None:
+        if item.key.startswith(GATEWAY_PREFIX):
+            if item.value is not None:
+                self._peers.add_candidates([item.value.decode("latin-1")])
+            return
+        match self._control_dialect.decode(item):
+            case RoutesChanged(table):
+                self._put_table(table, item)
+            case EndpointChanged(endpoint):
+                held = self._catalog.entries().get(endpoint.endpoint)
+                if held is not None and not held.is_same_run(endpoint):
+                    self._policy.forget(endpoint.endpoint)
+                self._catalog.put(endpoint)
+            case EndpointRemoved(endpoint, _reason):
+                self._catalog.remove(endpoint)
+                self._forget_if_gone(endpoint)
+            case DomainEvacuated(domain, is_closed):
+                if is_closed:
+                    self._evacuated.add(domain)
+                else:
+                    self._evacuated.discard(domain)
+                self._catalog.set_evacuated(frozenset(self._evacuated))
+            case GatewayListed(address):
+                self._peers.add_candidates([address])
+            case ItemIgnored(reason):
+                log_event(Event.CONTROL_ITEM_IGNORED, key=item.key, reason=reason)
+
+    def _forget_if_gone(self, endpoint: EndpointId) -> None:
+        if endpoint not in self._catalog.entries():
+            self._policy.forget(endpoint)
+
+    def _put_table(self, table: RouteTable, item: StoredItem) -> None:
+        if self._table is not None and table.revision < self._table.revision:
+            log_event(
+                Event.ROUTES_STALE, revision=table.revision, held_revision=self._table.revision
+            )
+            return
+        is_first = self._table is None
+        self._table = table
+        log_event(Event.ROUTES_IN_FORCE, revision=table.revision, store_revision=item.revision)
+        if is_first and self._peers.own_state is GatewayState.STARTING:
+            self._peers.own_state = GatewayState.READY
+            log_event(Event.GATEWAY_READY, revision=table.revision)
+
+    def _hear(self, report: PeerReport) -> None:
+        if report.region != self._settings.region:
+            return
+        self._policy.loads.hear_peer(report.instance, report.loads)
+        table = self._table
+        entries = self._catalog.entries()
+        for placed in report.placed:
+            endpoint = entries.get(placed.endpoint)
+            service = table.services.get(endpoint.service) if table and endpoint else None
+            if service is not None and service.engine is not None:
+                tokens = service.engine.cache_tokens
+                self._policy.parts.note_read(placed.endpoint, placed.parts, tokens)
+
+    def _tick(self) -> None:
+        for instance in self._peers.expire():
+            self._policy.loads.forget_peer(instance)
+        self._sync.tick()
+
+    def _own_report(self, sequence: int, known: tuple[str, ...]) -> PeerReport:
+        table = self._table
+        return PeerReport(
+            self._settings.instance,
+            self._incarnation,
+            sequence,
+            self._settings.region,
+            self._settings.failure_domain,
+            self._address,
+            self._peers.own_state,
+            table.revision if table is not None else 0,
+            self._state.revision,
+            self._policy.loads.own_work(),
+            tuple(self._policy.take_placed()),
+            self._current_summaries(),
+            known,
+        )
+
+    def _current_summaries(self) -> dict[ServiceId, ServiceSummary]:
+        now_s = time.monotonic()
+        table = self._table
+        if table is None or now_s - self._summaries_s < SUMMARY_MAX_AGE_S:
+            return self._summaries
+        self._summaries_s = now_s
+        self._summaries = {
+            name: self._local.summary(service) for name, service in table.services.items()
+        }
+        return self._summaries
+
+
+def run_relay(gateway: RelayGateway) -> NoReturn:
+    """Run a gateway until it is told to stop, and end the process."""
+    code = gateway.run()
+    sys.stdout.flush()
+    # The pools' threads may still hold requests that were cut off; they must not keep the process.
+    os._exit(code)
+
+
+def prepare_process(log_level: str) -> None:
+    """Set up logs and threads, before any part of a gateway is built."""
+    configure_logs(log_level)
+    threading.stack_size(THREAD_STACK_BYTES)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -0,0 +1,252 @@
+"""Attempts on endpoints of this region: choosing one, sending, and learning from the outcome."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.hashing import rendezvous_order
+from primroseferry_core.logs import log_event
+from primroseferry_policy.placement import Candidate
+from primroseferry_policy.placement import rank_calls
+from primroseferry_policy.placement import rank_engines
+from primroseferry_policy.prompt import Generation
+
+from .attempts.endpoint_call import EndpointAttempt
+from .attempts.endpoint_call import EndpointCall
+from .attempts.outcome import Answered
+from .attempts.outcome import Lost
+from .attempts.outcome import NotRun
+from .attempts.outcome import StreamBroken
+from .attempts.outcome import StreamEnded
+from .dialect import SendOrder
+from .membership.peer_report import ServiceSummary
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
+    from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import RegionId
+    from primroseferry_core.ids import ServiceId
+    from primroseferry_policy.endpoint_loads import OpenRequest
+    from primroseferry_policy.placement import Choice
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from .attempts.attempt_call import AttemptCall
+    from .attempts.attempt_call import StreamSink
+    from .attempts.outcome import AttemptOutcome
+    from .dialect import EndpointDialect
+    from .dialect import ReplyFacts
+    from .endpoints.catalog import EndpointCatalog
+    from .endpoints.endpoint import Endpoint
+    from .membership.peer_table import PeerTable
+    from .messages import AnswerHead
+    from .messages import RelayRequest
+    from .relay_policy import RelayPolicy
+    from .routes.service import Service
+
+# An answer whose first byte is this late against its expectation is looked for elsewhere, where
+# the request may be sent again.
+PATIENCE_RATIO = 4.0
+MIN_PATIENCE_MS = 400.0
+# What other regions are told the expected time of: a prompt of which most is cached.
+TYPICAL_GENERATION = Generation(prompt_tokens=1_000, answer_tokens=200)
+
+
+@dataclass(frozen=True, slots=True)
+class LocalOption:
+    """An endpoint of this region with its expected time to the first byte."""
+
+    endpoint: Endpoint
+    choice: Choice
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptPlan:
+    """What one attempt is about, wherever it is made. ``deadline_s`` is monotonic."""
+
+    request: RelayRequest
+    request_id: str
+    service: ServiceId
+    generation: Generation
+    deadline_s: float
+    priority: int
+    last_event_id: str
+    may_be_repeated: bool
+
+    @property
+    def remaining_ms(self) -> float:
+        """Milliseconds until the deadline, never below 0."""
+        return max(0.0, (self.deadline_s - time.monotonic()) * 1000)
+
+
+class LocalAttempts:
+    """The endpoints of one region, as one gateway uses them."""
+
+    def __init__(
+        self,
+        region: RegionId,
+        loop: CurlLoop,
+        dialect: EndpointDialect,
+        catalog: EndpointCatalog,
+        peers: PeerTable,
+        policy: RelayPolicy,
+    ) -> None:
+        self._region = region
+        self._loop = loop
+        self._dialect = dialect
+        self._catalog = catalog
+        self._peers = peers
+        self._policy = policy
+
+    def rank(
+        self, service: Service, generation: Generation, excluded: Collection[EndpointId]
+    ) -> list[LocalOption]:
+        """Return the endpoints that may be sent to now, best first."""
+        usable = {
+            endpoint.endpoint: endpoint
+            for endpoint in self._catalog.usable(service.name)
+            if endpoint.region == self._region
+            and endpoint.endpoint not in excluded
+            and self._policy.breakers.permits(endpoint.endpoint)
+            and self._may_send_cold(endpoint, service)
+        }
+        candidates = [
+            self._candidate(endpoint, service, generation) for endpoint in usable.values()
+        ]
+        if service.engine is not None:
+            choices = rank_engines(candidates, generation)
+        else:
+            choices = rank_calls(candidates, self._policy.pace.call_ms(service.name))
+        return [LocalOption(usable[choice.endpoint], choice) for choice in choices]
+
+    def run(
+        self,
+        option: LocalOption,
+        service: Service,
+        plan: AttemptPlan,
+        sink: StreamSink | None,
+        on_start: Callable[[AttemptCall], None],
+    ) -> AttemptOutcome:
+        """Make one attempt. ``on_start`` gets the call, so that it can be cancelled."""
+        endpoint = option.endpoint
+        if not self._take_cold_place(endpoint, service):
+            return NotRun("the endpoint is cold and was sent enough", is_sent=False)
+        if not self._catalog.may_use(endpoint):
+            return NotRun("the endpoint takes no new work", is_sent=False)
+        patience_ms = None
+        if plan.may_be_repeated:
+            patience_ms = int(max(MIN_PATIENCE_MS, option.choice.first_ms * PATIENCE_RATIO))
+        attempt = EndpointAttempt(
+            endpoint,
+            plan.request,
+            plan.request_id,
+            SendOrder(endpoint.endpoint, plan.remaining_ms, plan.priority, plan.last_event_id),
+            patience_ms,
+        )
+        policy = self._policy
+        choice = option.choice
+        policy.breakers.begin(endpoint.endpoint)
+        opened = policy.loads.begin(
+            endpoint.endpoint, plan.generation, choice.unread_tokens, choice.first_ms
+        )
+        if service.engine is not None:
+            policy.note_placed(endpoint.endpoint, plan.generation, service.engine.cache_tokens)
+        call = EndpointCall(
+            self._loop,
+            self._dialect,
+            attempt,
+            _CountingSink(sink, policy.loads.first_byte, opened) if sink is not None else None,
+            lambda facts: self._note_reply(endpoint, facts),
+        )
+        on_start(call)
+        try:
+            outcome = call.run()
+        finally:
+            policy.loads.end(opened)
+        self._learn(option, service, call, opened, outcome)
+        return outcome
+
+    def summary(self, service: Service) -> ServiceSummary:
+        """Return what this region has of a service, as other regions are told."""
+        options = self.rank(service, TYPICAL_GENERATION, ())
+        if not options:
+            return ServiceSummary(0, 0.0)
+        return ServiceSummary(len(options), options[0].choice.first_ms)
+
+    def _candidate(self, endpoint: Endpoint, service: Service, generation: Generation) -> Candidate:
+        policy = self._policy
+        name = endpoint.endpoint
+        return Candidate(
+            name,
+            service.engine.slots if service.engine is not None else max(1, endpoint.slots),
+            service.engine.cache_tokens if service.engine is not None else 0,
+            policy.loads.work(name),
+            policy.parts.cached_tokens(name, generation.parts),
+            policy.pace.ratio(name),
+            policy.loads.overdue_ms(name),
+        )
+
+    def _may_send_cold(self, endpoint: Endpoint, service: Service) -> bool:
+        if service.warmup_per_s <= 0 or not self._catalog.is_cold(endpoint.endpoint):
+            return True
+        members = [str(name) for name in self._peers.ready_in(self._region)]
+        order = rendezvous_order(str(endpoint.endpoint), members)
+        is_sender = bool(order) and order[0] == self._peers.own_instance
+        return is_sender and self._policy.cold_gate.may_send(endpoint.endpoint)
+
+    def _take_cold_place(self, endpoint: Endpoint, service: Service) -> bool:
+        if service.warmup_per_s <= 0 or not self._catalog.is_cold(endpoint.endpoint):
+            return True
+        return self._policy.cold_gate.take(endpoint.endpoint, service.warmup_per_s)
+
+    def _note_reply(self, endpoint: Endpoint, facts: ReplyFacts) -> None:
+        if facts.cold_ms is not None:
+            self._catalog.set_cold(endpoint.endpoint, facts.cold_ms)
+
+    def _learn(
+        self,
+        option: LocalOption,
+        service: Service,
+        call: EndpointCall,
+        opened: OpenRequest,
+        outcome: AttemptOutcome,
+    ) -> None:
+        policy = self._policy
+        name = option.endpoint.endpoint
+        if call.first_byte_s is not None:
+            observed_ms = (call.first_byte_s - opened.started_s) * 1000
+            policy.pace.observe(name, option.choice.first_ms, observed_ms)
+            if service.engine is None and policy.loads.work(name).requests < option.endpoint.slots:
+                policy.pace.observe_call(service.name, observed_ms)
+        match outcome:
+            case Answered() | StreamEnded():
+                policy.breakers.succeed(name)
+            case NotRun(is_sent=True):
+                policy.breakers.release(name)
+            case NotRun(reason) | Lost(reason) | StreamBroken(reason):
+                policy.breakers.fail(name)
+                log_event(Event.ATTEMPT_FAILED, endpoint=name, reason=reason)
+            case _:
+                policy.breakers.release(name)
+
+
+class _CountingSink:
+    """Passes a stream on and notes its first event."""
+
+    def __init__(
+        self, sink: StreamSink, on_first: Callable[[OpenRequest], None], opened: OpenRequest
+    ) -> None:
+        self._sink = sink
+        self._on_first = on_first
+        self._opened = opened
+
+    def begin(self, head: AnswerHead) -> bool:
+        self._on_first(self._opened)
+        return self._sink.begin(head)
+
+    def write(self, data: bytes) -> bool:
+        return self._sink.write(data)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
@@ -0,0 +1,131 @@
+"""What each gateway tells the others, many times a second, in one datagram."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import FailureDomainId
+from primroseferry_core.ids import IncarnationId
+from primroseferry_core.ids import InstanceId
+from primroseferry_core.ids import RegionId
+from primroseferry_core.ids import ServiceId
+from primroseferry_policy.endpoint_loads import OpenWork
+from primroseferry_policy.prompt import PartId
+from primroseferry_policy.prompt import PromptPart
+
+from ..relay_policy import Placed
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from typing import Any
+
+
+class GatewayState(Enum):
+    """Whether a gateway takes new requests of callers."""
+
+    STARTING = "starting"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSummary:
+    """What a region has of a service: usable endpoints and the best expected first byte."""
+
+    endpoints: int
+    first_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a gateway is reached: by callers, for forwarded requests, and by datagrams."""
+
+    front: str
+    hop: str
+    report: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReport:
+    """One gateway's state. ``sequence`` grows with each report of an incarnation."""
+
+    instance: InstanceId
+    incarnation: IncarnationId
+    sequence: int
+    region: RegionId
+    failure_domain: FailureDomainId
+    address: PeerAddress
+    state: GatewayState
+    route_revision: int
+    control_revision: int
+    loads: Mapping[EndpointId, OpenWork]
+    placed: tuple[Placed, ...]
+    summaries: Mapping[ServiceId, ServiceSummary]
+    known: tuple[str, ...]
+
+
+def encode_report(report: PeerReport) -> bytes:
+    """Return the datagram of a report."""
+    address = report.address
+    data = {
+        "i": report.instance,
+        "c": report.incarnation,
+        "n": report.sequence,
+        "r": report.region,
+        "d": report.failure_domain,
+        "a": [address.front, address.hop, address.report],
+        "s": report.state.value,
+        "rr": report.route_revision,
+        "cr": report.control_revision,
+        "l": {
+            name: [work.requests, work.unread_tokens, work.held_tokens]
+            for name, work in report.loads.items()
+        },
+        "p": [
+            [placed.endpoint, [[part.part, part.tokens] for part in placed.parts]]
+            for placed in report.placed
+        ],
+        "v": {
+            name: [summary.endpoints, round(summary.first_ms, 1)]
+            for name, summary in report.summaries.items()
+        },
+        "k": list(report.known),
+    }
+    return json.dumps(data, separators=(",", ":")).encode()
+
+
+def decode_report(datagram: bytes) -> PeerReport | None:
+    """Return the report of a datagram, ``None`` where it holds none."""
+    try:
+        return _report(json.loads(datagram))
+    except (ValueError, KeyError, TypeError, IndexError, AttributeError):
+        return None
+
+
+def _report(data: Any) -> PeerReport:
+    front, hop, report = data["a"]
+    return PeerReport(
+        InstanceId(data["i"]),
+        IncarnationId(data["c"]),
+        int(data["n"]),
+        RegionId(data["r"]),
+        FailureDomainId(data["d"]),
+        PeerAddress(str(front), str(hop), str(report)),
+        GatewayState(data["s"]),
+        int(data["rr"]),
+        int(data["cr"]),
+        {EndpointId(name): OpenWork(*map(int, work)) for name, work in data["l"].items()},
+        tuple(
+            Placed(EndpointId(name), tuple(PromptPart(PartId(p), int(t)) for p, t in parts))
+            for name, parts in data["p"]
+        ),
+        {
+            ServiceId(name): ServiceSummary(int(count), float(first_ms))
+            for name, (count, first_ms) in data["v"].items()
+        },
+        tuple(map(str, data["k"])),
+    )
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -0,0 +1,129 @@
+"""The gateways that live, by the reports that were heard of them."""
+
+from __future__ import annotations
+
+import threading
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+
+from .peer_report import GatewayState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from primroseferry_core.ids import InstanceId
+    from primroseferry_core.ids import RegionId
+
+    from .peer_report import PeerReport
+
+# A gateway that is silent for so long is not named to callers: several reports in a row are lost.
+LIVE_S = 2.0
+# A gateway that is silent for so long is forgotten; the store or a peer may name it again.
+FORGET_S = 30.0
+
+
+@dataclass(slots=True)
+class _Heard:
+    report: PeerReport
+    heard_s: float
+    is_live: bool = True
+
+
+class PeerTable:
+    """What was heard of each other gateway, and when."""
+
+    def __init__(
+        self,
+        own_instance: InstanceId,
+        own_region: RegionId,
+        clock_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.own_instance = own_instance
+        self.own_region = own_region
+        self.own_state = GatewayState.STARTING
+        self._clock_s = clock_s
+        self._heard: dict[InstanceId, _Heard] = {}
+        self._candidates: set[str] = set()
+        self._lock = threading.Lock()
+
+    def add_candidates(self, addresses: Iterable[str]) -> None:
+        """Note addresses at which a gateway may listen for reports."""
+        with self._lock:
+            self._candidates.update(addresses)
+
+    def hear(self, report: PeerReport) -> bool:
+        """Take in a report; ``False`` where a newer one of the same incarnation is known."""
+        if report.instance == self.own_instance:
+            return False
+        with self._lock:
+            held = self._heard.get(report.instance)
+            if held is not None and held.report.incarnation == report.incarnation:
+                if report.sequence <= held.report.sequence:
+                    return False
+                was_live = held.is_live
+            else:
+                was_live = False
+            self._heard[report.instance] = _Heard(report, self._clock_s())
+            self._candidates.add(report.address.report)
+            self._candidates.update(report.known)
+        if not was_live:
+            log_event(Event.PEER_JOINED, peer=report.instance, peer_state=report.state.value)
+        return True
+
+    def expire(self) -> list[InstanceId]:
+        """Return the gateways that fell silent since the last call; forget those long gone."""
+        now_s = self._clock_s()
+        lost = []
+        with self._lock:
+            for instance, heard in list(self._heard.items()):
+                silent_s = now_s - heard.heard_s
+                if heard.is_live and silent_s > LIVE_S:
+                    heard.is_live = False
+                    lost.append(instance)
+                if silent_s > FORGET_S:
+                    self._candidates.discard(heard.report.address.report)
+                    del self._heard[instance]
+        for instance in lost:
+            log_event(Event.PEER_LOST, peer=instance)
+        return lost
+
+    def live(self) -> list[PeerReport]:
+        """Return the last report of each gateway that lives, without this one."""
+        now_s = self._clock_s()
+        with self._lock:
+            return [
+                heard.report for heard in self._heard.values() if now_s - heard.heard_s <= LIVE_S
+            ]
+
+    def live_count(self) -> int:
+        """Return how many gateways live, with this one."""
+        return len(self.live()) + 1
+
+    def ready_peers(self, region: RegionId) -> list[PeerReport]:
+        """Return the other gateways of a region that take requests."""
+        return [
+            report
+            for report in self.live()
+            if report.region == region and report.state is GatewayState.READY
+        ]
+
+    def ready_in(self, region: RegionId) -> list[InstanceId]:
+        """Return the gateways of a region that take requests, with this one where it does."""
+        names = [report.instance for report in self.ready_peers(region)]
+        if region == self.own_region and self.own_state is GatewayState.READY:
+            names.append(self.own_instance)
+        return names
+
+    def regions(self) -> set[RegionId]:
+        """Return the other regions of which a gateway lives."""
+        return {report.region for report in self.live()} - {self.own_region}
+
+    def report_addresses(self) -> list[str]:
+        """Return every address at which a gateway may listen for reports."""
+        with self._lock:
+            return sorted(self._candidates)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/routes/__init__.py
@@ -0,0 +1,3 @@
+"""The route table."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/routes/route_table.py
@@ -0,0 +1,89 @@
+"""The route table: one revision of all routes and services, never changed once built."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from .service import CallerLimits
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from primroseferry_core.ids import RegionId
+    from primroseferry_core.ids import ServiceId
+
+    from .route import Route
+    from .service import Service
+
+
+class RouteTableError(ValueError):
+    """A table that fails its checks; the text starts with the path of the field."""
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTable:
+    """Routes by host and prefix. The cost of a look-up grows with the path, not with the routes."""
+
+    revision: int
+    by_host: Mapping[str, Mapping[str, Route]]
+    services: Mapping[ServiceId, Service]
+    limits: CallerLimits
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins ``path``, or ``None``."""
+        routes = self.by_host.get(host.lower())
+        if routes is None:
+            return None
+        end = path.rfind("/") + 1
+        while end > 0:
+            route = routes.get(path[:end])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end - 1) + 1
+        return None
+
+    def home_regions_of(self, host: str) -> frozenset[RegionId] | None:
+        """Return the regions that every bound route of ``host`` permits; ``None``: all."""
+        homes: frozenset[RegionId] | None = None
+        for route in self.by_host.get(host.lower(), {}).values():
+            if route.home_regions:
+                homes = route.home_regions if homes is None else homes & route.home_regions
+        return homes
+
+
+def build_route_table(
+    revision: int,
+    routes: Iterable[Route],
+    services: Iterable[Service],
+    limits: CallerLimits | None = None,
+) -> RouteTable:
+    """Check and index a table. Raises ``RouteTableError`` with the path of the first bad field."""
+    by_service = {service.name: service for service in services}
+    by_host: dict[str, dict[str, Route]] = {}
+    for index, route in enumerate(routes):
+        _check_route(f"routes[{index}]", route, by_service)
+        prefixes = by_host.setdefault(route.host.lower(), {})
+        if route.prefix in prefixes:
+            raise RouteTableError(f"routes[{index}].prefix: {route.prefix} stands twice")
+        prefixes[route.prefix] = route
+    return RouteTable(revision, by_host, by_service, limits or CallerLimits())
+
+
+def _check_route(path: str, route: Route, services: Mapping[ServiceId, Service]) -> None:
+    if not route.host:
+        raise RouteTableError(f"{path}.host: must not be empty")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        raise RouteTableError(f"{path}.prefix: must begin and end with a slash")
+    if not route.shares:
+        raise RouteTableError(f"{path}.shares: must name a service")
+    for share in route.shares:
+        if share.service not in services:
+            raise RouteTableError(f"{path}.shares: there is no service {share.service}")
+        if share.weight < 0:
+            raise RouteTableError(f"{path}.shares: a weight must not be negative")
+    if route.timeout_ms <= 0:
+        raise RouteTableError(f"{path}.timeout_ms: must be above 0")
+    if route.max_attempts < 1:
+        raise RouteTableError(f"{path}.max_attempts: must be at least 1")
--- a/packages/primroseferry-transport/src/primroseferry_transport/calls.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/calls.py
@@ -44,6 +44,10 @@
     ``is_repeatable=False`` uses a new connection for the call. libcurl silently sends a request
     again when a kept connection dies before the answer, which must never happen to an operation
     that runs at most once.
+
+    ``target`` is sent as the path and query byte for byte in place of the URL's. ``on_head`` gets
+    status and headers of the final answer before its body and returns ``False`` to stop the call.
+    ``has_only_given_headers`` keeps libcurl from adding headers of its own.
     """
 
     method: str
@@ -57,15 +61,24 @@
     on_chunk: Callable[[bytes], bool] | None = None
     is_repeatable: bool = True
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    target: str | None = None
+    on_head: Callable[[HttpReply], bool] | None = None
+    has_only_given_headers: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class HttpReply:
-    """The answer to a call. ``body`` is empty where ``on_chunk`` took it."""
+    """The answer to a call. ``body`` is empty where ``on_chunk`` took it.
+
+    ``header_lines`` are the headers in their order and case, ``headers`` the last of each name in
+    lower case; ``reason`` is the text of the status line.
+    """
 
     status: int
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
+    header_lines: tuple[Header, ...] = ()
+    reason: str = ""
 
     @property
     def content_type(self) -> str:
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -21,6 +21,7 @@
 from result import Result
 
 from .calls import FailureStage
+from .calls import Header
 from .calls import HttpCall
 from .calls import HttpFailure
 from .calls import HttpReply
@@ -38,6 +39,9 @@
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
 )
 
+# Headers that libcurl adds unless they are given or switched off.
+_OWN_HEADERS = ("Accept", "User-Agent", "Content-Type")
+
 HttpResult = Result[HttpReply, HttpFailure]
 
 
@@ -49,7 +53,10 @@
         self.future: Future[HttpResult] = Future()
         self._loop = loop
         self._status = 0
+        self._reason = ""
         self._headers: dict[str, str] = {}
+        self._header_lines: list[Header] = []
+        self._is_head_taken = False
         self._body = bytearray()
         self._stop_reason: HttpFailure | None = None
         self._started_s = time.monotonic()
@@ -60,6 +67,15 @@
         """Stop the call soon; its future then holds ``STOPPED_BY_CALLER``."""
         self._loop.run_soon(lambda: self._loop._stop(self, _STOPPED))
 
+    def _reply(self, body: bytes) -> HttpReply:
+        return HttpReply(self._status, self._headers, body, tuple(self._header_lines), self._reason)
+
+    def _take_head(self) -> bool:
+        """Pass the head on where the call asks for it; ``False`` stops the call."""
+        self._is_head_taken = True
+        on_head = self.call.on_head
+        return on_head is None or on_head(self._reply(b""))
+
     def _overdue(self, now_s: float) -> HttpFailure | None:
         call = self.call
         if self._last_byte_s is None:
@@ -325,12 +341,17 @@
     handle.setopt(pycurl.CONNECTTIMEOUT_MS, call.connect_timeout_ms)
     handle.setopt(pycurl.TIMEOUT_MS, max(1, call.timeout_ms))
     handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
-    headers = [f"{header.name}: {header.value}" for header in call.headers]
+    if call.target is not None:
+        handle.setopt(pycurl.REQUEST_TARGET, call.target.encode("latin-1"))
+    headers = [_header_line(header) for header in call.headers]
+    if call.has_only_given_headers:
+        given = {header.name.lower() for header in call.headers}
+        headers += [f"{name}:".encode() for name in _OWN_HEADERS if name.lower() not in given]
     if call.body is not None:
         handle.setopt(pycurl.POST, 1)
         handle.setopt(pycurl.POSTFIELDS, call.body)
         handle.setopt(pycurl.POSTFIELDSIZE, len(call.body))
-        headers.append("Expect:")
+        headers.append(b"Expect:")
     elif call.method == "HEAD":
         handle.setopt(pycurl.NOBODY, 1)
     handle.setopt(pycurl.HTTPHEADER, headers)
@@ -341,16 +362,34 @@
     handle.setopt(pycurl.WRITEFUNCTION, _write_function(pending))
 
 
-def _header_function(pending: PendingCall) -> Callable[[bytes], None]:
+def _header_line(header: Header) -> bytes:
+    """Return a header as libcurl takes it: one without a value ends with a semicolon."""
+    line = f"{header.name}: {header.value}" if header.value else f"{header.name};"
+    return line.encode("latin-1")
+
+
+def _header_function(pending: PendingCall) -> Callable[[bytes], int | None]:
     headers = pending._headers
+    lines = pending._header_lines
 
-    def on_header(line: bytes) -> None:
+    def on_header(line: bytes) -> int | None:
         name, colon, value = line.decode("latin-1").partition(":")
         if line.startswith(b"HTTP/"):
             headers.clear()
-            pending._status = int(line.split(maxsplit=2)[1])
+            lines.clear()
+            parts = line.split(maxsplit=2)
+            pending._status = int(parts[1])
+            pending._reason = parts[2].strip().decode("latin-1") if len(parts) > 2 else ""
+            pending._is_head_taken = False
+        elif pending._is_head_taken:
+            return None
         elif colon:
             headers[name.strip().lower()] = value.strip()
+            lines.append(Header(name.strip(), value.strip()))
+        elif pending._status >= 200 and not pending._take_head():
+            pending._stop_reason = _STOPPED
+            return -1
+        return None
 
     return on_header
 
@@ -380,7 +419,7 @@
     if pending._stop_reason is not None:
         return Err(pending._stop_reason)
     if code == pycurl.E_OK:
-        return Ok(HttpReply(pending._status, pending._headers, bytes(pending._body)))
+        return Ok(pending._reply(bytes(pending._body)))
     if code in _NOT_SENT_CODES or _sent_nothing(handle, pending.call):
         return Err(HttpFailure(FailureStage.NOT_SENT, message))
     if code == pycurl.E_OPERATION_TIMEDOUT:
