Name no gateway of a region that a bound route does not permit; close idle connections by polling

Idle connections were not closed either: shutting a socket down does not wake the thread that reads it there, so each stop took its whole eight seconds; and new connections of a stopping gateway were closed unread ('cut, no answer' at 4.68 s).

Change: the regions that most routes of the host permit go first, then own draining gateways; idle connections poll; the first request of a connection is always served; TCP keepalive on outgoing connections.

--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
@@ -28,6 +28,8 @@
 # How long what a refused caller still sends is read, so that a reset does not destroy the answer.
 LINGER_S = 0.5
 LINGER_LIMIT_BYTES = 4 * 1024 * 1024
+# How often an idle connection looks whether it is to be closed.
+IDLE_CHECK_S = 0.5
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_KINDS = {413: ErrorKind.BODY_TOO_LARGE, 431: ErrorKind.HEAD_TOO_LARGE}
 
@@ -44,6 +46,8 @@
         self._listener = listener
         self._parser = self._new_parser(b"")
         self._has_unread_body = False
+        self._must_yield = False
+        self._has_served = False
 
     def serve(self) -> None:
         """Serve requests until the connection ends."""
@@ -58,12 +62,9 @@
         finally:
             self._close()
 
-    def interrupt(self) -> None:
-        """Wake the thread that waits for the next request, so that it closes the connection."""
-        try:
-            self._connection.shutdown(socket.SHUT_RD)
-        except OSError as error:
-            log_event(Event.BAD_CONNECTION, reason=f"already closed: {type(error).__name__}")
+    def yield_place(self) -> None:
+        """Close the connection soon if it is still idle, because others wait for its place."""
+        self._must_yield = True
 
     def _serve_one(self) -> bool:
         limits = self._listener.limits()
@@ -92,6 +93,7 @@
             self._answer_crash(channel)
         if channel.closes or channel.state is not ChannelState.COMPLETE:
             return False
+        self._has_served = True
         trailing, _is_closed = self._parser.trailing_data
         self._parser = self._new_parser(trailing)
         return True
@@ -176,15 +178,23 @@
                 raise _ConnectionEnded
 
     def _receive_first(self, until_s: float) -> None:
-        """Wait for the first bytes of the next request; the connection is idle meanwhile."""
-        if self._listener.closes_idle:
-            raise _ConnectionEnded
+        """Wait for the first bytes of the next request; the connection is idle meanwhile.
+
+        Another thread cannot wake this one on every platform, so it looks up now and then whether
+        the connection is to be closed.
+        """
         with self._listener.idle(self):
-            self._connection.settimeout(max(0.001, until_s - time.monotonic()))
-            try:
-                data = self._connection.recv(READ_BYTES)
-            except TimeoutError:
-                raise _ConnectionEnded from None
+            while True:
+                remaining_s = until_s - time.monotonic()
+                is_asked_to_end = self._listener.closes_idle and self._has_served
+                if is_asked_to_end or self._must_yield or remaining_s <= 0:
+                    raise _ConnectionEnded
+                self._connection.settimeout(min(remaining_s, IDLE_CHECK_S))
+                try:
+                    data = self._connection.recv(READ_BYTES)
+                    break
+                except TimeoutError:
+                    continue
         if not data:
             raise _ConnectionEnded
         self._parser.receive_data(data)
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/directory.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/directory.py
@@ -28,6 +28,8 @@
 # Callers ask again after this time; a gateway that is lost is used no longer than that.
 DIRECTORY_TTL_S = 2
 MAX_ADDRESSES = 64
+# A region whose gateways were heard so recently is being restarted, not lost.
+RESTART_S = 15.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,16 +88,33 @@
 
     def addresses(self, query: DirectoryQuery) -> list[str]:
         """Return the gateways of the caller's region, or else those of permitted regions."""
+        if self._peers.own_state is GatewayState.STARTING:
+            return []
         near = self._fronts(query.region)
         if near:
             return near[:MAX_ADDRESSES]
+        return self._fronts_elsewhere(query)[:MAX_ADDRESSES]
+
+    def _fronts_elsewhere(self, query: DirectoryQuery) -> list[str]:
+        """Return gateways for a caller whose region has none that is ready.
+
+        Routes that are bound to home regions must not be led elsewhere. While the caller's region
+        is only restarting, its own draining gateways are the next best, and no answer at all is
+        better than a region that not all routes permit: callers keep their last answer.
+        """
         table = self._tables()
-        homes = table.home_regions_of(query.host) if table is not None else None
-        regions = {*self._peers.regions(), self._peers.own_region}
-        permitted = regions & homes if homes else regions
-        return [front for region in sorted(permitted or regions) for front in self._fronts(region)][
-            :MAX_ADDRESSES
-        ]
+        if table is None:
+            return []
+        regions = sorted({*self._peers.regions(), self._peers.own_region})
+        counts = {region: table.count_permitting(query.host, region) for region in regions}
+        most = max(counts.values())
+        best = [region for region in regions if counts[region] == most]
+        fronts = [front for region in best for front in self._fronts(region)]
+        if fronts:
+            return fronts
+        if self._peers.was_heard(query.region, RESTART_S):
+            return self._peers.draining_fronts(query.region)
+        return [front for region in regions for front in self._fronts(region)]
 
     def _fronts(self, region: RegionId) -> list[str]:
         fronts = [report.address.front for report in self._peers.ready_peers(region)]
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
@@ -70,12 +70,8 @@
         self.is_draining = True
 
     def close_idle(self) -> None:
-        """Close the connections that wait for a request, now and from now on."""
+        """Close kept connections that wait for a further request, soon and from now on."""
         self.closes_idle = True
-        with self._lock:
-            idle = list(self._idle)
-        for connection in idle:
-            connection.interrupt()
 
     def stop_accepting(self) -> None:
         """Close the port; open connections go on."""
@@ -126,7 +122,7 @@
             if oldest is not None:
                 del self._idle[oldest]
         if oldest is not None:
-            oldest.interrupt()
+            oldest.yield_place()
         try:
             self._pool.submit(self._serve, connection)
         except RuntimeError as error:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -119,6 +119,23 @@
             names.append(self.own_instance)
         return names
 
+    def was_heard(self, region: RegionId, within_s: float) -> bool:
+        """Whether any gateway of a region was heard lately; this one counts for its own."""
+        now_s = self._clock_s()
+        with self._lock:
+            return region == self.own_region or any(
+                heard.report.region == region and now_s - heard.heard_s <= within_s
+                for heard in self._heard.values()
+            )
+
+    def draining_fronts(self, region: RegionId) -> list[str]:
+        """Return where the other gateways of a region that are stopping are reached."""
+        return sorted(
+            report.address.front
+            for report in self.live()
+            if report.region == region and report.state is GatewayState.DRAINING
+        )
+
     def regions(self) -> set[RegionId]:
         """Return the other regions of which a gateway lives."""
         return {report.region for report in self.live()} - {self.own_region}
--- a/packages/primroseferry-relay/src/primroseferry_relay/routes/route_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/routes/route_table.py
@@ -44,13 +44,10 @@
             end = path.rfind("/", 0, end - 1) + 1
         return None
 
-    def home_regions_of(self, host: str) -> frozenset[RegionId] | None:
-        """Return the regions that every bound route of ``host`` permits; ``None``: all."""
-        homes: frozenset[RegionId] | None = None
-        for route in self.by_host.get(host.lower(), {}).values():
-            if route.home_regions:
-                homes = route.home_regions if homes is None else homes & route.home_regions
-        return homes
+    def count_permitting(self, host: str, region: RegionId) -> int:
+        """Return how many routes of ``host`` permit a region."""
+        routes = self.by_host.get(host.lower(), {}).values()
+        return sum(route.permits(region) for route in routes)
 
 
 def build_route_table(
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -35,6 +35,10 @@
 SWEEP_INTERVAL_S = 0.1
 MAX_IDLE_HANDLES = 256
 MAX_KEPT_CONNECTIONS = 1_024
+# A far side that answers no probe for so long is gone: long enough for a few lost packets.
+KEEPALIVE_S = 1
+KEEPALIVE_PROBES = 3
+FAR_SIDE_TIMEOUT_MS = 4_000
 _NOT_SENT_CODES = frozenset(
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
 )
@@ -358,10 +362,25 @@
     if not call.is_repeatable:
         handle.setopt(pycurl.FRESH_CONNECT, 1)
         handle.setopt(pycurl.FORBID_REUSE, 1)
+    handle.setopt(pycurl.SOCKOPTFUNCTION, _watch_far_side)
     handle.setopt(pycurl.HEADERFUNCTION, _header_function(pending))
     handle.setopt(pycurl.WRITEFUNCTION, _write_function(pending))
 
 
+def _watch_far_side(fd: int, _purpose: int) -> int:
+    """Make the kernel notice a far side that is gone without a word."""
+    connection = socket.socket(fileno=fd)
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, FAR_SIDE_TIMEOUT_MS)
+    finally:
+        connection.detach()
+    return int(pycurl.SOCKOPT_OK)
+
+
 def _header_line(header: Header) -> bytes:
     """Return a header as libcurl takes it: one without a value ends with a semicolon."""
     line = f"{header.name}: {header.value}" if header.value else f"{header.name};"
