--- a/packages/primroseferry-policy/src/primroseferry_policy/placement.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -25,6 +25,13 @@
 # An engine that runs out of memory preempts requests, which are then read anew.
 MEMORY_FULL_SHARE = 0.85
 MEMORY_FULL_MS = 1_500.0
+# While an engine reads a long prompt, its running streams pause. Beyond some chunks in a row the
+# pauses grow past what callers accept, and each running stream is worth this much more time.
+UNNOTICED_UNREAD_TOKENS = 12_000
+DISTURBING_UNREAD_TOKENS = 22_000
+DISTURBED_STREAM_MS = 100.0
+# Among endpoints with free slots the one with fewer open calls goes first.
+BUSY_WEIGHT = 0.1
 # Reading tokens again costs capacity that others need: what a cached part counts beyond its time.
 REREAD_WEIGHT = 1.5
 
@@ -59,24 +66,28 @@
     requests with the same parts to the same engine without asking each other.
     """
     order = _hash_order(candidates, generation)
-    choices = [_engine_choice(candidate, generation) for candidate in candidates]
+    choices = [engine_choice(candidate, generation) for candidate in candidates]
     return sorted(choices, key=lambda choice: (round(choice.score, 1), order[choice.endpoint]))
 
 
 def rank_calls(candidates: Sequence[Candidate], call_ms: float) -> list[Choice]:
     """Return the endpoints for a call of a plain service, the soonest free first."""
-    choices = []
-    for candidate in candidates:
-        ahead = max(0, candidate.work.requests + 1 - candidate.slots)
-        wait_ms = ahead / max(1, candidate.slots) * call_ms
-        busy_ms = candidate.work.requests / max(1, candidate.slots) * call_ms * 0.1
-        first_ms = (call_ms + wait_ms) * candidate.pace
-        score = first_ms + busy_ms + candidate.overdue_ms
-        choices.append(Choice(candidate.endpoint, first_ms, 0, score))
+    choices = [call_choice(candidate, call_ms) for candidate in candidates]
     return sorted(choices, key=lambda choice: choice.score)
 
 
-def _engine_choice(candidate: Candidate, generation: Generation) -> Choice:
+def call_choice(candidate: Candidate, call_ms: float) -> Choice:
+    """Return what to expect of one endpoint of a plain service."""
+    open_requests = candidate.work.requests
+    slots = max(1, candidate.slots)
+    wait_ms = max(0, open_requests + 1 - slots) / slots * call_ms
+    busy_ms = open_requests / slots * call_ms * BUSY_WEIGHT
+    first_ms = (call_ms + wait_ms) * candidate.pace
+    return Choice(candidate.endpoint, first_ms, 0, first_ms + busy_ms + candidate.overdue_ms)
+
+
+def engine_choice(candidate: Candidate, generation: Generation) -> Choice:
+    """Return what to expect of one engine."""
     work = candidate.work
     unread = max(0, generation.prompt_tokens - candidate.cached_tokens)
     waiting = max(0, work.requests + 1 - candidate.slots)
@@ -88,7 +99,15 @@
         first_ms += MEMORY_FULL_MS
     first_ms *= candidate.pace
     reread_ms = unread / PREFILL_TOKENS_PER_MS * REREAD_WEIGHT
-    return Choice(candidate.endpoint, first_ms, unread, first_ms + reread_ms + candidate.overdue_ms)
+    disturbed_ms = work.requests * DISTURBED_STREAM_MS * _disturbance(work.unread_tokens + unread)
+    score = first_ms + reread_ms + disturbed_ms + candidate.overdue_ms
+    return Choice(candidate.endpoint, first_ms, unread, score)
+
+
+def _disturbance(unread_tokens: int) -> float:
+    """Return how far an engine's running streams pause while it reads so much, 0 to 1."""
+    span = DISTURBING_UNREAD_TOKENS - UNNOTICED_UNREAD_TOKENS
+    return min(1.0, max(0.0, (unread_tokens - UNNOTICED_UNREAD_TOKENS) / span))
 
 
 def _hash_order(candidates: Sequence[Candidate], generation: Generation) -> dict[EndpointId, int]:
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -60,10 +60,13 @@
         self._pending: PendingCall | None = None
         self._is_cancelled = False
         self.first_byte_s: float | None = None
+        self.ended_by_deadline = False
 
     def run(self) -> AttemptOutcome:
         """Send the request and wait for the end."""
-        self._pending = self._loop.submit(self._http_call())
+        call = self._http_call()
+        started_s = time.monotonic()
+        self._pending = self._loop.submit(call)
         if self._is_cancelled:
             self._pending.cancel()
         result = self._pending.future.result()
@@ -73,6 +76,8 @@
             case Ok(reply):
                 return self._end_of_answer(reply)
             case Err(failure):
+                elapsed_ms = (time.monotonic() - started_s) * 1000
+                self.ended_by_deadline = elapsed_ms >= call.timeout_ms - 1
                 return self._failure(failure)
 
     def cancel(self) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -12,6 +12,9 @@
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import RequestId
 from primroseferry_core.logs import log_event
+from primroseferry_policy.placement import Candidate
+from primroseferry_policy.placement import call_choice
+from primroseferry_policy.placement import engine_choice
 
 from ..attempts.outcome import Lost
 from ..attempts.outcome import NotRun
@@ -30,6 +33,9 @@
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.breaker import Breakers
+    from primroseferry_policy.pace import Pace
+    from primroseferry_policy.placement import Choice
+    from primroseferry_policy.prompt import Generation
     from primroseferry_transport.curl_loop import CurlLoop
 
     from ..attempts.attempt_call import AttemptCall
@@ -37,8 +43,10 @@
     from ..attempts.outcome import AttemptOutcome
     from ..local_attempts import AttemptPlan
     from ..membership.peer_report import PeerReport
+    from ..membership.peer_report import ServiceSummary
     from ..membership.peer_table import PeerTable
     from ..routes.route import Route
+    from ..routes.service import Service
 
 # What each own request under way in a region adds to its told expectation, for one endpoint there.
 OWN_REQUEST_MS = 25.0
@@ -47,28 +55,30 @@
 class RegionAttempts:
     """The other regions, as one gateway uses them."""
 
-    def __init__(self, loop: CurlLoop, peers: PeerTable, breakers: Breakers) -> None:
+    def __init__(self, loop: CurlLoop, peers: PeerTable, breakers: Breakers, pace: Pace) -> None:
         self._loop = loop
         self._peers = peers
         self._breakers = breakers
+        self._pace = pace
         self._open: Counter[tuple[RegionId, ServiceId]] = Counter()
         self._lock = threading.Lock()
         self._random = random.Random()
 
     def best(
         self,
-        service: ServiceId,
+        service: Service,
+        generation: Generation,
         home_regions: frozenset[RegionId],
         excluded: Collection[RegionId],
     ) -> RegionOption | None:
-        """Return the permitted region with the soonest expected first byte, if there is one."""
+        """Return the permitted region with the best expectation, if there is one."""
         options = [
             option
             for region in self._peers.regions()
             if region not in excluded and (not home_regions or region in home_regions)
-            if (option := self._option(region, service)) is not None
+            if (option := self._option(region, service, generation)) is not None
         ]
-        return min(options, key=lambda option: option.first_ms, default=None)
+        return min(options, key=lambda option: option.score, default=None)
 
     def run(
         self,
@@ -124,25 +134,44 @@
                 reason=outcome.reason,
             )
 
-    def _option(self, region: RegionId, service: ServiceId) -> RegionOption | None:
+    def _option(
+        self, region: RegionId, service: Service, generation: Generation
+    ) -> RegionOption | None:
         peers = [
             peer
             for peer in self._peers.ready_peers(region)
-            if service in peer.summaries and self._breakers.permits(_circuit(peer))
+            if service.name in peer.summaries and self._breakers.permits(_circuit(peer))
         ]
-        if not peers:
-            return None
-        told = [peer.summaries[service] for peer in peers]
-        endpoints = max(summary.endpoints for summary in told)
-        if endpoints == 0:
+        choices = [
+            self._choice(summary, service, generation)
+            for peer in peers
+            if (summary := peer.summaries[service.name]).endpoints > 0
+        ]
+        if not choices:
             return None
-        own_ms = self._open[region, service] / endpoints * OWN_REQUEST_MS
-        first_ms = min(summary.first_ms for summary in told if summary.endpoints > 0)
+        best = min(choices, key=lambda choice: choice.score)
+        endpoints = max(peer.summaries[service.name].endpoints for peer in peers)
+        own_ms = self._open[region, service.name] / max(1, endpoints) * OWN_REQUEST_MS
+        away_ms = own_ms + ROUND_TRIP_MS + STALENESS_MS
         return RegionOption(
-            region,
-            self._random.choice(peers),
-            first_ms + own_ms + ROUND_TRIP_MS + STALENESS_MS,
+            region, self._random.choice(peers), best.first_ms + away_ms, best.score + away_ms
+        )
+
+    def _choice(self, summary: ServiceSummary, service: Service, generation: Generation) -> Choice:
+        """Expect of the region's best endpoint what one that is near would be expected to do."""
+        engine = service.engine
+        candidate = Candidate(
+            EndpointId("best"),
+            summary.slots,
+            engine.cache_tokens if engine is not None else 0,
+            summary.work,
+            0,
+            summary.pace,
+            0.0,
         )
+        if engine is not None:
+            return engine_choice(candidate, generation)
+        return call_choice(candidate, self._pace.call_ms(service.name))
 
 
 def _circuit(peer: PeerReport) -> EndpointId:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -130,7 +130,7 @@
             self._policy,
         )
         self._local = local
-        regions = RegionAttempts(self._loop, self._peers, self._policy.breakers)
+        regions = RegionAttempts(self._loop, self._peers, self._policy.breakers, self._policy.pace)
         relay = Relay(
             settings.region,
             self._loop,
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -9,6 +9,7 @@
 from primroseferry_core.events import Event
 from primroseferry_core.hashing import rendezvous_order
 from primroseferry_core.logs import log_event
+from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_policy.placement import Candidate
 from primroseferry_policy.placement import rank_calls
 from primroseferry_policy.placement import rank_engines
@@ -174,8 +175,15 @@
         """Return what this region has of a service, as other regions are told."""
         options = self.rank(service, TYPICAL_GENERATION, ())
         if not options:
-            return ServiceSummary(0, 0.0)
-        return ServiceSummary(len(options), options[0].choice.first_ms)
+            return ServiceSummary(0, 0, NO_WORK, 1.0)
+        best = options[0].endpoint
+        slots = service.engine.slots if service.engine is not None else max(1, best.slots)
+        return ServiceSummary(
+            len(options),
+            slots,
+            self._policy.loads.work(best.endpoint),
+            self._policy.pace.ratio(best.endpoint),
+        )
 
     def _candidate(self, endpoint: Endpoint, service: Service, generation: Generation) -> Candidate:
         policy = self._policy
@@ -228,7 +236,10 @@
             case NotRun(is_sent=True):
                 policy.breakers.release(name)
             case NotRun(reason) | Lost(reason) | StreamBroken(reason):
-                policy.breakers.fail(name)
+                if call.ended_by_deadline:
+                    policy.breakers.release(name)
+                else:
+                    policy.breakers.fail(name)
                 log_event(Event.ATTEMPT_FAILED, endpoint=name, reason=reason)
             case _:
                 policy.breakers.release(name)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
@@ -34,10 +34,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSummary:
-    """What a region has of a service: usable endpoints and the best expected first byte."""
+    """What a region has of a service: usable endpoints, and how the best of them stands.
+
+    ``work`` is the best endpoint's open work, ``pace`` how many times as long as usual it takes.
+    """
 
     endpoints: int
-    first_ms: float
+    slots: int
+    work: OpenWork
+    pace: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +95,12 @@
             for placed in report.placed
         ],
         "v": {
-            name: [summary.endpoints, round(summary.first_ms, 1)]
+            name: [
+                summary.endpoints,
+                summary.slots,
+                [summary.work.requests, summary.work.unread_tokens, summary.work.held_tokens],
+                round(summary.pace, 2),
+            ]
             for name, summary in report.summaries.items()
         },
         "k": list(report.known),
@@ -124,8 +134,10 @@
             for name, parts in data["p"]
         ),
         {
-            ServiceId(name): ServiceSummary(int(count), float(first_ms))
-            for name, (count, first_ms) in data["v"].items()
+            ServiceId(name): ServiceSummary(
+                int(count), int(slots), OpenWork(*map(int, work)), float(pace)
+            )
+            for name, (count, slots, work, pace) in data["v"].items()
         },
         tuple(map(str, data["k"])),
     )
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -230,14 +230,12 @@
             options = self._relay._local.rank(self._service, self._plan.generation, self._excluded)
             local = options[0] if options else None
         remote = self._relay._regions.best(
-            self._service.name, route.home_regions, self._excluded_regions
+            self._service, self._plan.generation, route.home_regions, self._excluded_regions
         )
         self._record.note_options(local, remote)
         if remote is None:
             return local
-        if local is None or prefers_region(
-            local.choice.first_ms, remote.first_ms, route.latency_target_ms
-        ):
+        if local is None or prefers_region(local.choice, remote):
             return remote
         return local
 
