Watch everything with one call held by two gateways a region; return later while starting

Change: one watch over all keys; only two gateways a region hold it, the others fetch from peers at once and watch themselves when no watcher gets through; circuits open at once when nothing listens; a gateway without routes asks callers back after 1 to 2.5 s.

--- a/packages/primroseferry-policy/src/primroseferry_policy/breaker.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/breaker.py
@@ -92,13 +92,17 @@
             if circuit is not None and circuit.state is BreakerState.HALF_OPEN:
                 circuit.state = BreakerState.OPEN
 
-    def fail(self, endpoint: EndpointId) -> None:
-        """Count a failure and open the circuit where there were enough."""
+    def fail(self, endpoint: EndpointId, is_certain: bool = False) -> None:
+        """Count a failure and open the circuit where there were enough.
+
+        ``is_certain`` opens it at once: nothing listens there, or nothing answers.
+        """
         with self._lock:
             circuit = self._circuits.setdefault(endpoint, _Circuit())
             circuit.failures += 1
             is_trial = circuit.state is BreakerState.HALF_OPEN
-            if not is_trial and circuit.failures < self._failures_to_open:
+            is_enough = is_certain or circuit.failures >= self._failures_to_open
+            if not is_trial and not is_enough:
                 return
             if circuit.state is BreakerState.CLOSED:
                 log_event(Event.ENDPOINT_SUSPECTED, endpoint=endpoint)
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
@@ -25,6 +25,7 @@
     from ..membership.peer_report import PeerReport
     from ..membership.peer_table import PeerTable
     from .control_state import ControlState
+    from .watch_duty import WatchDuty
 
 CONTROL_PATH = "/primroseferry/control"
 # A watch brings a change sooner than this; a gateway that lags longer asks a peer.
@@ -36,10 +37,13 @@
 class PeerSync:
     """Fetches from a peer what it holds that this gateway lacks."""
 
-    def __init__(self, loop: CurlLoop, peers: PeerTable, state: ControlState) -> None:
+    def __init__(
+        self, loop: CurlLoop, peers: PeerTable, state: ControlState, duty: WatchDuty
+    ) -> None:
         self._loop = loop
         self._peers = peers
         self._state = state
+        self._duty = duty
         self._behind_since_s: float | None = None
         self._is_fetching = threading.Lock()
 
@@ -54,7 +58,8 @@
         now_s = time.monotonic()
         if self._behind_since_s is None:
             self._behind_since_s = now_s
-        if now_s - self._behind_since_s < LAG_S and self._state.revision > 0:
+        expects_watch = self._state.revision > 0 and self._duty.is_on_duty()
+        if expects_watch and now_s - self._behind_since_s < LAG_S:
             return
         if self._is_fetching.acquire(blocking=False):
             nearest = min(ahead, key=self._distance)
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -25,6 +25,8 @@
 WATCH_MS = 2_500
 FIRST_RETRY_S = 0.15
 MAX_RETRY_S = 1.5
+# How often a gateway that leaves watching to its peers looks whether it is needed.
+DUTY_CHECK_S = 0.5
 # An outage shorter than this cannot have let entries lapse.
 OUTAGE_S = 1.0
 
@@ -38,11 +40,13 @@
         state: ControlState,
         prefix: str,
         on_return: Callable[[], None],
+        is_on_duty: Callable[[], bool],
     ) -> None:
         self._store = store
         self._state = state
         self._prefix = prefix
         self._on_return = on_return
+        self._is_on_duty = is_on_duty
         self._random = random.Random()
         self._retry_s = FIRST_RETRY_S
         self._answered_s = time.monotonic()
@@ -67,6 +71,9 @@
     def _run(self) -> None:
         after: int | None = None
         while self._is_open:
+            if self.is_listed and not self._is_on_duty():
+                time.sleep(DUTY_CHECK_S)
+                continue
             after = self._list() if after is None else self._watch(after)
 
     def _list(self) -> int | None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -28,6 +28,8 @@
 from ..control.registration import GATEWAY_PREFIX
 from ..control.registration import Registration
 from ..control.store_watch import StoreWatch
+from ..control.watch_duty import WatchDuty
+from ..control.watch_duty import oldest_answer_ms
 from ..endpoints.catalog import EndpointCatalog
 from ..forwarding.hop_server import HopServer
 from ..forwarding.region_attempts import RegionAttempts
@@ -101,7 +103,8 @@
         self._catalog = EndpointCatalog()
         self._peers = PeerTable(settings.instance, settings.region)
         self._state = ControlState(self._apply)
-        self._sync = PeerSync(self._loop, self._peers, self._state)
+        self._duty = WatchDuty(self._peers)
+        self._sync = PeerSync(self._loop, self._peers, self._state, self._duty)
         self._reporter = Reporter(
             settings.host,
             settings.report_port,
@@ -111,8 +114,14 @@
             self._tick,
         )
         self._watches = [
-            StoreWatch(self._store, self._state, prefix, self._catalog.note_store_returned)
-            for prefix in (*control_dialect.prefixes, GATEWAY_PREFIX)
+            StoreWatch(
+                self._store,
+                self._state,
+                prefix,
+                self._catalog.note_store_returned,
+                self._duty.is_on_duty,
+            )
+            for prefix in control_dialect.prefixes
         ]
         self._registration = Registration(self._store, settings.instance, self._reporter.address)
         self._build_listeners(endpoint_dialect, directory_dialect)
@@ -317,6 +326,7 @@
             self._peers.own_state,
             table.revision if table is not None else 0,
             self._state.revision,
+            oldest_answer_ms(self._watches),
             self._policy.loads.own_work(),
             tuple(self._policy.take_placed()),
             self._current_summaries(),
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -239,7 +239,8 @@
                 if call.ended_by_deadline:
                     policy.breakers.release(name)
                 else:
-                    policy.breakers.fail(name)
+                    is_unreached = isinstance(outcome, NotRun)
+                    policy.breakers.fail(name, is_certain=is_unreached)
                 log_event(Event.ATTEMPT_FAILED, endpoint=name, reason=reason)
             case _:
                 policy.breakers.release(name)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
@@ -56,7 +56,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReport:
-    """One gateway's state. ``sequence`` grows with each report of an incarnation."""
+    """One gateway's state.
+
+    ``sequence`` grows with each report of an incarnation. ``store_age_ms`` is how long ago the
+    store answered it.
+    """
 
     instance: InstanceId
     incarnation: IncarnationId
@@ -67,6 +71,7 @@
     state: GatewayState
     route_revision: int
     control_revision: int
+    store_age_ms: float
     loads: Mapping[EndpointId, OpenWork]
     placed: tuple[Placed, ...]
     summaries: Mapping[ServiceId, ServiceSummary]
@@ -86,6 +91,7 @@
         "s": report.state.value,
         "rr": report.route_revision,
         "cr": report.control_revision,
+        "sa": round(report.store_age_ms),
         "l": {
             name: [work.requests, work.unread_tokens, work.held_tokens]
             for name, work in report.loads.items()
@@ -128,6 +134,7 @@
         GatewayState(data["s"]),
         int(data["rr"]),
         int(data["cr"]),
+        float(data["sa"]),
         {EndpointId(name): OpenWork(*map(int, work)) for name, work in data["l"].items()},
         tuple(
             Placed(EndpointId(name), tuple(PromptPart(PartId(p), int(t)) for p, t in parts))
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -59,6 +59,9 @@
 # together.
 MIN_RETURN_S = 0.3
 MAX_RETURN_S = 1.5
+# A gateway that has no routes yet waits for the store or for a peer.
+MIN_START_RETURN_S = 1.0
+MAX_START_RETURN_S = 2.5
 # The endpoints' order of urgency, 0 first; a route's own priority is added to this.
 BASE_PRIORITY = 3
 MAX_PRIORITY = 9
@@ -111,7 +114,8 @@
         table = self._tables()
         if table is None:
             problem = Problem(ErrorKind.GATEWAY_NOT_READY, "no route table is known yet")
-            self._refuse(channel, record, problem, self._return_s())
+            wait_s = self._random.uniform(MIN_START_RETURN_S, MAX_START_RETURN_S)
+            self._refuse(channel, record, problem, wait_s)
             return
         record.revision = table.revision
         route = table.find(request.host.partition(":")[0], request.path)
