--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_bench.py
@@ -0,0 +1,172 @@
+"""A relay on loopback ports, with endpoints that a test scripts and headers of the tests' own."""
+
+from __future__ import annotations
+
+import socket
+import time
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import FailureDomainId
+from primroseferry_core.ids import InstanceId
+from primroseferry_core.ids import RegionId
+from primroseferry_core.ids import RequestId
+from primroseferry_policy.shared_budget import SharedRetryBudget
+from primroseferry_relay.dialect import ReplyFacts
+from primroseferry_relay.dialect import RequestFacts
+from primroseferry_relay.endpoints.catalog import EndpointCatalog
+from primroseferry_relay.endpoints.endpoint import Endpoint
+from primroseferry_relay.endpoints.endpoint import EndpointState
+from primroseferry_relay.forwarding.region_attempts import RegionAttempts
+from primroseferry_relay.ingress.listener import Listener
+from primroseferry_relay.local_attempts import LocalAttempts
+from primroseferry_relay.membership.peer_report import GatewayState
+from primroseferry_relay.membership.peer_table import PeerTable
+from primroseferry_relay.relay import Relay
+from primroseferry_relay.relay_policy import RelayPolicy
+from primroseferry_relay.routes.route import RouteKind
+from primroseferry_relay.routes.route_table import RouteTable
+from primroseferry_relay.routes.route_table import build_route_table
+from primroseferry_relay.routes.service import CallerLimits
+from primroseferry_transport.calls import Header
+
+from .test_route_table import ROUTE
+from .test_route_table import SERVICE
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from primroseferry_relay.decision import DecisionRecord
+    from primroseferry_relay.dialect import SendOrder
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from .scripted_endpoint import ScriptedEndpoint
+
+NORTH = RegionId("north")
+LIMITS = CallerLimits(max_head_bytes=2_048, max_body_bytes=10_000, head_timeout_ms=300)
+ROUTES = [
+    replace(ROUTE, name="safe", prefix="/safe/", timeout_ms=1_500),
+    replace(ROUTE, name="short", prefix="/short/", timeout_ms=150),
+    replace(ROUTE, name="once", prefix="/once/", kind=RouteKind.NON_IDEMPOTENT, timeout_ms=1_500),
+    replace(ROUTE, name="stream", prefix="/stream/", kind=RouteKind.STREAM, timeout_ms=3_000),
+    replace(
+        ROUTE,
+        name="resumable",
+        prefix="/resumable/",
+        kind=RouteKind.STREAM,
+        timeout_ms=3_000,
+        is_resumable=True,
+    ),
+]
+
+
+class TestDialect:
+    """Headers of the tests' own."""
+
+    __test__ = False
+
+    def read_request(self, headers: Sequence[Header]) -> RequestFacts:
+        values = {header.name.lower(): header.value for header in headers}
+        deadline = values.get("x-deadline")
+        return RequestFacts(
+            RequestId(values.get("x-id", "")),
+            float(deadline) if deadline else None,
+            last_event_id=values.get("last-event-id", ""),
+        )
+
+    def endpoint_headers(self, headers: Sequence[Header], order: SendOrder) -> list[Header]:
+        passed = [header for header in headers if header.name.lower() != "last-event-id"]
+        passed.append(Header("X-Left", str(int(order.deadline_ms))))
+        passed.append(Header("X-Endpoint", order.endpoint))
+        if order.last_event_id:
+            passed.append(Header("Last-Event-Id", order.last_event_id))
+        return passed
+
+    def read_reply(self, headers: Mapping[str, str]) -> ReplyFacts:
+        return ReplyFacts(headers.get("x-id", ""), "x-not-run" in headers, "x-signed" in headers)
+
+
+class RelayBench:
+    """The relay and a way to call it byte by byte."""
+
+    def __init__(
+        self, loop: CurlLoop, endpoints: Sequence[ScriptedEndpoint], has_table: bool = True
+    ) -> None:
+        self.records: list[DecisionRecord] = []
+        self.catalog = EndpointCatalog()
+        for number, endpoint in enumerate(endpoints):
+            self.catalog.put(
+                Endpoint(
+                    EndpointId(f"e-{number}"),
+                    SERVICE.name,
+                    endpoint.address,
+                    FailureDomainId("north-a"),
+                    NORTH,
+                    6,
+                    EndpointState.READY,
+                    0.0,
+                    1,
+                )
+            )
+        self.table: RouteTable | None = None
+        if has_table:
+            self.table = build_route_table(4, ROUTES, [SERVICE], LIMITS)
+        peers = PeerTable(InstanceId("g-1"), NORTH)
+        peers.own_state = GatewayState.READY
+        self.policy = RelayPolicy(SharedRetryBudget(10, 0.2, 50))
+        dialect = TestDialect()
+        local = LocalAttempts(NORTH, loop, dialect, self.catalog, peers, self.policy)
+        regions = RegionAttempts(loop, peers, self.policy.breakers, self.policy.pace)
+        relay = Relay(
+            NORTH,
+            loop,
+            dialect,
+            lambda: self.table,
+            local,
+            regions,
+            peers,
+            self.policy,
+            self.records.append,
+        )
+        self.listener = Listener("front", "127.0.0.1", 0, relay.serve, lambda: LIMITS, loop, 16)
+        self.listener.start()
+
+    def connect(self) -> socket.socket:
+        connection = socket.create_connection(("127.0.0.1", self.listener.port))
+        connection.settimeout(5)
+        return connection
+
+    def call(self, path: str, method: str = "GET", headers: str = "", body: bytes = b"") -> bytes:
+        """Send one request and return everything until the gateway closes."""
+        with self.connect() as connection:
+            connection.sendall(request_bytes(path, method, headers + "Connection: close\r\n", body))
+            return read_all(connection)
+
+    def wait_records(self, count: int = 1) -> list[DecisionRecord]:
+        """Wait until so many requests are done."""
+        limit_s = time.monotonic() + 5
+        while len(self.records) < count and time.monotonic() < limit_s:
+            time.sleep(0.01)
+        return self.records
+
+
+def request_bytes(path: str, method: str = "GET", headers: str = "", body: bytes = b"") -> bytes:
+    """Return the bytes of one request."""
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    head = f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nX-Id: r1\r\n{length}{headers}\r\n"
+    return head.encode("latin-1") + body
+
+
+def read_all(connection: socket.socket) -> bytes:
+    """Read until the far side closes."""
+    data = b""
+    while True:
+        try:
+            piece = connection.recv(65_536)
+        except ConnectionError:
+            return data
+        if not piece:
+            return data
+        data += piece
--- /dev/null
+++ b/packages/primroseferry-relay/tests/scripted_endpoint.py
@@ -0,0 +1,94 @@
+"""An endpoint whose answers a test writes, on a loopback port."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@dataclass
+class Received:
+    """One request as it arrived, and whether the gateway closed the connection on it."""
+
+    head: str
+    body: bytes
+    closed: threading.Event = field(default_factory=threading.Event)
+
+    def header(self, name: str) -> str:
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return ""
+
+
+class ScriptedEndpoint:
+    """Calls ``script(connection, request)`` for each connection, then closes it."""
+
+    def __init__(self, script: Callable[[socket.socket, Received], None]) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self.requests: list[Received] = []
+        self._script = script
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self) -> None:
+        self._listener.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        with connection, contextlib.suppress(OSError):
+            data = b""
+            while b"\r\n\r\n" not in data:
+                data += connection.recv(65_536)
+            head, _, body = data.partition(b"\r\n\r\n")
+            request = Received(head.decode("latin-1"), body)
+            length = int(request.header("content-length") or 0)
+            while len(request.body) < length:
+                request.body += connection.recv(65_536)
+            self.requests.append(request)
+            self._script(connection, request)
+
+
+def answer(
+    request: Received, status: str = "200 OK", body: bytes = b"done", extra: str = ""
+) -> bytes:
+    """Return a signed answer to a request with a length."""
+    head = (
+        f"HTTP/1.1 {status}\r\nX-Id: {request.header('x-id')}\r\nX-Signed: yes\r\n"
+        f"Content-Length: {len(body)}\r\n{extra}\r\n"
+    )
+    return head.encode() + body
+
+
+def stream_head(request: Received) -> bytes:
+    """Return the head of a chunked stream of events."""
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Id: {request.header('x-id')}\r\nX-Signed: yes\r\n"
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of a stream."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def reset(connection: socket.socket) -> None:
+    """Make the close of a connection a reset."""
+    linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- /dev/null
+++ b/packages/primroseferry-relay/tests/test_catalog.py
@@ -0,0 +1,103 @@
+from __future__ import annotations
+
+from dataclasses import replace
+
+from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import FailureDomainId
+from primroseferry_core.ids import RegionId
+from primroseferry_core.ids import ServiceId
+from primroseferry_relay.endpoints.catalog import RETURN_S
+from primroseferry_relay.endpoints.catalog import EndpointCatalog
+from primroseferry_relay.endpoints.endpoint import Endpoint
+from primroseferry_relay.endpoints.endpoint import EndpointState
+
+SERVICE = ServiceId("orders")
+ENDPOINT = Endpoint(
+    EndpointId("e-1"),
+    SERVICE,
+    "10.0.0.1:80",
+    FailureDomainId("north-a"),
+    RegionId("north"),
+    6,
+    EndpointState.READY,
+    0.0,
+    1_000,
+)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+def test_draining_endpoint_takes_no_new_work() -> None:
+    catalog = EndpointCatalog()
+    catalog.put(ENDPOINT)
+    assert catalog.usable(SERVICE) == [ENDPOINT]
+    catalog.put(replace(ENDPOINT, state=EndpointState.DRAINING))
+    assert catalog.usable(SERVICE) == []
+    assert not catalog.may_use(ENDPOINT)
+
+
+def test_removed_endpoint_is_gone_at_once() -> None:
+    catalog = EndpointCatalog()
+    catalog.put(ENDPOINT)
+    catalog.remove(ENDPOINT.endpoint)
+    assert catalog.usable(SERVICE) == []
+
+
+def test_removal_after_an_outage_waits_for_the_entry_to_come_back() -> None:
+    clock = Clock()
+    catalog = EndpointCatalog(clock)
+    catalog.put(ENDPOINT)
+    catalog.note_store_returned()
+    catalog.remove(ENDPOINT.endpoint)
+    assert catalog.usable(SERVICE) == [ENDPOINT]
+    catalog.put(ENDPOINT)
+    clock.now_s += RETURN_S + 1
+    assert catalog.usable(SERVICE) == [ENDPOINT]
+
+
+def test_entry_still_missing_after_an_outage_is_gone() -> None:
+    clock = Clock()
+    catalog = EndpointCatalog(clock)
+    catalog.put(ENDPOINT)
+    catalog.note_store_returned()
+    catalog.replace_all([])
+    assert catalog.may_use(ENDPOINT)
+    clock.now_s += RETURN_S
+    assert not catalog.may_use(ENDPOINT)
+    assert catalog.usable(SERVICE) == []
+
+
+def test_evacuated_domain_is_closed_until_taken_back() -> None:
+    catalog = EndpointCatalog()
+    catalog.put(ENDPOINT)
+    catalog.set_evacuated(frozenset({FailureDomainId("north-a")}))
+    assert catalog.usable(SERVICE) == []
+    catalog.set_evacuated(frozenset())
+    assert catalog.usable(SERVICE) == [ENDPOINT]
+
+
+def test_reused_id_is_not_the_same_run() -> None:
+    catalog = EndpointCatalog()
+    catalog.put(ENDPOINT)
+    catalog.put(replace(ENDPOINT, started_ms=2_000))
+    assert not catalog.may_use(ENDPOINT)
+
+
+def test_cold_endpoint_stays_cold_for_the_time_it_says() -> None:
+    clock = Clock()
+    catalog = EndpointCatalog(clock)
+    cold = replace(ENDPOINT, cold_left_ms=3_000)
+    catalog.put(cold)
+    clock.now_s += 2.0
+    catalog.put(cold)
+    assert catalog.is_cold(ENDPOINT.endpoint)
+    clock.now_s += 1.5
+    assert not catalog.is_cold(ENDPOINT.endpoint)
+    catalog.set_cold(ENDPOINT.endpoint, 500)
+    assert catalog.is_cold(ENDPOINT.endpoint)
