--- a/packages/primroseferry-policy/src/primroseferry_policy/placement.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -33,7 +33,7 @@
 # Among endpoints with free slots the one with fewer open calls goes first.
 BUSY_WEIGHT = 0.1
 # Reading tokens again costs capacity that others need: what a cached part counts beyond its time.
-REREAD_WEIGHT = 1.5
+REREAD_WEIGHT = 4.0
 
 
 @dataclass(frozen=True, slots=True)
