Tell each placement at once in a note; send whole reports in turns; name only watchers in the store

Reports went to eight peers in 100 ms, so each gateway chose by loads up to 0.4 s old, together with some 28 others; far peers were heard each 3 s, beyond the 2 s after which they count as gone. 1,579 calls on the store: every gateway listed, watched and registered at its start.

Change: a datagram for each request given to an endpoint; reports correct them in turns whose length the timeouts follow; the newest report of a region speaks for it; starting gateways wait up to 0.3 s for a peer's state; only gateways on watch duty have a key in the store.

--- a/packages/primroseferry-policy/src/primroseferry_policy/endpoint_loads.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/endpoint_loads.py
@@ -55,6 +55,7 @@
         self._clock_s = clock_s
         self._own: dict[EndpointId, dict[int, OpenRequest]] = {}
         self._peers: dict[InstanceId, Mapping[EndpointId, OpenWork]] = {}
+        self._notes: dict[InstanceId, dict[EndpointId, OpenWork]] = {}
         self._lock = threading.Lock()
 
     def begin(
@@ -85,14 +86,22 @@
                 self._own.pop(request.endpoint, None)
 
     def hear_peer(self, instance: InstanceId, loads: Mapping[EndpointId, OpenWork]) -> None:
-        """Take in the open work of another gateway."""
+        """Take in all open work of another gateway; it holds what was noted singly before."""
         with self._lock:
             self._peers[instance] = loads
+            self._notes.pop(instance, None)
+
+    def hear_begin(self, instance: InstanceId, endpoint: EndpointId, work: OpenWork) -> None:
+        """Take in one request that another gateway just gave to an endpoint."""
+        with self._lock:
+            notes = self._notes.setdefault(instance, {})
+            notes[endpoint] = notes.get(endpoint, NO_WORK) + work
 
     def forget_peer(self, instance: InstanceId) -> None:
         """Drop what a gateway told that is gone."""
         with self._lock:
             self._peers.pop(instance, None)
+            self._notes.pop(instance, None)
 
     def own_work(self) -> dict[EndpointId, OpenWork]:
         """Return this gateway's open work, as it tells it to its peers."""
@@ -105,6 +114,8 @@
             total = _sum(self._own.get(endpoint, {}))
             for loads in self._peers.values():
                 total = total + loads.get(endpoint, NO_WORK)
+            for notes in self._notes.values():
+                total = total + notes.get(endpoint, NO_WORK)
             return total
 
     def overdue_ms(self, endpoint: EndpointId) -> float:
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/registration.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/registration.py
@@ -1,4 +1,8 @@
-"""Names this gateway in the store, so that others find it: one key under a lease."""
+"""Names this gateway in the store, so that others find it: one key under a lease.
+
+Only the few gateways that watch the store are named there. A gateway whose seeds are all gone finds
+one of them, and hears of all others from it.
+"""
 
 from __future__ import annotations
 
@@ -14,6 +18,8 @@
 from .metadata_store import StoreFailure
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from primroseferry_core.ids import InstanceId
 
     from .metadata_store import LeaseId
@@ -23,12 +29,22 @@
 LEASE_MS = 20_000
 RENEW_S = 6.0
 RETRY_S = 2.0
+# By then the other gateways' reports tell who is to be named.
+FIRST_WAIT_S = 1.0
+DUTY_CHECK_S = 2.0
 
 
 class Registration:
     """Keeps the key as long as the gateway runs, on a thread of its own."""
 
-    def __init__(self, store: MetadataStore, instance: InstanceId, report_address: str) -> None:
+    def __init__(
+        self,
+        store: MetadataStore,
+        instance: InstanceId,
+        report_address: str,
+        is_on_duty: Callable[[], bool],
+    ) -> None:
+        self._is_on_duty = is_on_duty
         self._store = store
         self._key = f"{GATEWAY_PREFIX}{instance}"
         self._value = report_address.encode()
@@ -50,8 +66,11 @@
                     log_event(Event.REGISTRATION_FAILED, reason=failure.value)
 
     def _run(self) -> None:
-        wait_s = 0.0
+        wait_s = FIRST_WAIT_S
         while not self._stopping.wait(wait_s):
+            if self._lease is None and not self._is_on_duty():
+                wait_s = DUTY_CHECK_S
+                continue
             failure = self._renew() if self._lease is not None else self._register()
             if failure is not None:
                 log_event(Event.REGISTRATION_FAILED, reason=failure.value)
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -25,6 +25,8 @@
 WATCH_MS = 2_500
 FIRST_RETRY_S = 0.15
 MAX_RETRY_S = 1.5
+# Gateways that start together do not all list the store: the first tell the others.
+MAX_START_WAIT_S = 0.3
 # How often a gateway that leaves watching to its peers looks whether it is needed.
 DUTY_CHECK_S = 0.5
 # An outage shorter than this cannot have let entries lapse.
@@ -70,8 +72,10 @@
 
     def _run(self) -> None:
         after: int | None = None
+        time.sleep(self._random.uniform(0.0, MAX_START_WAIT_S))
         while self._is_open:
-            if self.is_listed and not self._is_on_duty():
+            is_known = self.is_listed or self._state.revision > 0
+            if is_known and not self._is_on_duty():
                 time.sleep(DUTY_CHECK_S)
                 continue
             after = self._list() if after is None else self._watch(after)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -137,21 +137,17 @@
     def _option(
         self, region: RegionId, service: Service, generation: Generation
     ) -> RegionOption | None:
+        newest = self._peers.newest_ready(region)
+        summary = newest.summaries.get(service.name) if newest is not None else None
         peers = [
             peer
             for peer in self._peers.ready_peers(region)
-            if service.name in peer.summaries and self._breakers.permits(_circuit(peer))
+            if self._breakers.permits(_circuit(peer))
         ]
-        choices = [
-            self._choice(summary, service, generation)
-            for peer in peers
-            if (summary := peer.summaries[service.name]).endpoints > 0
-        ]
-        if not choices:
+        if summary is None or summary.endpoints == 0 or not peers:
             return None
-        best = min(choices, key=lambda choice: choice.score)
-        endpoints = max(peer.summaries[service.name].endpoints for peer in peers)
-        own_ms = self._open[region, service.name] / max(1, endpoints) * OWN_REQUEST_MS
+        best = self._choice(summary, service, generation)
+        own_ms = self._open[region, service.name] / summary.endpoints * OWN_REQUEST_MS
         away_ms = own_ms + ROUND_TRIP_MS + STALENESS_MS
         return RegionOption(
             region, self._random.choice(peers), best.first_ms + away_ms, best.score + away_ms
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -39,6 +39,7 @@
 from ..membership.peer_report import GatewayState
 from ..membership.peer_report import PeerAddress
 from ..membership.peer_report import PeerReport
+from ..membership.peer_report import PlacementNote
 from ..membership.peer_report import ServiceSummary
 from ..membership.peer_table import PeerTable
 from ..membership.reporter import Reporter
@@ -109,8 +110,10 @@
             settings.host,
             settings.report_port,
             self._peers,
+            self._incarnation,
             self._own_report,
             self._hear,
+            self._hear_note,
             self._tick,
         )
         self._watches = [
@@ -123,7 +126,9 @@
             )
             for prefix in control_dialect.prefixes
         ]
-        self._registration = Registration(self._store, settings.instance, self._reporter.address)
+        self._registration = Registration(
+            self._store, settings.instance, self._reporter.address, self._duty.is_on_duty
+        )
         self._build_listeners(endpoint_dialect, directory_dialect)
 
     def _build_listeners(
@@ -137,6 +142,7 @@
             self._catalog,
             self._peers,
             self._policy,
+            self._reporter.tell_placed,
         )
         self._local = local
         regions = RegionAttempts(self._loop, self._peers, self._policy.breakers, self._policy.pace)
@@ -300,14 +306,16 @@
         if report.region != self._settings.region:
             return
         self._policy.loads.hear_peer(report.instance, report.loads)
+
+    def _hear_note(self, note: PlacementNote) -> None:
+        placed = note.placed
+        self._policy.loads.hear_begin(note.instance, placed.endpoint, placed.work)
         table = self._table
-        entries = self._catalog.entries()
-        for placed in report.placed:
-            endpoint = entries.get(placed.endpoint)
-            service = table.services.get(endpoint.service) if table and endpoint else None
-            if service is not None and service.engine is not None:
-                tokens = service.engine.cache_tokens
-                self._policy.parts.note_read(placed.endpoint, placed.parts, tokens)
+        endpoint = self._catalog.entries().get(placed.endpoint)
+        service = table.services.get(endpoint.service) if table and endpoint else None
+        if service is not None and service.engine is not None:
+            tokens = service.engine.cache_tokens
+            self._policy.parts.note_read(placed.endpoint, placed.parts, tokens)
 
     def _tick(self) -> None:
         for instance in self._peers.expire():
@@ -328,7 +336,6 @@
             self._state.revision,
             oldest_answer_ms(self._watches),
             self._policy.loads.own_work(),
-            tuple(self._policy.take_placed()),
             self._current_summaries(),
             known,
         )
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -10,6 +10,7 @@
 from primroseferry_core.hashing import rendezvous_order
 from primroseferry_core.logs import log_event
 from primroseferry_policy.endpoint_loads import NO_WORK
+from primroseferry_policy.endpoint_loads import OpenWork
 from primroseferry_policy.placement import Candidate
 from primroseferry_policy.placement import rank_calls
 from primroseferry_policy.placement import rank_engines
@@ -24,6 +25,7 @@
 from .attempts.outcome import StreamEnded
 from .dialect import SendOrder
 from .membership.peer_report import ServiceSummary
+from .relay_policy import Placed
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -95,6 +97,7 @@
         catalog: EndpointCatalog,
         peers: PeerTable,
         policy: RelayPolicy,
+        on_placed: Callable[[Placed], None],
     ) -> None:
         self._region = region
         self._loop = loop
@@ -102,6 +105,7 @@
         self._catalog = catalog
         self._peers = peers
         self._policy = policy
+        self._on_placed = on_placed
 
     def rank(
         self, service: Service, generation: Generation, excluded: Collection[EndpointId]
@@ -154,8 +158,11 @@
         opened = policy.loads.begin(
             endpoint.endpoint, plan.generation, choice.unread_tokens, choice.first_ms
         )
+        parts = plan.generation.parts
         if service.engine is not None:
-            policy.note_placed(endpoint.endpoint, plan.generation, service.engine.cache_tokens)
+            policy.parts.note_read(endpoint.endpoint, parts, service.engine.cache_tokens)
+        work = OpenWork(1, choice.unread_tokens, plan.generation.held_tokens)
+        self._on_placed(Placed(endpoint.endpoint, work, parts))
         call = EndpointCall(
             self._loop,
             self._dialect,
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
@@ -73,11 +73,35 @@
     control_revision: int
     store_age_ms: float
     loads: Mapping[EndpointId, OpenWork]
-    placed: tuple[Placed, ...]
     summaries: Mapping[ServiceId, ServiceSummary]
     known: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementNote:
+    """One request that a gateway just gave to an endpoint; its next report includes it."""
+
+    instance: InstanceId
+    incarnation: IncarnationId
+    sequence: int
+    placed: Placed
+
+
+def encode_note(note: PlacementNote) -> bytes:
+    """Return the datagram of a note."""
+    placed = note.placed
+    work = placed.work
+    data = [
+        note.instance,
+        note.incarnation,
+        note.sequence,
+        placed.endpoint,
+        [work.requests, work.unread_tokens, work.held_tokens],
+        [[part.part, part.tokens] for part in placed.parts],
+    ]
+    return json.dumps(data, separators=(",", ":")).encode()
+
+
 def encode_report(report: PeerReport) -> bytes:
     """Return the datagram of a report."""
     address = report.address
@@ -96,10 +120,6 @@
             name: [work.requests, work.unread_tokens, work.held_tokens]
             for name, work in report.loads.items()
         },
-        "p": [
-            [placed.endpoint, [[part.part, part.tokens] for part in placed.parts]]
-            for placed in report.placed
-        ],
         "v": {
             name: [
                 summary.endpoints,
@@ -114,14 +134,29 @@
     return json.dumps(data, separators=(",", ":")).encode()
 
 
-def decode_report(datagram: bytes) -> PeerReport | None:
-    """Return the report of a datagram, ``None`` where it holds none."""
+def decode_datagram(datagram: bytes) -> PeerReport | PlacementNote | None:
+    """Return the report or note of a datagram, ``None`` where it holds none."""
     try:
-        return _report(json.loads(datagram))
+        data = json.loads(datagram)
+        return _note(data) if isinstance(data, list) else _report(data)
     except (ValueError, KeyError, TypeError, IndexError, AttributeError):
         return None
 
 
+def _note(data: Any) -> PlacementNote:
+    instance, incarnation, sequence, endpoint, work, parts = data
+    return PlacementNote(
+        InstanceId(instance),
+        IncarnationId(incarnation),
+        int(sequence),
+        Placed(
+            EndpointId(endpoint),
+            OpenWork(*map(int, work)),
+            tuple(PromptPart(PartId(part), int(tokens)) for part, tokens in parts),
+        ),
+    )
+
+
 def _report(data: Any) -> PeerReport:
     front, hop, report = data["a"]
     return PeerReport(
@@ -136,10 +171,6 @@
         int(data["cr"]),
         float(data["sa"]),
         {EndpointId(name): OpenWork(*map(int, work)) for name, work in data["l"].items()},
-        tuple(
-            Placed(EndpointId(name), tuple(PromptPart(PartId(p), int(t)) for p, t in parts))
-            for name, parts in data["p"]
-        ),
         {
             ServiceId(name): ServiceSummary(
                 int(count), int(slots), OpenWork(*map(int, work)), float(pace)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -20,9 +20,12 @@
     from primroseferry_core.ids import RegionId
 
     from .peer_report import PeerReport
+    from .peer_report import PlacementNote
 
-# A gateway that is silent for so long is not named to callers: several reports in a row are lost.
+# A gateway that is silent for so long is not named to callers.
 LIVE_S = 2.0
+# In a large fleet reports come in turns; a gateway is silent when it missed so many turns.
+LIVE_TURNS = 3
 # A gateway that is silent for so long is forgotten; the store or a peer may name it again.
 FORGET_S = 30.0
 
@@ -30,6 +33,7 @@
 @dataclass(slots=True)
 class _Heard:
     report: PeerReport
+    reported_s: float
     heard_s: float
     is_live: bool = True
 
@@ -49,6 +53,8 @@
         self._clock_s = clock_s
         self._heard: dict[InstanceId, _Heard] = {}
         self._candidates: set[str] = set()
+        self._near_live_s = LIVE_S
+        self._far_live_s = LIVE_S
         self._lock = threading.Lock()
 
     def add_candidates(self, addresses: Iterable[str]) -> None:
@@ -56,6 +62,20 @@
         with self._lock:
             self._candidates.update(addresses)
 
+    def set_turns(self, near_turn_s: float, far_turn_s: float) -> None:
+        """Set how often gateways of this region, and those of others, are heard."""
+        self._near_live_s = max(LIVE_S, LIVE_TURNS * near_turn_s)
+        self._far_live_s = max(LIVE_S, LIVE_TURNS * far_turn_s)
+
+    def hear_note(self, note: PlacementNote) -> bool:
+        """Take in a sign of life; ``False`` where a report that is as new includes the note."""
+        with self._lock:
+            held = self._heard.get(note.instance)
+            if held is None or held.report.incarnation != note.incarnation:
+                return False
+            held.heard_s = self._clock_s()
+            return note.sequence >= held.report.sequence
+
     def hear(self, report: PeerReport) -> bool:
         """Take in a report; ``False`` where a newer one of the same incarnation is known."""
         if report.instance == self.own_instance:
@@ -68,7 +88,7 @@
                 was_live = held.is_live
             else:
                 was_live = False
-            self._heard[report.instance] = _Heard(report, self._clock_s())
+            self._heard[report.instance] = _Heard(report, self._clock_s(), self._clock_s())
             self._candidates.add(report.address.report)
             self._candidates.update(report.known)
         if not was_live:
@@ -82,7 +102,7 @@
         with self._lock:
             for instance, heard in list(self._heard.items()):
                 silent_s = now_s - heard.heard_s
-                if heard.is_live and silent_s > LIVE_S:
+                if heard.is_live and silent_s > self._live_s(heard.report):
                     heard.is_live = False
                     lost.append(instance)
                 if silent_s > FORGET_S:
@@ -94,12 +114,29 @@
 
     def live(self) -> list[PeerReport]:
         """Return the last report of each gateway that lives, without this one."""
+        return [heard.report for heard in self._live_heard()]
+
+    def newest_ready(self, region: RegionId) -> PeerReport | None:
+        """Return the report that was heard last of a region's ready gateways."""
+        heard = [
+            heard
+            for heard in self._live_heard()
+            if heard.report.region == region and heard.report.state is GatewayState.READY
+        ]
+        return max(heard, key=lambda one: one.reported_s).report if heard else None
+
+    def _live_heard(self) -> list[_Heard]:
         now_s = self._clock_s()
         with self._lock:
             return [
-                heard.report for heard in self._heard.values() if now_s - heard.heard_s <= LIVE_S
+                heard
+                for heard in self._heard.values()
+                if now_s - heard.heard_s <= self._live_s(heard.report)
             ]
 
+    def _live_s(self, report: PeerReport) -> float:
+        return self._near_live_s if report.region == self.own_region else self._far_live_s
+
     def live_count(self) -> int:
         """Return how many gateways live, with this one."""
         return len(self.live()) + 1
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -1,12 +1,14 @@
 """Sends this gateway's report to the others and hears theirs, on one thread and one UDP port.
 
-Gateways of the region hear each report, so that placement agrees on what endpoints have to do.
-Gateways of other regions and addresses that never answered hear every third one. In a large fleet
-each tick serves a part of the peers, in turn.
+Gateways of the region hear of each request that is given to an endpoint at once, in a note of its
+own, so that placement agrees on what endpoints have to do. Whole reports correct what notes were
+lost and tell what ended; they go to a bounded number of gateways in each tick, in turn, near ones
+more often than far ones.
 """
 
 from __future__ import annotations
 
+import math
 import random
 import socket
 import threading
@@ -16,18 +18,24 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
-from .peer_report import decode_report
+from .peer_report import PeerReport
+from .peer_report import PlacementNote
+from .peer_report import decode_datagram
+from .peer_report import encode_note
 from .peer_report import encode_report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .peer_report import PeerReport
+    from primroseferry_core.ids import IncarnationId
+
+    from ..relay_policy import Placed
     from .peer_table import PeerTable
 
 TICK_S = 0.1
-# Datagrams sent in one tick at most; a fleet with more peers is served in turns.
-MAX_SENT_PER_TICK = 8
+# Reports sent to gateways of the region in one tick, and to all others in every third one.
+NEAR_PER_TICK = 4
+FAR_PER_TURN = 8
 FAR_EVERY_TICKS = 3
 MAX_DATAGRAM_BYTES = 60_000
 KNOWN_SAMPLE = 4
@@ -41,20 +49,26 @@
         host: str,
         port: int,
         peers: PeerTable,
+        incarnation: IncarnationId,
         own_report: Callable[[int, tuple[str, ...]], PeerReport],
         on_report: Callable[[PeerReport], None],
+        on_note: Callable[[PlacementNote], None],
         on_tick: Callable[[], None],
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
         self.address = f"{host}:{self._socket.getsockname()[1]}"
         self._peers = peers
+        self._incarnation = incarnation
         self._own_report = own_report
         self._on_report = on_report
+        self._on_note = on_note
         self._on_tick = on_tick
         self._sequence = 0
         self._tick = 0
-        self._turn = 0
+        self._near_turn = _Turn(NEAR_PER_TICK)
+        self._far_turn = _Turn(FAR_PER_TURN)
+        self._near: list[tuple[str, int]] = []
         self._random = random.Random()
         self._is_open = True
         self._thread = threading.Thread(target=self._run, name="reporter", daemon=True)
@@ -67,6 +81,15 @@
         """Tell every peer at once, because something changed that they must know."""
         self._send(self._peers.report_addresses())
 
+    def tell_placed(self, placed: Placed) -> None:
+        """Tell the region's gateways of a request that an endpoint was just given."""
+        if not self._near:
+            return
+        note = PlacementNote(self._peers.own_instance, self._incarnation, self._sequence, placed)
+        datagram = encode_note(note)
+        for address in self._near:
+            self._send_to(address, datagram)
+
     def stop(self) -> None:
         """Stop exchanging reports."""
         self._is_open = False
@@ -92,26 +115,38 @@
             log_event(Event.PEER_EXCHANGE_FAILED, reason=f"receive: {error}")
             time.sleep(0.01)
             return
-        report = decode_report(datagram)
-        if report is None:
-            log_event(Event.PEER_EXCHANGE_FAILED, reason="a datagram cannot be read")
-            return
-        if self._peers.hear(report):
-            self._on_report(report)
+        match decode_datagram(datagram):
+            case PeerReport() as report:
+                if self._peers.hear(report):
+                    self._on_report(report)
+            case PlacementNote() as note:
+                if self._peers.hear_note(note):
+                    self._on_note(note)
+            case None:
+                log_event(Event.PEER_EXCHANGE_FAILED, reason="a datagram cannot be read")
 
     def _receivers(self) -> list[str]:
         self._tick += 1
-        near = {report.address.report for report in self._peers.ready_peers(self._peers.own_region)}
-        everyone = [name for name in self._peers.report_addresses() if name != self.address]
+        near = sorted(
+            report.address.report
+            for report in self._peers.live()
+            if report.region == self._peers.own_region
+        )
+        self._near = [_host_and_port(address) for address in near]
+        near_names = set(near)
+        far = [
+            name
+            for name in self._peers.report_addresses()
+            if name != self.address and name not in near_names
+        ]
+        self._peers.set_turns(
+            self._near_turn.period(len(near)) * TICK_S,
+            self._far_turn.period(len(far)) * TICK_S * FAR_EVERY_TICKS,
+        )
+        chosen = self._near_turn.take(near)
         if self._tick % FAR_EVERY_TICKS == 0:
-            chosen = everyone
-        else:
-            chosen = [name for name in everyone if name in near]
-        if len(chosen) <= MAX_SENT_PER_TICK:
-            return chosen
-        start = self._turn % len(chosen)
-        self._turn += MAX_SENT_PER_TICK
-        return (chosen[start:] + chosen[:start])[:MAX_SENT_PER_TICK]
+            chosen += self._far_turn.take(far)
+        return chosen
 
     def _send(self, receivers: list[str]) -> None:
         if not receivers:
@@ -123,8 +158,35 @@
         for receiver in receivers:
             if receiver == self.address:
                 continue
-            host, _, port = receiver.rpartition(":")
-            try:
-                self._socket.sendto(datagram, (host, int(port)))
-            except (OSError, ValueError) as error:
-                log_event(Event.PEER_EXCHANGE_FAILED, peer=receiver, reason=f"send: {error}")
+            self._send_to(_host_and_port(receiver), datagram)
+
+    def _send_to(self, address: tuple[str, int], datagram: bytes) -> None:
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError as error:
+            log_event(Event.PEER_EXCHANGE_FAILED, peer=address[0], reason=f"send: {error}")
+
+
+class _Turn:
+    """Chooses the next few of a list, each in its turn."""
+
+    def __init__(self, size: int) -> None:
+        self._size = size
+        self._start = 0
+
+    def period(self, count: int) -> int:
+        """Return after how many calls each of ``count`` had its turn."""
+        return max(1, math.ceil(count / self._size))
+
+    def take(self, names: list[str]) -> list[str]:
+        """Return the next ones."""
+        if len(names) <= self._size:
+            return list(names)
+        start = self._start % len(names)
+        self._start = start + self._size
+        return (names[start:] + names[:start])[: self._size]
+
+
+def _host_and_port(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port) if port.isdecimal() else 0
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import threading
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -17,18 +16,16 @@
 
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
-    from primroseferry_policy.prompt import Generation
+    from primroseferry_policy.endpoint_loads import OpenWork
     from primroseferry_policy.prompt import PromptPart
 
-# Placements kept for the next report to the peers; older ones are dropped, which costs a reading.
-MAX_PLACED = 64
-
 
 @dataclass(frozen=True, slots=True)
 class Placed:
-    """A prompt that an endpoint reads, as it is told to the region's other gateways."""
+    """A request given to an endpoint, as the region's other gateways are told at once."""
 
     endpoint: EndpointId
+    work: OpenWork
     parts: tuple[PromptPart, ...]
 
 
@@ -43,23 +40,6 @@
     parts: PartCache = field(default_factory=PartCache)
     cold_gate: ColdGate = field(default_factory=ColdGate)
     quarantine: Quarantine = field(default_factory=Quarantine)
-    _placed: list[Placed] = field(default_factory=list)
-    _lock: threading.Lock = field(default_factory=threading.Lock)
-
-    def note_placed(self, endpoint: EndpointId, generation: Generation, cache_tokens: int) -> None:
-        """Note the parts that an endpoint is about to read."""
-        if not generation.parts:
-            return
-        self.parts.note_read(endpoint, generation.parts, cache_tokens)
-        with self._lock:
-            self._placed.append(Placed(endpoint, generation.parts[:-1]))
-            del self._placed[:-MAX_PLACED]
-
-    def take_placed(self) -> list[Placed]:
-        """Return what was placed since the last call."""
-        with self._lock:
-            placed, self._placed = self._placed, []
-        return placed
 
     def forget(self, endpoint: EndpointId) -> None:
         """Drop what is known of an endpoint, because its process is new or gone."""
--- a/packages/primroseferry-relay/tests/relay_bench.py
+++ b/packages/primroseferry-relay/tests/relay_bench.py
@@ -24,6 +24,7 @@
 from primroseferry_relay.membership.peer_report import GatewayState
 from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.relay import Relay
+from primroseferry_relay.relay_policy import Placed
 from primroseferry_relay.relay_policy import RelayPolicy
 from primroseferry_relay.routes.route import RouteKind
 from primroseferry_relay.routes.route_table import RouteTable
@@ -95,6 +96,7 @@
         self, loop: CurlLoop, endpoints: Sequence[ScriptedEndpoint], has_table: bool = True
     ) -> None:
         self.records: list[DecisionRecord] = []
+        self.placed: list[Placed] = []
         self.catalog = EndpointCatalog()
         for number, endpoint in enumerate(endpoints):
             self.catalog.put(
@@ -117,7 +119,9 @@
         peers.own_state = GatewayState.READY
         self.policy = RelayPolicy(SharedRetryBudget(10, 0.2, 50))
         dialect = TestDialect()
-        local = LocalAttempts(NORTH, loop, dialect, self.catalog, peers, self.policy)
+        local = LocalAttempts(
+            NORTH, loop, dialect, self.catalog, peers, self.policy, self.placed.append
+        )
         regions = RegionAttempts(loop, peers, self.policy.breakers, self.policy.pace)
         relay = Relay(
             NORTH,
--- a/packages/primroseferry-relay/tests/test_peer_table.py
+++ b/packages/primroseferry-relay/tests/test_peer_table.py
@@ -16,8 +16,10 @@
 from primroseferry_relay.membership.peer_report import GatewayState
 from primroseferry_relay.membership.peer_report import PeerAddress
 from primroseferry_relay.membership.peer_report import PeerReport
+from primroseferry_relay.membership.peer_report import PlacementNote
 from primroseferry_relay.membership.peer_report import ServiceSummary
-from primroseferry_relay.membership.peer_report import decode_report
+from primroseferry_relay.membership.peer_report import decode_datagram
+from primroseferry_relay.membership.peer_report import encode_note
 from primroseferry_relay.membership.peer_report import encode_report
 from primroseferry_relay.membership.peer_table import LIVE_S
 from primroseferry_relay.membership.peer_table import PeerTable
@@ -37,7 +39,6 @@
     77,
     120.0,
     {EndpointId("e-1"): OpenWork(2, 300, 900)},
-    (Placed(EndpointId("e-1"), (PromptPart(PartId("ab12"), 40),)),),
     {ServiceId("model"): ServiceSummary(2, 64, OpenWork(1, 2, 3), 1.5)},
     ("10.0.0.3:82",),
 )
@@ -52,12 +53,65 @@
 
 
 def test_report_survives_its_encoding() -> None:
-    assert decode_report(encode_report(REPORT)) == REPORT
+    assert decode_datagram(encode_report(REPORT)) == REPORT
+
+
+NOTE = PlacementNote(
+    REPORT.instance,
+    REPORT.incarnation,
+    5,
+    Placed(EndpointId("e-1"), OpenWork(1, 300, 900), (PromptPart(PartId("ab12"), 40),)),
+)
+
+
+def test_note_survives_its_encoding() -> None:
+    assert decode_datagram(encode_note(NOTE)) == NOTE
+
+
+def test_note_counts_until_a_newer_report() -> None:
+    table = PeerTable(InstanceId("g-1"), NORTH)
+    assert not table.hear_note(NOTE)
+    table.hear(REPORT)
+    assert table.hear_note(NOTE)
+    table.hear(replace(REPORT, sequence=6))
+    assert not table.hear_note(NOTE)
+
+
+def test_note_is_a_sign_of_life() -> None:
+    clock = Clock()
+    table = PeerTable(InstanceId("g-1"), NORTH, clock)
+    table.hear(REPORT)
+    clock.now_s += LIVE_S * 0.8
+    table.hear_note(NOTE)
+    clock.now_s += LIVE_S * 0.8
+    assert table.ready_in(NORTH) == ["g-2"]
+
+
+def test_peers_that_report_in_turns_are_given_more_time() -> None:
+    clock = Clock()
+    table = PeerTable(InstanceId("g-1"), NORTH, clock)
+    table.set_turns(near_turn_s=1.0, far_turn_s=0.1)
+    table.hear(REPORT)
+    clock.now_s += 2.9
+    assert table.expire() == []
+    clock.now_s += 0.2
+    assert table.expire() == ["g-2"]
+
+
+def test_newest_report_of_a_region_is_the_one_heard_last() -> None:
+    clock = Clock()
+    table = PeerTable(InstanceId("g-1"), SOUTH, clock)
+    table.hear(REPORT)
+    clock.now_s += 0.1
+    table.hear(replace(REPORT, instance=InstanceId("g-3")))
+    newest = table.newest_ready(NORTH)
+    assert newest is not None
+    assert newest.instance == "g-3"
 
 
 def test_datagram_that_is_no_report_is_refused() -> None:
     for datagram in (b"", b"\xff", b"[]", b"{}", encode_report(REPORT)[:-9]):
-        assert decode_report(datagram) is None
+        assert decode_datagram(datagram) is None
 
 
 def test_silent_peer_is_lost_and_heard_again() -> None:
