--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -26,6 +26,7 @@
 LIVE_S = 2.0
 # In a large fleet reports come in turns; a gateway is silent when it missed so many turns.
 LIVE_TURNS = 3
+FAR_LIVE_TURNS = 2
 # A gateway that is silent for so long is forgotten; the store or a peer may name it again.
 FORGET_S = 30.0
 
@@ -65,7 +66,7 @@
     def set_turns(self, near_turn_s: float, far_turn_s: float) -> None:
         """Set how often gateways of this region, and those of others, are heard."""
         self._near_live_s = max(LIVE_S, LIVE_TURNS * near_turn_s)
-        self._far_live_s = max(LIVE_S, LIVE_TURNS * far_turn_s)
+        self._far_live_s = max(LIVE_S, FAR_LIVE_TURNS * far_turn_s)
 
     def hear_note(self, note: PlacementNote) -> bool:
         """Take in a sign of life; ``False`` where a report that is as new includes the note."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -13,6 +13,7 @@
 import socket
 import threading
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
@@ -35,7 +36,7 @@
 TICK_S = 0.1
 # Reports sent to gateways of the region in one tick, and to all others in every third one.
 NEAR_PER_TICK = 4
-FAR_PER_TURN = 8
+FAR_PER_TURN = 5
 FAR_EVERY_TICKS = 3
 MAX_DATAGRAM_BYTES = 60_000
 KNOWN_SAMPLE = 4
@@ -79,7 +80,7 @@
 
     def send_now(self) -> None:
         """Tell every peer at once, because something changed that they must know."""
-        self._send(self._peers.report_addresses())
+        self._send(self._peers.report_addresses(), with_loads=True)
 
     def tell_placed(self, placed: Placed) -> None:
         """Tell the region's gateways of a request that an endpoint was just given."""
@@ -103,7 +104,7 @@
                 continue
             next_s = max(next_s + TICK_S, time.monotonic() + TICK_S / 2)
             self._on_tick()
-            self._send(self._receivers())
+            self._send_in_turn()
 
     def _receive(self, timeout_s: float) -> None:
         self._socket.settimeout(max(0.001, timeout_s))
@@ -125,7 +126,7 @@
             case None:
                 log_event(Event.PEER_EXCHANGE_FAILED, reason="a datagram cannot be read")
 
-    def _receivers(self) -> list[str]:
+    def _send_in_turn(self) -> None:
         self._tick += 1
         near = sorted(
             report.address.report
@@ -143,22 +144,23 @@
             self._near_turn.period(len(near)) * TICK_S,
             self._far_turn.period(len(far)) * TICK_S * FAR_EVERY_TICKS,
         )
-        chosen = self._near_turn.take(near)
+        self._send(self._near_turn.take(near), with_loads=True)
         if self._tick % FAR_EVERY_TICKS == 0:
-            chosen += self._far_turn.take(far)
-        return chosen
+            self._send(self._far_turn.take(far), with_loads=False)
 
-    def _send(self, receivers: list[str]) -> None:
+    def _send(self, receivers: list[str], with_loads: bool) -> None:
         if not receivers:
             return
         self._sequence += 1
         known = self._peers.report_addresses()
         sample = self._random.sample(known, min(KNOWN_SAMPLE, len(known)))
-        datagram = encode_report(self._own_report(self._sequence, tuple(sample)))
+        report = self._own_report(self._sequence, tuple(sample))
+        if not with_loads:
+            report = replace(report, loads={})
+        datagram = encode_report(report)
         for receiver in receivers:
-            if receiver == self.address:
-                continue
-            self._send_to(_host_and_port(receiver), datagram)
+            if receiver != self.address:
+                self._send_to(_host_and_port(receiver), datagram)
 
     def _send_to(self, address: tuple[str, int], datagram: bytes) -> None:
         try:
