--- a/packages/primroseferry-relay/src/primroseferry_relay/dialect.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/dialect.py
@@ -28,28 +28,14 @@
     last_event_id: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class CopiedRun:
-    """The copy of a run's memory at a standby."""
-
-    address: str
-    request_id: str
-
-
 @dataclass(frozen=True, slots=True)
 class SendOrder:
-    """What this gateway says to an endpoint beside the caller's own headers.
-
-    ``standby_address`` is where the endpoint copies the run's memory to as it grows.
-    ``resumes_copy`` tells a standby to go on with the copy that it holds.
-    """
+    """What this gateway says to an endpoint beside the caller's own headers."""
 
     endpoint: EndpointId
     deadline_ms: float
     priority: int
     last_event_id: str = ""
-    standby_address: str = ""
-    resumes_copy: CopiedRun | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
@@ -48,7 +48,6 @@
     priority: int
     is_stream: bool
     is_repeatable: bool
-    wants_standby: bool
     last_event_id: str
     excluded: tuple[EndpointId, ...]
 
@@ -71,7 +70,6 @@
             priority=int(str(data["priority"])),
             is_stream=bool(data["is_stream"]),
             is_repeatable=bool(data["is_repeatable"]),
-            wants_standby=bool(data["wants_standby"]),
             last_event_id=str(data["last_event_id"]),
             excluded=_names(data["excluded"]),
         )
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -162,7 +162,6 @@
             order.priority,
             order.last_event_id,
             order.is_repeatable,
-            order.wants_standby,
         )
         excluded = set(order.excluded)
         outcome: AttemptOutcome = NotRun("no endpoint is available here", is_sent=False)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -100,7 +100,6 @@
             plan.priority,
             route.kind is RouteKind.STREAM,
             plan.may_be_repeated,
-            plan.wants_standby,
             plan.last_event_id,
             excluded,
         )
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -4,7 +4,6 @@
 
 import time
 from dataclasses import dataclass
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
@@ -20,12 +19,10 @@
 from .attempts.endpoint_call import EndpointAttempt
 from .attempts.endpoint_call import EndpointCall
 from .attempts.outcome import Answered
-from .attempts.outcome import CallerLeft
 from .attempts.outcome import Lost
 from .attempts.outcome import NotRun
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
-from .dialect import CopiedRun
 from .dialect import SendOrder
 from .membership.peer_report import ServiceSummary
 from .relay_policy import Placed
@@ -72,11 +69,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptPlan:
-    """What one attempt is about, wherever it is made.
-
-    ``deadline_s`` is monotonic. ``wants_standby`` is set for streams that cannot start anew: their
-    memory is copied to a second engine, which goes on when the first one dies.
-    """
+    """What one attempt is about, wherever it is made. ``deadline_s`` is monotonic."""
 
     request: RelayRequest
     request_id: str
@@ -86,7 +79,6 @@
     priority: int
     last_event_id: str
     may_be_repeated: bool
-    wants_standby: bool = False
 
     @property
     def remaining_ms(self) -> float:
@@ -144,67 +136,7 @@
         sink: StreamSink | None,
         on_start: Callable[[AttemptCall], None],
     ) -> AttemptOutcome:
-        """Make one attempt, and go on at its standby when the endpoint dies in the middle.
-
-        ``on_start`` gets each call, so that it can be cancelled.
-        """
-        standby = self._choose_standby(option, service, plan)
-        outcome = self._run_once(option, service, plan, sink, on_start, standby, None)
-        match outcome:
-            case StreamBroken(is_death=True, last_event_id=last_event_id) if standby is not None:
-                going_on = replace(plan, last_event_id=last_event_id or plan.last_event_id)
-                return self._go_on(outcome, standby, service, going_on, sink, on_start)
-        return outcome
-
-    def _choose_standby(
-        self, option: LocalOption, service: Service, plan: AttemptPlan
-    ) -> LocalOption | None:
-        has_standbys = service.engine is not None and service.engine.has_standbys
-        if not plan.wants_standby or not has_standbys:
-            return None
-        others = self.rank(service, plan.generation, (option.endpoint.endpoint,))
-        warm = [one for one in others if not self._catalog.is_cold(one.endpoint.endpoint)]
-        return min(warm, key=lambda one: one.choice.first_ms, default=None)
-
-    def _go_on(
-        self,
-        broken: StreamBroken,
-        standby: LocalOption,
-        service: Service,
-        plan: AttemptPlan,
-        sink: StreamSink | None,
-        on_start: Callable[[AttemptCall], None],
-    ) -> AttemptOutcome:
-        if not self._policy.budget.spend(service.name, self._peers.live_count()):
-            return broken
-        copy = CopiedRun(standby.endpoint.address, plan.request_id)
-        outcome = self._run_once(standby, service, plan, sink, on_start, None, copy)
-        log_event(
-            Event.STREAM_RESUMED,
-            request_id=plan.request_id,
-            endpoint=standby.endpoint.endpoint,
-            reason=broken.reason,
-            after_event=plan.last_event_id,
-            outcome=type(outcome).__name__,
-        )
-        match outcome:
-            case StreamEnded(events):
-                return StreamEnded(broken.events + events)
-            case CallerLeft():
-                return outcome
-            case _:
-                return broken
-
-    def _run_once(
-        self,
-        option: LocalOption,
-        service: Service,
-        plan: AttemptPlan,
-        sink: StreamSink | None,
-        on_start: Callable[[AttemptCall], None],
-        standby: LocalOption | None,
-        copy: CopiedRun | None,
-    ) -> AttemptOutcome:
+        """Make one attempt. ``on_start`` gets the call, so that it can be cancelled."""
         endpoint = option.endpoint
         if not self._take_cold_place(endpoint, service):
             return NotRun("the endpoint is cold and was sent enough", is_sent=False)
@@ -217,14 +149,7 @@
             endpoint,
             plan.request,
             plan.request_id,
-            SendOrder(
-                endpoint.endpoint,
-                plan.remaining_ms,
-                plan.priority,
-                plan.last_event_id,
-                standby.endpoint.address if standby is not None else "",
-                copy,
-            ),
+            SendOrder(endpoint.endpoint, plan.remaining_ms, plan.priority, plan.last_event_id),
             patience_ms,
         )
         policy = self._policy
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -184,7 +184,6 @@
             min(MAX_PRIORITY, BASE_PRIORITY + route.priority),
             facts.last_event_id,
             may_be_repeated=False,
-            wants_standby=route.kind is RouteKind.STREAM and not route.is_resumable,
         )
 
     @property
--- a/packages/primroseferry-relay/src/primroseferry_relay/routes/service.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/routes/service.py
@@ -11,14 +11,10 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineSize:
-    """What each engine of a service holds: requests at once and tokens of KV cache.
-
-    ``has_standbys``: an engine can copy a run's memory to another one while it runs.
-    """
+    """What each engine of a service holds: requests at once and tokens of KV cache."""
 
     slots: int
     cache_tokens: int
-    has_standbys: bool = False
 
 
 @dataclass(frozen=True, slots=True)
