--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -19,6 +19,8 @@
     DRAIN_CUT_OFF = (1005, "error", "graceful shutdown ended with requests cut off")
     STATE_DUMPED = (1006, "info", "state dump requested")
     SETTINGS_RELOADED = (1007, "info", "settings read again")
+    SETTINGS_REJECTED = (1008, "error", "changed settings fail their checks, last good ones kept")
+    PORT_NOT_OPENED = (1009, "warning", "port could not be opened")
     REQUEST_DONE = (2001, "info", "request answered")
     REQUEST_REFUSED = (2002, "warning", "request ended with a problem")
     CALLER_GONE = (2003, "warning", "caller closed the connection before the answer was whole")
--- a/packages/primroseferry-core/src/primroseferry_core/logs.py
+++ b/packages/primroseferry-core/src/primroseferry_core/logs.py
@@ -8,6 +8,8 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
+from .batched_log import BatchedLogHandler
+
 if TYPE_CHECKING:
     from .events import Event
 
@@ -16,12 +18,13 @@
 _logger = logging.getLogger(LOGGER_NAME)
 
 
-def configure_logs(level: str) -> None:
+def configure_logs(level: str, handler: logging.Handler | None = None) -> None:
     """Send events at or above ``level`` (``info``, ``warning``, ``error``) to stderr as JSON.
 
-    Events of the process itself, numbered 1000 to 1999, are written at every level.
+    Events of the process itself, numbered 1000 to 1999, are written at every level. ``handler``
+    takes the lines elsewhere.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         JsonFormatter("%(asctime)s %(levelname)s %(message)s", rename_fields={"asctime": "time"})
     )
@@ -42,5 +45,11 @@
     _logger.log(shown_level, event.sentence, extra=extra, exc_info=has_error)
 
 
+def dropped_lines() -> int:
+    """Return how many lines were dropped lately because there were too many."""
+    handlers = _logger.handlers
+    return sum(one.dropped for one in handlers if isinstance(one, BatchedLogHandler))
+
+
 def _failing() -> bool:
     return sys.exc_info()[0] is not None
--- a/packages/primroseferry-policy/src/primroseferry_policy/shared_budget.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/shared_budget.py
@@ -53,6 +53,11 @@
         self._windows: dict[ServiceId, _Window] = {}
         self._lock = threading.Lock()
 
+    def set_limits(self, window_s: float, ratio: float, slack: float) -> None:
+        """Keep other limits from now on."""
+        with self._lock:
+            self._window_s, self._ratio, self._slack = window_s, ratio, slack
+
     def note_request(self, service: ServiceId) -> None:
         """Count a request of a caller."""
         with self._lock:
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/inspection.py
@@ -0,0 +1,51 @@
+"""Metrics and a dump of the state, for operators."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primroseferry_core.errors import ErrorKind
+from primroseferry_core.errors import Problem
+from primroseferry_transport.calls import Header
+
+from ..messages import AnswerHead
+from ..messages import WholeAnswer
+from ..messages import json_answer
+from ..messages import problem_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from ..ingress.answer_channel import AnswerChannel
+    from ..messages import RelayRequest
+    from .relay_metrics import RelayGauges
+    from .relay_metrics import RelayMetrics
+
+
+class Inspection:
+    """Answers on the port for operators."""
+
+    def __init__(
+        self,
+        metrics: RelayMetrics,
+        gauges: Callable[[], RelayGauges],
+        state: Callable[[], Mapping[str, object]],
+    ) -> None:
+        self._metrics = metrics
+        self._gauges = gauges
+        self._state = state
+
+    def serve(self, request: RelayRequest, channel: AnswerChannel) -> None:
+        """Answer one question."""
+        match request.path:
+            case "/metrics":
+                accept = [line.value for line in request.headers if line.name.lower() == "accept"]
+                content, headers = self._metrics.render(self._gauges(), accept)
+                lines = tuple(Header(name, value) for name, value in headers.items())
+                channel.send(WholeAnswer(AnswerHead(200, "OK", lines), content))
+            case "/state":
+                channel.send(json_answer(200, self._state()))
+            case _:
+                problem = Problem(ErrorKind.UNKNOWN_PATH, "ask for /metrics or /state")
+                channel.send(problem_answer(problem))
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import signal
 import sys
@@ -10,9 +11,11 @@
 from typing import TYPE_CHECKING
 from typing import NoReturn
 
+from primroseferry_core.batched_log import BatchedLogHandler
 from primroseferry_core.events import Event
 from primroseferry_core.ids import new_incarnation_id
 from primroseferry_core.logs import configure_logs
+from primroseferry_core.logs import dropped_lines
 from primroseferry_core.logs import log_event
 from primroseferry_policy.shared_budget import SharedRetryBudget
 from primroseferry_transport.curl_loop import CurlLoop
@@ -46,6 +49,9 @@
 from ..relay import Relay
 from ..relay_policy import RelayPolicy
 from ..routes.service import CallerLimits
+from .inspection import Inspection
+from .relay_metrics import RelayGauges
+from .relay_metrics import RelayMetrics
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -57,10 +63,12 @@
     from ..control.changes import ControlDialect
     from ..control.metadata_store import MetadataStore
     from ..control.metadata_store import StoredItem
+    from ..decision import DecisionRecord
     from ..dialect import EndpointDialect
     from ..ingress.directory import DirectoryDialect
     from ..routes.route_table import RouteTable
     from .settings import RelaySettings
+    from .settings_file import SettingsFile
 
 THREAD_STACK_BYTES = 256 * 1024
 SWITCH_INTERVAL_S = 0.002
@@ -71,6 +79,7 @@
 # What is left of the stop's time when open requests are cut off, for the process to end.
 STOP_RESERVE_S = 0.4
 PEER_PORTS_MAX_CONNECTIONS = 256
+INSPECTION_MAX_CONNECTIONS = 16
 SUMMARY_MAX_AGE_S = 0.3
 _NO_LIMITS = CallerLimits()
 
@@ -88,8 +97,11 @@
         control_dialect: ControlDialect,
         endpoint_dialect: EndpointDialect,
         directory_dialect: DirectoryDialect,
+        settings_file: SettingsFile | None = None,
     ) -> None:
         self._settings = settings
+        self._settings_file = settings_file
+        self._metrics = RelayMetrics()
         self._incarnation = new_incarnation_id()
         self._loop = CurlLoop("relay")
         self._store = make_store(self._loop)
@@ -155,7 +167,7 @@
             regions,
             self._peers,
             self._policy,
-            lambda record: record.log(),
+            self._note_done,
         )
         hops = HopServer(
             settings.region,
@@ -176,6 +188,7 @@
             self._listener("ready", settings.ready_port, directory.serve, small),
             self._listener("directory", settings.directory_port, directory.serve, small),
         ]
+        self._open_inspection()
         self._address = PeerAddress(
             own_front, f"{settings.host}:{self._hops.port}", self._reporter.address
         )
@@ -188,6 +201,18 @@
             name, self._settings.host, port, handle, limits, self._loop, max_connections
         )
 
+    def _open_inspection(self) -> None:
+        port = self._settings.metrics_port
+        if port is None:
+            return
+        inspection = Inspection(self._metrics, self._gauges, self._dump)
+        try:
+            self._others.append(
+                self._listener("inspection", port, inspection.serve, INSPECTION_MAX_CONNECTIONS)
+            )
+        except OSError as error:
+            log_event(Event.PORT_NOT_OPENED, port=port, reason=str(error))
+
     def start(self) -> None:
         """Open the ports and start every background task."""
         self._peers.add_candidates(self._settings.seeds)
@@ -213,7 +238,7 @@
         self.start()
         # A signal that the kernel gives to another thread does not wake this one.
         while not self._stopping.wait(SIGNAL_CHECK_S):
-            continue
+            self._reload_changed()
         return 0 if self.stop() else 1
 
     def stop(self) -> bool:
@@ -256,7 +281,76 @@
         self._stopping.set()
 
     def _on_reload(self, _number: int, _frame: object) -> None:
-        log_event(Event.SETTINGS_RELOADED, instance=self._settings.instance)
+        if self._settings_file is not None:
+            self._settings_file.expect_change()
+
+    def _reload_changed(self) -> None:
+        """Put changed settings in force; those of ports and names need a restart."""
+        settings = self._settings_file.read_changed() if self._settings_file is not None else None
+        if settings is None:
+            return
+        self._settings = settings
+        limits = settings.retry_limits
+        self._policy.budget.set_limits(limits.window_s, limits.ratio, limits.slack)
+        self._peers.add_candidates(settings.seeds)
+        log_event(
+            Event.SETTINGS_RELOADED,
+            instance=settings.instance,
+            retry_ratio=limits.ratio,
+            retry_slack=limits.slack,
+            stop_timeout_ms=settings.stop_timeout_ms,
+        )
+
+    def _note_done(self, record: DecisionRecord) -> None:
+        self._metrics.count(record)
+        record.log()
+
+    def _gauges(self) -> RelayGauges:
+        return RelayGauges(
+            self._front.open_connections,
+            self._table.revision if self._table is not None else 0,
+            len(self._catalog.entries()),
+            self._peers.live_count(),
+            oldest_answer_ms(self._watches),
+            dropped_lines(),
+        )
+
+    def _dump(self) -> dict[str, object]:
+        """Return what this gateway believes, for operators."""
+        table = self._table
+        return {
+            "instance": self._settings.instance,
+            "incarnation": self._incarnation,
+            "state": self._peers.own_state.value,
+            "route_revision": table.revision if table is not None else None,
+            "control_revision": self._state.revision,
+            "store_age_ms": round(oldest_answer_ms(self._watches)),
+            "is_on_watch_duty": self._duty.is_on_duty(),
+            "evacuated": sorted(self._catalog.evacuated),
+            "endpoints": {
+                name: {
+                    "service": endpoint.service,
+                    "region": endpoint.region,
+                    "state": endpoint.state.value,
+                    "is_cold": self._catalog.is_cold(name),
+                    "open_requests": self._policy.loads.work(name).requests,
+                    "pace": round(self._policy.pace.ratio(name), 2),
+                }
+                for name, endpoint in self._catalog.entries().items()
+            },
+            "circuits": {
+                name: state.value for name, state in self._policy.breakers.states().items()
+            },
+            "quarantined": self._policy.quarantine.quarantined(),
+            "gateways": {
+                report.instance: {
+                    "region": report.region,
+                    "state": report.state.value,
+                    "route_revision": report.route_revision,
+                }
+                for report in self._peers.live()
+            },
+        }
 
     def _apply(self, item: StoredItem) -> None:
         if item.key.startswith(GATEWAY_PREFIX):
@@ -355,13 +449,13 @@
 def run_relay(gateway: RelayGateway) -> NoReturn:
     """Run a gateway until it is told to stop, and end the process."""
     code = gateway.run()
-    sys.stdout.flush()
+    logging.shutdown()
     # The pools' threads may still hold requests that were cut off; they must not keep the process.
     os._exit(code)
 
 
 def prepare_process(log_level: str) -> None:
     """Set up logs and threads, before any part of a gateway is built."""
-    configure_logs(log_level)
+    configure_logs(log_level, BatchedLogHandler(sys.stdout.fileno()))
     threading.stack_size(THREAD_STACK_BYTES)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
@@ -0,0 +1,129 @@
+"""The relay's metrics.
+
+Counts and times are kept in small structures of their own. The metrics library takes more memory
+than the rest of an idle gateway, so it is loaded with the first question for the page, or when more
+times wait for it than are kept.
+"""
+
+from __future__ import annotations
+
+import threading
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from aioprometheus.collectors import Registry
+
+    from ..decision import DecisionRecord
+
+DURATION_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 4.0, 8.0, 16.0]
+# Times kept until the library is loaded.
+MAX_WAITING_TIMES = 5_000
+UNKNOWN_SERVICE = "none"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLabels:
+    """What a request is counted by."""
+
+    service: str
+    outcome: str
+
+
+@dataclass(frozen=True, slots=True)
+class RelayGauges:
+    """What is read off the gateway when it is asked."""
+
+    open_connections: int
+    route_revision: int
+    endpoints: int
+    live_gateways: int
+    store_age_ms: float
+    log_lines_dropped: int
+
+
+class RelayMetrics:
+    """Counters, gauges and histograms of one gateway; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        self._requests: Counter[RequestLabels] = Counter()
+        self._attempts: Counter[str] = Counter()
+        self._times: list[tuple[str, float]] = []
+        self._histogram: _Histogram | None = None
+        self._lock = threading.Lock()
+
+    def count(self, record: DecisionRecord) -> None:
+        """Count a finished request with its attempts."""
+        service = record.service or UNKNOWN_SERVICE
+        with self._lock:
+            self._requests[RequestLabels(service, record.outcome)] += 1
+            self._attempts[service] += len(record.attempts)
+            self._times.append((service, record.elapsed_ms / 1000))
+            if len(self._times) >= MAX_WAITING_TIMES:
+                self._drain_times()
+
+    def render(self, gauges: RelayGauges, accept: Sequence[str]) -> tuple[bytes, Mapping[str, str]]:
+        """Return the page for a scraper and its headers."""
+        from aioprometheus.renderer import render
+
+        with self._lock:
+            self._drain_times()
+            content, headers = render(self._registry(gauges), accept)
+        return content, dict(headers)
+
+    def _drain_times(self) -> None:
+        if self._histogram is None:
+            self._histogram = _Histogram()
+        for service, duration_s in self._times:
+            self._histogram.observe(service, duration_s)
+        self._times.clear()
+
+    def _registry(self, gauges: RelayGauges) -> Registry:
+        from aioprometheus.collectors import Counter as CounterCollector
+        from aioprometheus.collectors import Gauge
+        from aioprometheus.collectors import Registry
+
+        registry = Registry()
+        requests = CounterCollector("primroseferry_requests_total", "Requests by outcome.")
+        for labels, count in self._requests.items():
+            requests.set({"service": labels.service, "outcome": labels.outcome}, count)
+        attempts = CounterCollector("primroseferry_attempts_total", "Attempts on endpoints.")
+        for service, count in self._attempts.items():
+            attempts.set({"service": service}, count)
+        registry.register(requests)
+        registry.register(attempts)
+        for name, text, value in (
+            ("open_connections", "Callers' connections.", gauges.open_connections),
+            ("route_revision", "The revision of the routes in force.", gauges.route_revision),
+            ("endpoints", "Endpoints listed.", gauges.endpoints),
+            ("live_gateways", "Gateways that live, with this one.", gauges.live_gateways),
+            ("store_age_seconds", "Since the store last answered.", gauges.store_age_ms / 1000),
+            ("log_lines_dropped", "Log lines dropped lately.", gauges.log_lines_dropped),
+        ):
+            gauge = Gauge(f"primroseferry_{name}", text)
+            gauge.set({}, value)
+            registry.register(gauge)
+        if self._histogram is not None:
+            registry.register(self._histogram.collector)
+        return registry
+
+
+class _Histogram:
+    """The library's histogram of request times."""
+
+    def __init__(self) -> None:
+        from aioprometheus.collectors import Histogram
+
+        self.collector = Histogram(
+            "primroseferry_request_seconds",
+            "Time from a request's head to the end of its answer.",
+            buckets=DURATION_BUCKETS_S,
+        )
+
+    def observe(self, service: str, duration_s: float) -> None:
+        """Record one time."""
+        self.collector.observe({"service": service}, duration_s)
