Bound the share of its time that an engine reads; wait a little for room

Change: tokens given to each engine in the last second, own and told in notes, bound what it is given more: 0.8 of its time for the most urgent requests, 0.6 for the others; a request waits here for half of its target, then it is refused as not run.

--- a/packages/primroseferry-policy/src/primroseferry_policy/placement.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -30,6 +30,10 @@
 UNNOTICED_UNREAD_TOKENS = 12_000
 DISTURBING_UNREAD_TOKENS = 22_000
 DISTURBED_STREAM_MS = 100.0
+# The share of its time that an engine may spend on reading, for the most urgent requests and for
+# the others. What is left generates: below it, streams fall behind their deadlines.
+MAX_URGENT_READING_SHARE = 0.8
+MAX_READING_SHARE = 0.6
 # Among endpoints with free slots the one with fewer open calls goes first.
 BUSY_WEIGHT = 0.1
 # Reading tokens again costs capacity that others need: what a cached part counts beyond its time.
@@ -47,27 +51,37 @@
     cached_tokens: int
     pace: float
     overdue_ms: float
+    reading_tokens_per_s: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """A candidate with its expected time to the first byte and the score it is ranked by."""
+    """A candidate with its expected time to the first byte and the score it is ranked by.
+
+    ``is_saturated``: the engine reads so much that its running streams would not end in time.
+    """
 
     endpoint: EndpointId
     first_ms: float
     unread_tokens: int
     score: float
+    is_saturated: bool = False
 
 
-def rank_engines(candidates: Sequence[Candidate], generation: Generation) -> list[Choice]:
+def rank_engines(
+    candidates: Sequence[Candidate], generation: Generation, is_urgent: bool = True
+) -> list[Choice]:
     """Return the engines for a generation, best first.
 
     Equal engines are ordered by hashing the prompt's last shared part, so that all gateways send
     requests with the same parts to the same engine without asking each other.
     """
     order = _hash_order(candidates, generation)
-    choices = [engine_choice(candidate, generation) for candidate in candidates]
-    return sorted(choices, key=lambda choice: (round(choice.score, 1), order[choice.endpoint]))
+    choices = [engine_choice(candidate, generation, is_urgent) for candidate in candidates]
+    return sorted(
+        choices,
+        key=lambda choice: (choice.is_saturated, round(choice.score, 1), order[choice.endpoint]),
+    )
 
 
 def rank_calls(candidates: Sequence[Candidate], call_ms: float) -> list[Choice]:
@@ -86,7 +100,7 @@
     return Choice(candidate.endpoint, first_ms, 0, first_ms + busy_ms + candidate.overdue_ms)
 
 
-def engine_choice(candidate: Candidate, generation: Generation) -> Choice:
+def engine_choice(candidate: Candidate, generation: Generation, is_urgent: bool = True) -> Choice:
     """Return what to expect of one engine."""
     work = candidate.work
     unread = max(0, generation.prompt_tokens - candidate.cached_tokens)
@@ -101,7 +115,22 @@
     reread_ms = unread / PREFILL_TOKENS_PER_MS * REREAD_WEIGHT
     disturbed_ms = work.requests * DISTURBED_STREAM_MS * _disturbance(work.unread_tokens + unread)
     score = first_ms + reread_ms + disturbed_ms + candidate.overdue_ms
-    return Choice(candidate.endpoint, first_ms, unread, score)
+    return Choice(
+        candidate.endpoint,
+        first_ms,
+        unread,
+        score,
+        _is_saturated(candidate, unread, is_urgent),
+    )
+
+
+def _is_saturated(candidate: Candidate, unread_tokens: int, is_urgent: bool) -> bool:
+    """Whether reading so much more would keep the engine from its running streams."""
+    if candidate.work.requests == 0:
+        return False
+    limit = MAX_URGENT_READING_SHARE if is_urgent else MAX_READING_SHARE
+    tokens_per_s = candidate.reading_tokens_per_s + unread_tokens
+    return tokens_per_s > limit * PREFILL_TOKENS_PER_MS * 1000
 
 
 def _disturbance(unread_tokens: int) -> float:
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -70,15 +70,16 @@
         generation: Generation,
         home_regions: frozenset[RegionId],
         excluded: Collection[RegionId],
+        is_urgent: bool,
     ) -> RegionOption | None:
         """Return the permitted region with the best expectation, if there is one."""
         options = [
             option
             for region in self._peers.regions()
             if region not in excluded and (not home_regions or region in home_regions)
-            if (option := self._option(region, service, generation)) is not None
+            if (option := self._option(region, service, generation, is_urgent)) is not None
         ]
-        return min(options, key=lambda option: option.score, default=None)
+        return min(options, key=lambda one: (one.is_saturated, one.score), default=None)
 
     def run(
         self,
@@ -135,7 +136,7 @@
             )
 
     def _option(
-        self, region: RegionId, service: Service, generation: Generation
+        self, region: RegionId, service: Service, generation: Generation, is_urgent: bool
     ) -> RegionOption | None:
         newest = self._peers.newest_ready(region)
         summary = newest.summaries.get(service.name) if newest is not None else None
@@ -146,14 +147,24 @@
         ]
         if summary is None or summary.endpoints == 0 or not peers:
             return None
-        best = self._choice(summary, service, generation)
+        best = self._choice(summary, service, generation, is_urgent)
         own_ms = self._open[region, service.name] / summary.endpoints * OWN_REQUEST_MS
         away_ms = own_ms + ROUND_TRIP_MS + STALENESS_MS
         return RegionOption(
-            region, self._random.choice(peers), best.first_ms + away_ms, best.score + away_ms
+            region,
+            self._random.choice(peers),
+            best.first_ms + away_ms,
+            best.score + away_ms,
+            best.is_saturated,
         )
 
-    def _choice(self, summary: ServiceSummary, service: Service, generation: Generation) -> Choice:
+    def _choice(
+        self,
+        summary: ServiceSummary,
+        service: Service,
+        generation: Generation,
+        is_urgent: bool,
+    ) -> Choice:
         """Expect of the region's best endpoint what one that is near would be expected to do."""
         engine = service.engine
         candidate = Candidate(
@@ -164,9 +175,10 @@
             0,
             summary.pace,
             0.0,
+            summary.reading_tokens_per_s,
         )
         if engine is not None:
-            return engine_choice(candidate, generation)
+            return engine_choice(candidate, generation, is_urgent)
         return call_choice(candidate, self._pace.call_ms(service.name))
 
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -410,6 +410,7 @@
         if service is not None and service.engine is not None:
             tokens = service.engine.cache_tokens
             self._policy.parts.note_read(placed.endpoint, placed.parts, tokens)
+            self._policy.reading.note(placed.endpoint, placed.work.unread_tokens)
 
     def _tick(self) -> None:
         for instance in self._peers.expire():
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -108,7 +108,11 @@
         self._on_placed = on_placed
 
     def rank(
-        self, service: Service, generation: Generation, excluded: Collection[EndpointId]
+        self,
+        service: Service,
+        generation: Generation,
+        excluded: Collection[EndpointId],
+        is_urgent: bool = True,
     ) -> list[LocalOption]:
         """Return the endpoints that may be sent to now, best first."""
         usable = {
@@ -123,7 +127,7 @@
             self._candidate(endpoint, service, generation) for endpoint in usable.values()
         ]
         if service.engine is not None:
-            choices = rank_engines(candidates, generation)
+            choices = rank_engines(candidates, generation, is_urgent)
         else:
             choices = rank_calls(candidates, self._policy.pace.call_ms(service.name))
         return [LocalOption(usable[choice.endpoint], choice) for choice in choices]
@@ -161,6 +165,7 @@
         parts = plan.generation.parts
         if service.engine is not None:
             policy.parts.note_read(endpoint.endpoint, parts, service.engine.cache_tokens)
+            policy.reading.note(endpoint.endpoint, choice.unread_tokens)
         work = OpenWork(1, choice.unread_tokens, plan.generation.held_tokens)
         self._on_placed(Placed(endpoint.endpoint, work, parts))
         call = EndpointCall(
@@ -182,7 +187,7 @@
         """Return what this region has of a service, as other regions are told."""
         options = self.rank(service, TYPICAL_GENERATION, ())
         if not options:
-            return ServiceSummary(0, 0, NO_WORK, 1.0)
+            return ServiceSummary(0, 0, NO_WORK, 1.0, 0)
         best = options[0].endpoint
         slots = service.engine.slots if service.engine is not None else max(1, best.slots)
         return ServiceSummary(
@@ -190,6 +195,7 @@
             slots,
             self._policy.loads.work(best.endpoint),
             self._policy.pace.ratio(best.endpoint),
+            self._policy.reading.tokens_per_s(best.endpoint),
         )
 
     def _candidate(self, endpoint: Endpoint, service: Service, generation: Generation) -> Candidate:
@@ -203,6 +209,7 @@
             policy.parts.cached_tokens(name, generation.parts),
             policy.pace.ratio(name),
             policy.loads.overdue_ms(name),
+            policy.reading.tokens_per_s(name),
         )
 
     def _may_send_cold(self, endpoint: Endpoint, service: Service) -> bool:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
@@ -43,6 +43,7 @@
     slots: int
     work: OpenWork
     pace: float
+    reading_tokens_per_s: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,6 +127,7 @@
                 summary.slots,
                 [summary.work.requests, summary.work.unread_tokens, summary.work.held_tokens],
                 round(summary.pace, 2),
+                summary.reading_tokens_per_s,
             ]
             for name, summary in report.summaries.items()
         },
@@ -173,9 +175,9 @@
         {EndpointId(name): OpenWork(*map(int, work)) for name, work in data["l"].items()},
         {
             ServiceId(name): ServiceSummary(
-                int(count), int(slots), OpenWork(*map(int, work)), float(pace)
+                int(count), int(slots), OpenWork(*map(int, work)), float(pace), int(reading)
             )
-            for name, (count, slots, work, pace) in data["v"].items()
+            for name, (count, slots, work, pace, reading) in data["v"].items()
         },
         tuple(map(str, data["k"])),
     )
--- a/packages/primroseferry-relay/src/primroseferry_relay/region_choice.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/region_choice.py
@@ -28,8 +28,11 @@
     peer: PeerReport
     first_ms: float
     score: float
+    is_saturated: bool
 
 
 def prefers_region(local: Choice, remote: RegionOption) -> bool:
     """Whether the other region is expected to be enough better."""
+    if local.is_saturated != remote.is_saturated:
+        return local.is_saturated
     return local.score - remote.score > MIN_GAIN_MS
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -62,6 +62,10 @@
 # A gateway that has no routes yet waits for the store or for a peer.
 MIN_START_RETURN_S = 1.0
 MAX_START_RETURN_S = 2.5
+# How long a request waits here for engines with too much to read, as a share of its target, and
+# how often it looks.
+ROOM_WAIT_SHARE = 0.5
+ROOM_CHECK_S = 0.03
 # The endpoints' order of urgency, 0 first; a route's own priority is added to this.
 BASE_PRIORITY = 3
 MAX_PRIORITY = 9
@@ -186,6 +190,10 @@
             may_be_repeated=False,
         )
 
+    @property
+    def _is_urgent(self) -> bool:
+        return self._route.priority == 0
+
     @property
     def _may_be_repeated(self) -> bool:
         return self._route.is_repeatable or self._route.is_resumable
@@ -208,6 +216,10 @@
                     return
                 if self._is_hopeless(option):
                     return
+                if _is_saturated(option):
+                    if not self._wait_for_room():
+                        return
+                    continue
                 if not self._may_send_again():
                     self._give_up_after_failure("no further attempt is allowed")
                     return
@@ -231,10 +243,16 @@
         route = self._route
         local = None
         if route.permits(self._relay._region):
-            options = self._relay._local.rank(self._service, self._plan.generation, self._excluded)
+            options = self._relay._local.rank(
+                self._service, self._plan.generation, self._excluded, self._is_urgent
+            )
             local = options[0] if options else None
         remote = self._relay._regions.best(
-            self._service, self._plan.generation, route.home_regions, self._excluded_regions
+            self._service,
+            self._plan.generation,
+            route.home_regions,
+            self._excluded_regions,
+            self._is_urgent,
         )
         self._record.note_options(local, remote)
         if remote is None:
@@ -257,6 +275,20 @@
         self._give_up(problem, min(MAX_RETURN_S, max(MIN_RETURN_S, excess_s)))
         return True
 
+    def _wait_for_room(self) -> bool:
+        """Wait a little for engines that read too much; ``False`` once that took too long."""
+        waited_ms = (time.monotonic() - self._request.received_s) * 1000
+        limit_ms = min(self._route.latency_target_ms * ROOM_WAIT_SHARE, self._plan.remaining_ms)
+        if waited_ms < limit_ms:
+            time.sleep(ROOM_CHECK_S)
+            return True
+        if self._progress.may_have_run:
+            self._give_up_after_failure("the engines have no room")
+            return False
+        problem = Problem(ErrorKind.WOULD_BE_LATE, "the engines have too much to read")
+        self._give_up(problem, self._relay._return_s())
+        return False
+
     def _may_send_again(self) -> bool:
         progress = self._progress
         if progress.sends == 0:
@@ -393,6 +425,12 @@
         self._relay._on_done(self._record)
 
 
+def _is_saturated(option: LocalOption | RegionOption) -> bool:
+    if isinstance(option, LocalOption):
+        return option.choice.is_saturated
+    return option.is_saturated
+
+
 class _CallerSink:
     """Passes the events of every attempt of a request to its caller as one stream."""
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
@@ -11,6 +11,7 @@
 from primroseferry_policy.pace import Pace
 from primroseferry_policy.part_cache import PartCache
 from primroseferry_policy.quarantine import Quarantine
+from primroseferry_policy.reading_load import ReadingLoad
 from primroseferry_policy.shared_budget import ColdGate
 from primroseferry_policy.shared_budget import SharedRetryBudget
 
@@ -40,9 +41,11 @@
     parts: PartCache = field(default_factory=PartCache)
     cold_gate: ColdGate = field(default_factory=ColdGate)
     quarantine: Quarantine = field(default_factory=Quarantine)
+    reading: ReadingLoad = field(default_factory=ReadingLoad)
 
     def forget(self, endpoint: EndpointId) -> None:
         """Drop what is known of an endpoint, because its process is new or gone."""
         self.pace.forget(endpoint)
         self.breakers.forget(endpoint)
         self.parts.forget(endpoint)
+        self.reading.forget(endpoint)
--- a/packages/primroseferry-relay/tests/relay_tests/test_peer_table.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_peer_table.py
@@ -39,7 +39,7 @@
     77,
     120.0,
     {EndpointId("e-1"): OpenWork(2, 300, 900)},
-    {ServiceId("model"): ServiceSummary(2, 64, OpenWork(1, 2, 3), 1.5)},
+    {ServiceId("model"): ServiceSummary(2, 64, OpenWork(1, 2, 3), 1.5, 9_000)},
     ("10.0.0.3:82",),
 )
 
