--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
-# Targets: venv, test, check, unit, demo, bench, format, clean.
+# Targets: venv, test, check, unit, demo, faults, soak, bench, format, clean.
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-SOURCES := packages/*/src standins/src platform/primroseferry_fleet deploy
+SOURCES := packages/*/src standins/src platform/primroseferry_fleet platform/tests/fleet_soak deploy
 CHECKED := packages standins tests benchmarks demo faults platform deploy
 LIBRARIES := $(wildcard packages/*) standins
 
-.PHONY: venv test check unit demo faults faults-fixed bench policy-bench once-bench capacity format clean
+.PHONY: venv test check unit soak soak-fixed demo faults faults-fixed bench policy-bench once-bench capacity format clean
 
 venv: $(VENV)/.installed
 
@@ -25,12 +25,21 @@
 unit: venv
 	$(BIN)/pytest
 
-test: check faults-fixed unit
+test: check faults-fixed soak-fixed unit
 
 # The part of the fault matrix that CI runs.
 faults-fixed: venv
 	$(BIN)/python -m faults --fixed
 
+# The part of the soak that CI runs.
+soak-fixed: venv
+	cd platform/tests && $(CURDIR)/$(BIN)/python -m fleet_soak --seeds 1 --first-seed 7 --seconds 6
+
+# Fresh seeds; SEEDS says how many.
+SEEDS := 4
+soak: venv
+	cd platform/tests && $(CURDIR)/$(BIN)/python -m fleet_soak --seeds $(SEEDS) --jobs 3
+
 demo: venv
 	$(BIN)/python demo/run.py
 
--- /dev/null
+++ b/packages/primroseferry-policy/tests/test_placement.py
@@ -0,0 +1,122 @@
+"""Which engine or endpoint a request is given to, by what each has to do."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given
+from hypothesis import strategies as st
+from primroseferry_core.ids import EndpointId
+from primroseferry_policy.endpoint_loads import NO_WORK
+from primroseferry_policy.endpoint_loads import OpenWork
+from primroseferry_policy.placement import Candidate
+from primroseferry_policy.placement import rank_calls
+from primroseferry_policy.placement import rank_engines
+from primroseferry_policy.prompt import Generation
+from primroseferry_policy.prompt import PartId
+from primroseferry_policy.prompt import PromptPart
+
+IDLE = Candidate(EndpointId("a"), 64, 250_000, NO_WORK, 0, 1.0, 0.0)
+DOSSIER = Generation(
+    (
+        PromptPart(PartId("p"), 2_500),
+        PromptPart(PartId("q"), 3_800),
+        PromptPart(PartId("r"), 2_900),
+    ),
+    9_200,
+    52,
+)
+LONG = Generation((PromptPart(PartId("x"), 25_000),), 25_000, 52)
+
+
+def _named(name: str, **changes: object) -> Candidate:
+    return replace(IDLE, endpoint=EndpointId(name), **changes)  # type: ignore[arg-type]
+
+
+def test_engine_that_holds_the_prompt_goes_first() -> None:
+    ranked = rank_engines([_named("a"), _named("b", cached_tokens=6_300)], DOSSIER)
+    assert [choice.endpoint for choice in ranked] == ["b", "a"]
+    assert ranked[0].unread_tokens == 2_900
+
+
+def test_engine_with_a_long_queue_yields_though_it_holds_the_prompt() -> None:
+    busy = _named("b", cached_tokens=6_300, work=OpenWork(20, 60_000, 90_000))
+    assert rank_engines([_named("a"), busy], DOSSIER)[0].endpoint == "a"
+
+
+def test_long_prompt_goes_where_it_disturbs_few_streams() -> None:
+    """A prompt of many chunks pauses every stream of its engine for too long."""
+    crowded = _named("a", work=OpenWork(12, 0, 20_000))
+    waiting = _named("b", work=OpenWork(1, 9_000, 20_000))
+    assert rank_engines([crowded, waiting], LONG)[0].endpoint == "b"
+
+
+def test_short_prompt_goes_to_the_crowded_engine_that_is_sooner() -> None:
+    crowded = _named("a", work=OpenWork(12, 0, 20_000))
+    waiting = _named("b", work=OpenWork(1, 9_000, 20_000))
+    short = Generation((), 700, 290)
+    assert rank_engines([crowded, waiting], short)[0].endpoint == "a"
+
+
+def test_engine_without_memory_goes_last() -> None:
+    full = _named("a", work=OpenWork(20, 0, 240_000), cached_tokens=6_300)
+    assert rank_engines([full, _named("b")], DOSSIER)[0].endpoint == "b"
+
+
+def test_slow_engine_and_one_with_overdue_requests_go_later() -> None:
+    slow = _named("a", pace=3.0)
+    overdue = _named("b", overdue_ms=2_000.0)
+    ranked = rank_engines([slow, overdue, _named("c")], DOSSIER)
+    assert [choice.endpoint for choice in ranked] == ["c", "a", "b"]
+
+
+def test_engine_that_reads_all_the_time_is_saturated() -> None:
+    reading = _named("a", work=OpenWork(5, 0, 20_000), reading_tokens_per_s=27_000)
+    other = _named("b", work=OpenWork(60, 20_000, 20_000))
+    ranked = rank_engines([reading, other], DOSSIER, is_urgent=False)
+    assert [(choice.endpoint, choice.is_saturated) for choice in ranked] == [
+        ("b", False),
+        ("a", True),
+    ]
+
+
+def test_urgent_requests_may_use_more_of_an_engine() -> None:
+    reading = _named("a", work=OpenWork(5, 0, 20_000), reading_tokens_per_s=27_000)
+    short = Generation((), 700, 290)
+    assert not rank_engines([reading], short, is_urgent=True)[0].is_saturated
+    assert rank_engines([reading], short, is_urgent=False)[0].is_saturated
+
+
+def test_idle_engine_is_never_saturated() -> None:
+    """A prompt that is longer than the bound must run somewhere."""
+    long = Generation((), 60_000, 10)
+    assert not rank_engines([IDLE], long, is_urgent=False)[0].is_saturated
+
+
+@given(st.permutations(["a", "b", "c", "d"]))
+def test_all_gateways_rank_equal_engines_alike(names: list[str]) -> None:
+    """The order does not depend on who asks or in which order the engines are known."""
+    ranked = rank_engines([_named(name) for name in names], DOSSIER)
+    expected = rank_engines([_named(name) for name in "abcd"], DOSSIER)
+    assert [choice.endpoint for choice in ranked] == [choice.endpoint for choice in expected]
+
+
+def test_lost_engine_moves_only_its_own_prompts() -> None:
+    names = "abcde"
+    moved = 0
+    for number in range(200):
+        prompt = Generation((PromptPart(PartId(f"p{number}"), 3_000), PromptPart(PartId("o"), 9)))
+        before = rank_engines([_named(name) for name in names], prompt)[0].endpoint
+        after = rank_engines([_named(name) for name in names if name != "c"], prompt)[0].endpoint
+        moved += before != after
+        assert before == "c" or before == after
+    assert 20 < moved < 60
+
+
+def test_calls_go_to_the_endpoint_that_is_soonest_free() -> None:
+    full = _named("a", slots=6, work=OpenWork(9, 0, 0))
+    half = _named("b", slots=6, work=OpenWork(3, 0, 0))
+    idle = _named("c", slots=6)
+    ranked = rank_calls([full, half, idle], call_ms=60)
+    assert [choice.endpoint for choice in ranked] == ["c", "b", "a"]
+    assert ranked[2].first_ms > 60
