Hold a forwarded attempt to one incarnation of the far gateway

Change: the order names the incarnation that it is for; another one answers 'lost' and runs nothing.

--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import IncarnationId
 from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import RequestId
 from primroseferry_core.ids import ServiceId
@@ -35,11 +36,13 @@
 class HopOrder:
     """One attempt that a gateway asks a gateway of another region to make.
 
-    ``hop_id`` is new for each attempt: a copy of it that arrives later is not run.
+    ``hop_id`` is new for each attempt: a copy of it that arrives later is not run. A gateway that
+    restarted does not know which it has seen, so an order holds for one incarnation only.
     ``deadline_ms`` is what is left when it is sent.
     """
 
     hop_id: str
+    to_incarnation: IncarnationId
     entry_region: RegionId
     request_id: RequestId
     service: ServiceId
@@ -62,6 +65,7 @@
         data: Mapping[str, object] = json.loads(text)
         return HopOrder(
             hop_id=str(data["hop_id"]),
+            to_incarnation=IncarnationId(str(data["to_incarnation"])),
             entry_region=RegionId(str(data["entry_region"])),
             request_id=RequestId(str(data["request_id"])),
             service=ServiceId(str(data["service"])),
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
@@ -36,7 +36,8 @@
     """An attempt through a gateway of another region.
 
     Connections between gateways are kept. libcurl may send the request again on a new one when a
-    kept one breaks before the answer; the far gateway runs no attempt twice, by its hop id.
+    kept one breaks before the answer; the far gateway runs no attempt twice, by its hop id and by
+    the incarnation that the order is for.
     """
 
     def __init__(
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -37,6 +37,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from primroseferry_core.ids import IncarnationId
     from primroseferry_core.ids import RegionId
     from primroseferry_transport.curl_loop import CurlLoop
 
@@ -60,6 +61,7 @@
     def __init__(
         self,
         region: RegionId,
+        incarnation: IncarnationId,
         loop: CurlLoop,
         dialect: EndpointDialect,
         tables: Callable[[], RouteTable | None],
@@ -67,6 +69,7 @@
         sync: PeerSync,
     ) -> None:
         self._region = region
+        self._incarnation = incarnation
         self._loop = loop
         self._dialect = dialect
         self._tables = tables
@@ -89,6 +92,9 @@
             problem = Problem(ErrorKind.BAD_REQUEST, "the request is not from a gateway")
             channel.send(problem_answer(problem))
             return
+        if order.to_incarnation != self._incarnation:
+            _send(channel, HopOutcome.LOST, "this gateway restarted since")
+            return
         if self._is_copy(order):
             _send(channel, HopOutcome.LOST, "this attempt was asked for before")
             return
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -93,6 +93,7 @@
         """Make one attempt through the option's gateway."""
         order = HopOrder(
             secrets.token_hex(8),
+            option.peer.incarnation,
             self._peers.own_region,
             RequestId(plan.request_id),
             plan.service,
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -171,6 +171,7 @@
         )
         hops = HopServer(
             settings.region,
+            self._incarnation,
             self._loop,
             endpoint_dialect,
             self._current_table,
--- a/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
@@ -115,11 +115,11 @@
         self.table: RouteTable | None = None
         if has_table:
             self.table = build_route_table(4, ROUTES, [SERVICE], LIMITS)
-        peers = PeerTable(InstanceId("g-1"), NORTH)
+        self.peers = peers = PeerTable(InstanceId("g-1"), NORTH)
         peers.own_state = GatewayState.READY
         self.policy = RelayPolicy(SharedRetryBudget(10, 0.2, 50))
         dialect = TestDialect()
-        local = LocalAttempts(
+        self.local = local = LocalAttempts(
             NORTH, loop, dialect, self.catalog, peers, self.policy, self.placed.append
         )
         regions = RegionAttempts(loop, peers, self.policy.breakers, self.policy.pace)
