--- a/packages/primroseferry-policy/src/primroseferry_policy/placement.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -15,7 +15,7 @@
     from .endpoint_loads import OpenWork
     from .prompt import Generation
 
-# Times of an engine that serves nothing else: docs/POLICY.md, "Expected time to the first event".
+# Times of an engine that serves nothing else: docs/PLACEMENT.md.
 ENGINE_FIRST_MS = 60.0
 PREFILL_TOKENS_PER_MS = 45.0
 # A batch slows each of its requests down a little.
