Tell every gateway of requests that endpoints die of; blame only for real deaths; let blames end

Change: a blame is told to all gateways at once; only an endpoint that takes no connection any more is dead; only requests with a body are blamed; blames end after ten minutes, with a test by a clock of its own.

One test failed once on the way: the tests' endpoint kept its port open, as closing a socket does not wake the thread that waits in accept.

--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -9,25 +9,34 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from primroseferry_core.ids import Fingerprint
 
 DEATHS_TO_QUARANTINE = 2
 SAME_DEATH_S = 3
+# A blame is forgotten after this time, so that a quarantine ends.
+BLAME_TTL_S = 600.0
 
 
 class Quarantine:
     """Which requests are blamed for which deaths, own observations and those heard from peers."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, clock_s: Callable[[], float] = time.monotonic, ttl_s: float = BLAME_TTL_S
+    ) -> None:
+        self._clock_s = clock_s
+        self._ttl_s = ttl_s
         self._blamed: dict[Fingerprint, set[str]] = {}
+        self._blamed_s: dict[Fingerprint, float] = {}
         self._cleared: set[Fingerprint] = set()
         self._lock = threading.Lock()
 
@@ -38,6 +47,8 @@
         different times.
         """
         with self._lock:
+            self._expire()
+            self._blamed_s[fingerprint] = self._clock_s()
             blamed = self._blamed.setdefault(fingerprint, set())
             before = count_deaths(blamed)
             blamed.update(deaths)
@@ -55,6 +66,7 @@
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Whether no further endpoint is given the request."""
         with self._lock:
+            self._expire()
             blamed = self._blamed.get(fingerprint, set())
             return self._is_condemned(fingerprint, blamed)
 
@@ -66,8 +78,7 @@
     def forget(self, fingerprint: Fingerprint) -> None:
         """Drop a blame whose time is over."""
         with self._lock:
-            self._blamed.pop(fingerprint, None)
-            self._cleared.discard(fingerprint)
+            self._forget(fingerprint)
 
     def quarantined(self) -> list[Fingerprint]:
         """Return the quarantined requests."""
@@ -78,6 +89,16 @@
                 if self._is_condemned(fingerprint, blamed)
             )
 
+    def _forget(self, fingerprint: Fingerprint) -> None:
+        self._blamed.pop(fingerprint, None)
+        self._blamed_s.pop(fingerprint, None)
+        self._cleared.discard(fingerprint)
+
+    def _expire(self) -> None:
+        start_s = self._clock_s() - self._ttl_s
+        for fingerprint in [name for name, at in self._blamed_s.items() if at < start_s]:
+            self._forget(fingerprint)
+
     def _is_condemned(self, fingerprint: Fingerprint, blamed: set[str]) -> bool:
         return count_deaths(blamed) >= DEATHS_TO_QUARANTINE and fingerprint not in self._cleared
 
--- a/packages/primroseferry-policy/tests/test_quarantine.py
+++ b/packages/primroseferry-policy/tests/test_quarantine.py
@@ -102,3 +102,12 @@
     waiting.join(10)
 
     assert entered == [engine]
+
+
+def test_quarantine_ends_with_the_blame() -> None:
+    now_s = [100.0]
+    quarantine = Quarantine(lambda: now_s[0], ttl_s=60.0)
+    quarantine.blame(Fingerprint("deadly"), ["e-1@100", "e-2@110"])
+    assert quarantine.is_quarantined(Fingerprint("deadly"))
+    now_s[0] += 61.0
+    assert not quarantine.is_quarantined(Fingerprint("deadly"))
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -39,6 +39,7 @@
 from ..ingress.directory import Directory
 from ..ingress.listener import Listener
 from ..local_attempts import LocalAttempts
+from ..membership.peer_report import Blame
 from ..membership.peer_report import GatewayState
 from ..membership.peer_report import PeerAddress
 from ..membership.peer_report import PeerReport
@@ -126,6 +127,7 @@
             self._own_report,
             self._hear,
             self._hear_note,
+            self._hear_blame,
             self._tick,
         )
         self._watches = [
@@ -155,6 +157,7 @@
             self._peers,
             self._policy,
             self._reporter.tell_placed,
+            self._reporter.tell_blame,
         )
         self._local = local
         regions = RegionAttempts(self._loop, self._peers, self._policy.breakers, self._policy.pace)
@@ -413,6 +416,9 @@
             self._policy.parts.note_read(placed.endpoint, placed.parts, tokens)
             self._policy.reading.note(placed.endpoint, placed.work.unread_tokens)
 
+    def _hear_blame(self, blame: Blame) -> None:
+        self._policy.quarantine.blame(blame.fingerprint, [blame.death])
+
     def _tick(self) -> None:
         for instance in self._peers.expire():
             self._policy.loads.forget_peer(instance)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
+from primroseferry_core.hashing import fingerprint_of
 from primroseferry_core.hashing import rendezvous_order
+from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
 from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_policy.endpoint_loads import OpenWork
@@ -24,6 +26,8 @@
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
 from .dialect import SendOrder
+from .endpoints.probe import is_listening
+from .membership.peer_report import Blame
 from .membership.peer_report import ServiceSummary
 from .relay_policy import Placed
 
@@ -98,6 +102,7 @@
         peers: PeerTable,
         policy: RelayPolicy,
         on_placed: Callable[[Placed], None],
+        on_blame: Callable[[Blame], None],
     ) -> None:
         self._region = region
         self._loop = loop
@@ -106,6 +111,7 @@
         self._peers = peers
         self._policy = policy
         self._on_placed = on_placed
+        self._on_blame = on_blame
 
     def rank(
         self,
@@ -181,6 +187,7 @@
         finally:
             policy.loads.end(opened)
         self._learn(option, service, call, opened, outcome)
+        self._judge(endpoint, plan.request, outcome)
         return outcome
 
     def summary(self, service: Service) -> ServiceSummary:
@@ -259,6 +266,28 @@
             case _:
                 policy.breakers.release(name)
 
+    def _judge(self, endpoint: Endpoint, request: RelayRequest, outcome: AttemptOutcome) -> None:
+        """Blame a request for its endpoint's death, if that is dead and not only the connection.
+
+        Requests without a body look all alike and are not told apart by a fingerprint.
+        """
+        quarantine = self._policy.quarantine
+        match outcome:
+            case Lost(is_death=True) | StreamBroken(is_death=True) if request.body:
+                if is_listening(endpoint.address):
+                    return
+                fingerprint = fingerprint_of_request(request)
+                death = f"{endpoint.endpoint}/{endpoint.started_ms}@{int(time.time())}"
+                quarantine.blame(fingerprint, [death])
+                self._on_blame(Blame(fingerprint, death))
+            case Answered(is_failure=False) | StreamEnded():
+                quarantine.clear(fingerprint_of_request(request))
+
+
+def fingerprint_of_request(request: RelayRequest) -> Fingerprint:
+    """Return what a request is known by when it comes again; it tells nothing of the content."""
+    return Fingerprint(fingerprint_of("", request.target, request.body))
+
 
 class _CountingSink:
     """Passes a stream on and notes its first event."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
@@ -9,6 +9,7 @@
 
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import FailureDomainId
+from primroseferry_core.ids import Fingerprint
 from primroseferry_core.ids import IncarnationId
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.ids import RegionId
@@ -88,6 +89,20 @@
     placed: Placed
 
 
+@dataclass(frozen=True, slots=True)
+class Blame:
+    """A request that was running on an endpoint when that died; told to every gateway at once."""
+
+    fingerprint: Fingerprint
+    death: str
+
+
+def encode_blame(blame: Blame) -> bytes:
+    """Return the datagram of a blame."""
+    data = {"blame": blame.fingerprint, "death": blame.death}
+    return json.dumps(data, separators=(",", ":")).encode()
+
+
 def encode_note(note: PlacementNote) -> bytes:
     """Return the datagram of a note."""
     placed = note.placed
@@ -136,11 +151,15 @@
     return json.dumps(data, separators=(",", ":")).encode()
 
 
-def decode_datagram(datagram: bytes) -> PeerReport | PlacementNote | None:
-    """Return the report or note of a datagram, ``None`` where it holds none."""
+def decode_datagram(datagram: bytes) -> PeerReport | PlacementNote | Blame | None:
+    """Return the report, note or blame of a datagram, ``None`` where it holds none."""
     try:
         data = json.loads(datagram)
-        return _note(data) if isinstance(data, list) else _report(data)
+        if isinstance(data, list):
+            return _note(data)
+        if "blame" in data:
+            return Blame(Fingerprint(data["blame"]), str(data["death"]))
+        return _report(data)
     except (ValueError, KeyError, TypeError, IndexError, AttributeError):
         return None
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -19,9 +19,11 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
+from .peer_report import Blame
 from .peer_report import PeerReport
 from .peer_report import PlacementNote
 from .peer_report import decode_datagram
+from .peer_report import encode_blame
 from .peer_report import encode_note
 from .peer_report import encode_report
 
@@ -54,6 +56,7 @@
         own_report: Callable[[int, tuple[str, ...]], PeerReport],
         on_report: Callable[[PeerReport], None],
         on_note: Callable[[PlacementNote], None],
+        on_blame: Callable[[Blame], None],
         on_tick: Callable[[], None],
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -64,6 +67,7 @@
         self._own_report = own_report
         self._on_report = on_report
         self._on_note = on_note
+        self._on_blame = on_blame
         self._on_tick = on_tick
         self._sequence = 0
         self._tick = 0
@@ -91,6 +95,13 @@
         for address in self._near:
             self._send_to(address, datagram)
 
+    def tell_blame(self, blame: Blame) -> None:
+        """Tell every gateway of a request that an endpoint died of, twice: datagrams get lost."""
+        datagram = encode_blame(blame)
+        for address in self._peers.report_addresses() * 2:
+            if address != self.address:
+                self._send_to(_host_and_port(address), datagram)
+
     def stop(self) -> None:
         """Stop exchanging reports."""
         self._is_open = False
@@ -123,6 +134,8 @@
             case PlacementNote() as note:
                 if self._peers.hear_note(note):
                     self._on_note(note)
+            case Blame() as blame:
+                self._on_blame(blame)
             case None:
                 log_event(Event.PEER_EXCHANGE_FAILED, reason="a datagram cannot be read")
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -11,8 +11,6 @@
 import xxhash
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import Problem
-from primroseferry_core.hashing import fingerprint_of
-from primroseferry_core.ids import Fingerprint
 from primroseferry_transport.hang_up import watch_hang_up
 
 from .attempts.outcome import Answered
@@ -25,6 +23,7 @@
 from .ingress.answer_channel import ChannelState
 from .local_attempts import AttemptPlan
 from .local_attempts import LocalOption
+from .local_attempts import fingerprint_of_request
 from .messages import problem_answer
 from .region_choice import RegionOption
 from .region_choice import prefers_region
@@ -178,7 +177,7 @@
         limit_ms = route.timeout_ms
         if facts.deadline_ms is not None:
             limit_ms = min(limit_ms, facts.deadline_ms)
-        self._fingerprint = Fingerprint(fingerprint_of("", request.target, request.body))
+        self._fingerprint = fingerprint_of_request(request)
         self._plan = AttemptPlan(
             request,
             facts.request_id,
@@ -315,25 +314,16 @@
             case LocalOption(endpoint):
                 self._excluded.add(endpoint.endpoint)
                 outcome = self._relay._local.run(option, self._service, plan, sink, self._on_start)
-                self._blame(f"{endpoint.endpoint}/{endpoint.started_ms}", outcome)
             case RegionOption(region):
                 self._excluded_regions.add(region)
                 outcome = self._relay._regions.run(
                     option, plan, self._route, tuple(self._excluded), sink, self._on_start
                 )
-                self._blame(f"region/{region}", outcome)
+                if isinstance(outcome, Answered | StreamEnded):
+                    self._policy.quarantine.clear(self._fingerprint)
         self._record.note_outcome(outcome)
         return outcome
 
-    def _blame(self, endpoint: str, outcome: AttemptOutcome) -> None:
-        quarantine = self._policy.quarantine
-        match outcome:
-            case Lost(is_death=True) | StreamBroken(is_death=True):
-                death = f"{endpoint}@{int(time.time())}"
-                quarantine.blame(self._fingerprint, [death])
-            case Answered(is_failure=False) | StreamEnded():
-                quarantine.clear(self._fingerprint)
-
     def _settle(self, outcome: AttemptOutcome) -> bool:
         """Take in an attempt's outcome; ``True`` when the request is answered."""
         progress = self._progress
--- a/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
@@ -21,6 +21,7 @@
 from primroseferry_relay.forwarding.region_attempts import RegionAttempts
 from primroseferry_relay.ingress.listener import Listener
 from primroseferry_relay.local_attempts import LocalAttempts
+from primroseferry_relay.membership.peer_report import Blame
 from primroseferry_relay.membership.peer_report import GatewayState
 from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.relay import Relay
@@ -97,6 +98,7 @@
     ) -> None:
         self.records: list[DecisionRecord] = []
         self.placed: list[Placed] = []
+        self.blames: list[Blame] = []
         self.catalog = EndpointCatalog()
         for number, endpoint in enumerate(endpoints):
             self.catalog.put(
@@ -120,7 +122,14 @@
         self.policy = RelayPolicy(SharedRetryBudget(10, 0.2, 50))
         dialect = TestDialect()
         self.local = local = LocalAttempts(
-            NORTH, loop, dialect, self.catalog, peers, self.policy, self.placed.append
+            NORTH,
+            loop,
+            dialect,
+            self.catalog,
+            peers,
+            self.policy,
+            self.placed.append,
+            self.blames.append,
         )
         regions = RegionAttempts(loop, peers, self.policy.breakers, self.policy.pace)
         relay = Relay(
--- a/packages/primroseferry-relay/tests/relay_tests/scripted_endpoint.py
+++ b/packages/primroseferry-relay/tests/relay_tests/scripted_endpoint.py
@@ -40,6 +40,9 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self) -> None:
+        """Stop listening: without the shutdown a thread in accept keeps the port open."""
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
     def _accept(self) -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_relay.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_relay.py
@@ -334,3 +334,37 @@
     finally:
         for connection in idle:
             connection.close()
+
+
+def killer() -> ScriptedEndpoint:
+    """Return an endpoint that dies of each request."""
+
+    def script(connection: socket.socket, _request: Received) -> None:
+        endpoint.close()
+        reset(connection)
+
+    endpoint = ScriptedEndpoint(script)
+    return endpoint
+
+
+def test_request_that_kills_two_endpoints_is_given_no_third(loop: CurlLoop) -> None:
+    endpoints = [killer() for _ in range(4)]
+    bench = RelayBench(loop, endpoints)
+    statuses = [status_of(bench.call("/once/", "POST", body=b"deadly")) for _ in range(4)]
+    assert statuses == [502] * 4
+    assert sum(len(endpoint.requests) for endpoint in endpoints) == 2
+    assert len(bench.blames) == 2
+
+
+def test_reset_of_a_living_endpoint_blames_nobody(loop: CurlLoop) -> None:
+    bench = RelayBench(loop, [dying(), dying()])
+    for _ in range(3):
+        bench.call("/once/", "POST", body=b"innocent")
+    assert bench.blames == []
+
+
+def test_other_requests_are_served_beside_a_quarantined_one(loop: CurlLoop) -> None:
+    bench = RelayBench(loop, [killer(), killer(), say()])
+    for _ in range(3):
+        bench.call("/once/", "POST", body=b"deadly")
+    assert status_of(bench.call("/once/", "POST", body=b"innocent")) == 200
