--- a/packages/primroseferry-policy/src/primroseferry_policy/placement.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -32,8 +32,8 @@
 DISTURBED_STREAM_MS = 100.0
 # The share of its time that an engine may spend on reading, for the most urgent requests and for
 # the others. What is left generates: below it, streams fall behind their deadlines.
-MAX_URGENT_READING_SHARE = 0.8
-MAX_READING_SHARE = 0.6
+MAX_URGENT_READING_SHARE = 0.9
+MAX_READING_SHARE = 0.78
 # Among endpoints with free slots the one with fewer open calls goes first.
 BUSY_WEIGHT = 0.1
 # Reading tokens again costs capacity that others need: what a cached part counts beyond its time.
@@ -130,7 +130,8 @@
         return False
     limit = MAX_URGENT_READING_SHARE if is_urgent else MAX_READING_SHARE
     tokens_per_s = candidate.reading_tokens_per_s + unread_tokens
-    return tokens_per_s > limit * PREFILL_TOKENS_PER_MS * 1000
+    usual_tokens_per_s = PREFILL_TOKENS_PER_MS * 1000 / max(1.0, candidate.pace)
+    return tokens_per_s > limit * usual_tokens_per_s
 
 
 def _disturbance(unread_tokens: int) -> float:
