--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -25,8 +25,10 @@
 WATCH_MS = 2_500
 FIRST_RETRY_S = 0.15
 MAX_RETRY_S = 1.5
+# A gateway that holds nothing yet serves nobody, so it asks again sooner.
+MAX_EMPTY_RETRY_S = 0.5
 # Gateways that start together do not all list the store: the first tell the others.
-MAX_START_WAIT_S = 0.3
+MAX_START_WAIT_S = 0.15
 # How often a gateway that leaves watching to its peers looks whether it is needed.
 DUTY_CHECK_S = 0.5
 # An outage shorter than this cannot have let entries lapse.
@@ -122,4 +124,5 @@
             log_event(Event.PLATFORM_UNREACHABLE, prefix=self._prefix, reason=failure.value)
         self._is_lost = True
         time.sleep(self._retry_s * self._random.uniform(0.6, 1.4))
-        self._retry_s = min(MAX_RETRY_S, self._retry_s * 2)
+        longest_s = MAX_RETRY_S if self._state.revision > 0 else MAX_EMPTY_RETRY_S
+        self._retry_s = min(longest_s, self._retry_s * 2)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -20,6 +20,7 @@
 from primroseferry_core.logs import log_event
 
 from .peer_report import Blame
+from .peer_report import GatewayState
 from .peer_report import PeerReport
 from .peer_report import PlacementNote
 from .peer_report import decode_datagram
@@ -158,7 +159,8 @@
             self._far_turn.period(len(far)) * TICK_S * FAR_EVERY_TICKS,
         )
         self._send(self._near_turn.take(near), with_loads=True)
-        if self._tick % FAR_EVERY_TICKS == 0:
+        is_starting = self._peers.own_state is GatewayState.STARTING
+        if is_starting or self._tick % FAR_EVERY_TICKS == 0:
             self._send(self._far_turn.take(far), with_loads=False)
 
     def _send(self, receivers: list[str], with_loads: bool) -> None:
