Split the relay, its gateway and the transport's loop into files with one job

relay.py: routes a request; request_run.py: its way; control_feed.py and peer_feed.py: what is made of items and reports; state_dump.py; caller_watch.py serves callers' and peers' requests alike. The loop, its watches and its writers no longer import each other.

--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -0,0 +1,95 @@
+"""Puts the items of the store in force: routes, endpoints, evacuations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+
+from ..membership.peer_report import GatewayState
+from .changes import DomainEvacuated
+from .changes import EndpointChanged
+from .changes import EndpointRemoved
+from .changes import GatewayListed
+from .changes import ItemIgnored
+from .changes import RoutesChanged
+from .registration import GATEWAY_PREFIX
+
+if TYPE_CHECKING:
+    from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import FailureDomainId
+
+    from ..endpoints.catalog import EndpointCatalog
+    from ..membership.peer_table import PeerTable
+    from ..relay_policy import RelayPolicy
+    from ..routes.route_table import RouteTable
+    from .changes import ControlDialect
+    from .metadata_store import StoredItem
+
+
+class ControlFeed:
+    """Takes each new item once, in the order of arrival."""
+
+    def __init__(
+        self,
+        dialect: ControlDialect,
+        catalog: EndpointCatalog,
+        peers: PeerTable,
+        policy: RelayPolicy,
+    ) -> None:
+        self._dialect = dialect
+        self._catalog = catalog
+        self._peers = peers
+        self._policy = policy
+        self._table: RouteTable | None = None
+        self._evacuated: set[FailureDomainId] = set()
+
+    def table(self) -> RouteTable | None:
+        """Return the routes in force."""
+        return self._table
+
+    def apply(self, item: StoredItem) -> None:
+        """Put one item in force."""
+        if item.key.startswith(GATEWAY_PREFIX):
+            if item.value is not None:
+                self._peers.add_candidates([item.value.decode("latin-1")])
+            return
+        match self._dialect.decode(item):
+            case RoutesChanged(table):
+                self._put_table(table, item)
+            case EndpointChanged(endpoint):
+                held = self._catalog.entries().get(endpoint.endpoint)
+                if held is not None and not held.is_same_run(endpoint):
+                    self._policy.forget(endpoint.endpoint)
+                self._catalog.put(endpoint)
+            case EndpointRemoved(endpoint, _reason):
+                self._catalog.remove(endpoint)
+                self._forget_if_gone(endpoint)
+            case DomainEvacuated(domain, is_closed):
+                if is_closed:
+                    self._evacuated.add(domain)
+                else:
+                    self._evacuated.discard(domain)
+                self._catalog.set_evacuated(frozenset(self._evacuated))
+            case GatewayListed(address):
+                self._peers.add_candidates([address])
+            case ItemIgnored(reason):
+                log_event(Event.CONTROL_ITEM_IGNORED, key=item.key, reason=reason)
+
+    def _forget_if_gone(self, endpoint: EndpointId) -> None:
+        if endpoint not in self._catalog.entries():
+            self._policy.forget(endpoint)
+
+    def _put_table(self, table: RouteTable, item: StoredItem) -> None:
+        if self._table is not None and table.revision < self._table.revision:
+            log_event(
+                Event.ROUTES_STALE, revision=table.revision, held_revision=self._table.revision
+            )
+            return
+        is_first = self._table is None
+        self._table = table
+        log_event(Event.ROUTES_IN_FORCE, revision=table.revision, store_revision=item.revision)
+        if is_first and self._peers.own_state is GatewayState.STARTING:
+            self._peers.own_state = GatewayState.READY
+            log_event(Event.GATEWAY_READY, revision=table.revision)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -15,6 +15,7 @@
 from primroseferry_transport.calls import Header
 from primroseferry_transport.hang_up import watch_hang_up
 
+from ..attempts.caller_watch import CallerWatch
 from ..attempts.outcome import Answered
 from ..attempts.outcome import CallerLeft
 from ..attempts.outcome import Lost
@@ -41,7 +42,6 @@
     from primroseferry_core.ids import RegionId
     from primroseferry_transport.curl_loop import CurlLoop
 
-    from ..attempts.attempt_call import AttemptCall
     from ..attempts.outcome import AttemptOutcome
     from ..control.peer_sync import PeerSync
     from ..dialect import EndpointDialect
@@ -129,8 +129,7 @@
             request.body,
             request.received_s,
         )
-        self._call: AttemptCall | None = None
-        self._has_left = False
+        self._watch = CallerWatch()
 
     def run(self) -> None:
         """Make the attempt and answer with its outcome."""
@@ -142,19 +141,9 @@
         if route is not None and not route.permits(self._server._region):
             _send(self._channel, HopOutcome.REFUSED, "the route does not permit this region")
             return
-        with watch_hang_up(self._server._loop, self._channel.connection, self._on_hang_up):
+        with watch_hang_up(self._server._loop, self._channel.connection, self._watch.note_left):
             self._answer(self._attempt(table))
 
-    def _on_hang_up(self) -> None:
-        self._has_left = True
-        if self._call is not None:
-            self._call.cancel()
-
-    def _on_start(self, call: AttemptCall) -> None:
-        self._call = call
-        if self._has_left:
-            call.cancel()
-
     def _attempt(self, table: RouteTable) -> AttemptOutcome:
         order = self._order
         service = table.services[order.service]
@@ -173,11 +162,13 @@
         outcome: AttemptOutcome = NotRun("no endpoint is available here", is_sent=False)
         for _ in range(MAX_TRIES):
             options = self._server._local.rank(service, facts.generation, excluded)
-            if not options or self._has_left:
+            if not options or self._watch.has_left:
                 break
             excluded.add(options[0].endpoint.endpoint)
             sink = _PeerSink(self._channel) if order.is_stream else None
-            outcome = self._server._local.run(options[0], service, plan, sink, self._on_start)
+            outcome = self._server._local.run(
+                options[0], service, plan, sink, self._watch.note_start
+            )
             log_event(
                 Event.HOP_ATTEMPTED,
                 request_id=order.request_id,
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -20,15 +20,9 @@
 from primroseferry_policy.shared_budget import SharedRetryBudget
 from primroseferry_transport.curl_loop import CurlLoop
 
-from ..control.changes import DomainEvacuated
-from ..control.changes import EndpointChanged
-from ..control.changes import EndpointRemoved
-from ..control.changes import GatewayListed
-from ..control.changes import ItemIgnored
-from ..control.changes import RoutesChanged
+from ..control.control_feed import ControlFeed
 from ..control.control_state import ControlState
 from ..control.peer_sync import PeerSync
-from ..control.registration import GATEWAY_PREFIX
 from ..control.registration import Registration
 from ..control.store_watch import StoreWatch
 from ..control.watch_duty import WatchDuty
@@ -39,35 +33,34 @@
 from ..ingress.directory import Directory
 from ..ingress.listener import Listener
 from ..local_attempts import LocalAttempts
-from ..membership.peer_report import Blame
+from ..membership.peer_feed import PeerFeed
 from ..membership.peer_report import GatewayState
 from ..membership.peer_report import PeerAddress
 from ..membership.peer_report import PeerReport
-from ..membership.peer_report import PlacementNote
 from ..membership.peer_report import ServiceSummary
 from ..membership.peer_table import PeerTable
 from ..membership.reporter import Reporter
 from ..relay import Relay
 from ..relay_policy import RelayPolicy
+from ..request_run import RelayParts
 from ..routes.service import CallerLimits
 from .inspection import Inspection
 from .relay_metrics import RelayGauges
 from .relay_metrics import RelayMetrics
+from .state_dump import dump_endpoints
+from .state_dump import dump_gateways
+from .state_dump import dump_policy
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from primroseferry_core.ids import EndpointId
-    from primroseferry_core.ids import FailureDomainId
     from primroseferry_core.ids import ServiceId
 
     from ..control.changes import ControlDialect
     from ..control.metadata_store import MetadataStore
-    from ..control.metadata_store import StoredItem
     from ..decision import DecisionRecord
     from ..dialect import EndpointDialect
     from ..ingress.directory import DirectoryDialect
-    from ..routes.route_table import RouteTable
     from .settings import RelaySettings
     from .settings_file import SettingsFile
 
@@ -106,9 +99,6 @@
         self._incarnation = new_incarnation_id()
         self._loop = CurlLoop("relay")
         self._store = make_store(self._loop)
-        self._control_dialect = control_dialect
-        self._table: RouteTable | None = None
-        self._evacuated: set[FailureDomainId] = set()
         self._summaries: dict[ServiceId, ServiceSummary] = {}
         self._summaries_s = 0.0
         self._stopping = threading.Event()
@@ -116,19 +106,21 @@
         self._policy = RelayPolicy(SharedRetryBudget(limits.window_s, limits.ratio, limits.slack))
         self._catalog = EndpointCatalog()
         self._peers = PeerTable(settings.instance, settings.region)
-        self._state = ControlState(self._apply)
+        self._feed = ControlFeed(control_dialect, self._catalog, self._peers, self._policy)
+        self._state = ControlState(self._feed.apply)
         self._duty = WatchDuty(self._peers)
         self._sync = PeerSync(self._loop, self._peers, self._state, self._duty)
+        peer_feed = PeerFeed(self._peers, self._catalog, self._policy, self._sync, self._feed.table)
         self._reporter = Reporter(
             settings.host,
             settings.report_port,
             self._peers,
             self._incarnation,
             self._own_report,
-            self._hear,
-            self._hear_note,
-            self._hear_blame,
-            self._tick,
+            peer_feed.hear,
+            peer_feed.hear_note,
+            peer_feed.hear_blame,
+            peer_feed.tick,
         )
         self._watches = [
             StoreWatch(
@@ -160,24 +152,22 @@
             self._reporter.tell_blame,
         )
         self._local = local
-        regions = RegionAttempts(self._loop, self._peers, self._policy.breakers, self._policy.pace)
-        relay = Relay(
+        parts = RelayParts(
             settings.region,
             self._loop,
-            endpoint_dialect,
-            self._current_table,
             local,
-            regions,
+            RegionAttempts(self._loop, self._peers, self._policy.breakers, self._policy.pace),
             self._peers,
             self._policy,
             self._note_done,
         )
+        relay = Relay(parts, endpoint_dialect, self._feed.table)
         hops = HopServer(
             settings.region,
             self._incarnation,
             self._loop,
             endpoint_dialect,
-            self._current_table,
+            self._feed.table,
             local,
             self._sync,
         )
@@ -185,7 +175,7 @@
             "front", settings.front_port, relay.serve, settings.max_connections
         )
         own_front = f"{settings.host}:{self._front.port}"
-        directory = Directory(self._peers, own_front, directory_dialect, self._current_table)
+        directory = Directory(self._peers, own_front, directory_dialect, self._feed.table)
         small = PEER_PORTS_MAX_CONNECTIONS
         self._hops = self._listener("hops", settings.hop_port, hops.serve, settings.max_connections)
         self._others = [
@@ -274,11 +264,8 @@
     def _open_requests(self) -> int:
         return self._front.open_connections + self._hops.busy
 
-    def _current_table(self) -> RouteTable | None:
-        return self._table
-
     def _caller_limits(self) -> CallerLimits:
-        table = self._table
+        table = self._feed.table()
         return table.limits if table is not None else _NO_LIMITS
 
     def _on_stop(self, _number: int, _frame: object) -> None:
@@ -310,9 +297,10 @@
         record.log()
 
     def _gauges(self) -> RelayGauges:
+        table = self._feed.table()
         return RelayGauges(
             self._front.open_connections,
-            self._table.revision if self._table is not None else 0,
+            table.revision if table is not None else 0,
             len(self._catalog.entries()),
             self._peers.live_count(),
             oldest_answer_ms(self._watches),
@@ -320,8 +308,7 @@
         )
 
     def _dump(self) -> dict[str, object]:
-        """Return what this gateway believes, for operators."""
-        table = self._table
+        table = self._feed.table()
         return {
             "instance": self._settings.instance,
             "incarnation": self._incarnation,
@@ -331,101 +318,13 @@
             "store_age_ms": round(oldest_answer_ms(self._watches)),
             "is_on_watch_duty": self._duty.is_on_duty(),
             "evacuated": sorted(self._catalog.evacuated),
-            "endpoints": {
-                name: {
-                    "service": endpoint.service,
-                    "region": endpoint.region,
-                    "state": endpoint.state.value,
-                    "is_cold": self._catalog.is_cold(name),
-                    "open_requests": self._policy.loads.work(name).requests,
-                    "pace": round(self._policy.pace.ratio(name), 2),
-                }
-                for name, endpoint in self._catalog.entries().items()
-            },
-            "circuits": {
-                name: state.value for name, state in self._policy.breakers.states().items()
-            },
-            "quarantined": self._policy.quarantine.quarantined(),
-            "gateways": {
-                report.instance: {
-                    "region": report.region,
-                    "state": report.state.value,
-                    "route_revision": report.route_revision,
-                }
-                for report in self._peers.live()
-            },
+            "endpoints": dump_endpoints(self._catalog, self._policy),
+            "gateways": dump_gateways(self._peers),
+            **dump_policy(self._policy),
         }
 
-    def _apply(self, item: StoredItem) -> None:
-        if item.key.startswith(GATEWAY_PREFIX):
-            if item.value is not None:
-                self._peers.add_candidates([item.value.decode("latin-1")])
-            return
-        match self._control_dialect.decode(item):
-            case RoutesChanged(table):
-                self._put_table(table, item)
-            case EndpointChanged(endpoint):
-                held = self._catalog.entries().get(endpoint.endpoint)
-                if held is not None and not held.is_same_run(endpoint):
-                    self._policy.forget(endpoint.endpoint)
-                self._catalog.put(endpoint)
-            case EndpointRemoved(endpoint, _reason):
-                self._catalog.remove(endpoint)
-                self._forget_if_gone(endpoint)
-            case DomainEvacuated(domain, is_closed):
-                if is_closed:
-                    self._evacuated.add(domain)
-                else:
-                    self._evacuated.discard(domain)
-                self._catalog.set_evacuated(frozenset(self._evacuated))
-            case GatewayListed(address):
-                self._peers.add_candidates([address])
-            case ItemIgnored(reason):
-                log_event(Event.CONTROL_ITEM_IGNORED, key=item.key, reason=reason)
-
-    def _forget_if_gone(self, endpoint: EndpointId) -> None:
-        if endpoint not in self._catalog.entries():
-            self._policy.forget(endpoint)
-
-    def _put_table(self, table: RouteTable, item: StoredItem) -> None:
-        if self._table is not None and table.revision < self._table.revision:
-            log_event(
-                Event.ROUTES_STALE, revision=table.revision, held_revision=self._table.revision
-            )
-            return
-        is_first = self._table is None
-        self._table = table
-        log_event(Event.ROUTES_IN_FORCE, revision=table.revision, store_revision=item.revision)
-        if is_first and self._peers.own_state is GatewayState.STARTING:
-            self._peers.own_state = GatewayState.READY
-            log_event(Event.GATEWAY_READY, revision=table.revision)
-
-    def _hear(self, report: PeerReport) -> None:
-        if report.region != self._settings.region:
-            return
-        self._policy.loads.hear_peer(report.instance, report.loads)
-
-    def _hear_note(self, note: PlacementNote) -> None:
-        placed = note.placed
-        self._policy.loads.hear_begin(note.instance, placed.endpoint, placed.work)
-        table = self._table
-        endpoint = self._catalog.entries().get(placed.endpoint)
-        service = table.services.get(endpoint.service) if table and endpoint else None
-        if service is not None and service.engine is not None:
-            tokens = service.engine.cache_tokens
-            self._policy.parts.note_read(placed.endpoint, placed.parts, tokens)
-            self._policy.reading.note(placed.endpoint, placed.work.unread_tokens)
-
-    def _hear_blame(self, blame: Blame) -> None:
-        self._policy.quarantine.blame(blame.fingerprint, [blame.death])
-
-    def _tick(self) -> None:
-        for instance in self._peers.expire():
-            self._policy.loads.forget_peer(instance)
-        self._sync.tick()
-
     def _own_report(self, sequence: int, known: tuple[str, ...]) -> PeerReport:
-        table = self._table
+        table = self._feed.table()
         return PeerReport(
             self._settings.instance,
             self._incarnation,
@@ -444,7 +343,7 @@
 
     def _current_summaries(self) -> dict[ServiceId, ServiceSummary]:
         now_s = time.monotonic()
-        table = self._table
+        table = self._feed.table()
         if table is None or now_s - self._summaries_s < SUMMARY_MAX_AGE_S:
             return self._summaries
         self._summaries_s = now_s
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -1,87 +1,30 @@
-"""The way of one request: route, admission, attempts, answer, written straight down."""
+"""Callers' requests and the routes that match them."""
 
 from __future__ import annotations
 
 import random
-import time
-from dataclasses import dataclass
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import xxhash
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import Problem
-from primroseferry_transport.hang_up import watch_hang_up
 
-from .attempts.outcome import Answered
-from .attempts.outcome import CallerLeft
-from .attempts.outcome import Lost
-from .attempts.outcome import NotRun
-from .attempts.outcome import StreamBroken
-from .attempts.outcome import StreamEnded
 from .decision import DecisionRecord
-from .ingress.answer_channel import ChannelState
-from .local_attempts import AttemptPlan
-from .local_attempts import LocalOption
-from .local_attempts import fingerprint_of_request
 from .messages import problem_answer
-from .region_choice import RegionOption
-from .region_choice import prefers_region
-from .routes.route import RouteKind
+from .request_run import RelayParts
+from .request_run import RequestRun
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from primroseferry_core.ids import EndpointId
-    from primroseferry_core.ids import RegionId
-    from primroseferry_transport.curl_loop import CurlLoop
-
-    from .attempts.attempt_call import AttemptCall
-    from .attempts.outcome import AttemptOutcome
     from .dialect import EndpointDialect
-    from .dialect import RequestFacts
-    from .forwarding.region_attempts import RegionAttempts
     from .ingress.answer_channel import AnswerChannel
-    from .local_attempts import LocalAttempts
-    from .membership.peer_table import PeerTable
-    from .messages import AnswerHead
     from .messages import RelayRequest
-    from .messages import WholeAnswer
-    from .relay_policy import RelayPolicy
-    from .routes.route import Route
     from .routes.route_table import RouteTable
-    from .routes.service import Service
 
-# Tries that never reached an endpoint are free, but each takes time that the caller is waiting.
-MAX_TRIES = 6
-# When a caller is asked to come back: a random time in these bounds, so that many do not return
-# together.
-MIN_RETURN_S = 0.3
-MAX_RETURN_S = 1.5
 # A gateway that has no routes yet waits for the store or for a peer.
 MIN_START_RETURN_S = 1.0
 MAX_START_RETURN_S = 2.5
-# How long a request waits here for engines with too much to read, as a share of its target, and
-# how often it looks.
-ROOM_WAIT_SHARE = 0.5
-ROOM_CHECK_S = 0.03
-# The endpoints' order of urgency, 0 first; a route's own priority is added to this.
-BASE_PRIORITY = 3
-MAX_PRIORITY = 9
-
-
-@dataclass(slots=True)
-class _Progress:
-    """What a request's attempts have brought so far."""
-
-    sends: int = 0
-    tries: int = 0
-    events: int = 0
-    last_event_id: str = ""
-    may_have_run: bool = False
-    last_failure: WholeAnswer | None = None
-    reason: str = ""
-    retry_after_s: float | None = None
 
 
 class Relay:
@@ -89,26 +32,13 @@
 
     def __init__(
         self,
-        region: RegionId,
-        loop: CurlLoop,
+        parts: RelayParts,
         dialect: EndpointDialect,
         tables: Callable[[], RouteTable | None],
-        local: LocalAttempts,
-        regions: RegionAttempts,
-        peers: PeerTable,
-        policy: RelayPolicy,
-        on_done: Callable[[DecisionRecord], None],
     ) -> None:
-        self._region = region
-        self._loop = loop
+        self._parts = parts
         self._dialect = dialect
         self._tables = tables
-        self._local = local
-        self._regions = regions
-        self._peers = peers
-        self._policy = policy
-        self._on_done = on_done
-        self._random = random.Random()
 
     def serve(self, request: RelayRequest, channel: AnswerChannel) -> None:
         """Answer one request."""
@@ -117,7 +47,7 @@
         table = self._tables()
         if table is None:
             problem = Problem(ErrorKind.GATEWAY_NOT_READY, "no route table is known yet")
-            wait_s = self._random.uniform(MIN_START_RETURN_S, MAX_START_RETURN_S)
+            wait_s = random.uniform(MIN_START_RETURN_S, MAX_START_RETURN_S)
             self._refuse(channel, record, problem, wait_s)
             return
         record.revision = table.revision
@@ -130,8 +60,8 @@
         service = table.services[route.service_for(ticket)]
         record.route = route.name
         record.service = service.name
-        self._policy.budget.note_request(service.name)
-        _RequestRun(self, request, facts, channel, route, service, record).run()
+        self._parts.policy.budget.note_request(service.name)
+        RequestRun(self._parts, request, facts, channel, route, service, record).run()
 
     def _refuse(
         self,
@@ -143,294 +73,4 @@
         record.reason = problem.detail
         channel.send(problem_answer(problem, retry_after_s))
         record.outcome = problem.kind.value
-        self._on_done(record)
-
-    def _return_s(self) -> float:
-        return self._random.uniform(MIN_RETURN_S, MAX_RETURN_S)
-
-
-class _RequestRun:
-    """One request on its way."""
-
-    def __init__(
-        self,
-        relay: Relay,
-        request: RelayRequest,
-        facts: RequestFacts,
-        channel: AnswerChannel,
-        route: Route,
-        service: Service,
-        record: DecisionRecord,
-    ) -> None:
-        self._relay = relay
-        self._policy = relay._policy
-        self._request = request
-        self._channel = channel
-        self._route = route
-        self._service = service
-        self._record = record
-        self._progress = _Progress(last_event_id=facts.last_event_id)
-        self._excluded: set[EndpointId] = set()
-        self._excluded_regions: set[RegionId] = set()
-        self._call: AttemptCall | None = None
-        self._has_left = False
-        limit_ms = route.timeout_ms
-        if facts.deadline_ms is not None:
-            limit_ms = min(limit_ms, facts.deadline_ms)
-        self._fingerprint = fingerprint_of_request(request)
-        self._plan = AttemptPlan(
-            request,
-            facts.request_id,
-            service.name,
-            facts.generation,
-            request.received_s + limit_ms / 1000,
-            min(MAX_PRIORITY, BASE_PRIORITY + route.priority),
-            facts.last_event_id,
-            may_be_repeated=False,
-        )
-
-    @property
-    def _is_urgent(self) -> bool:
-        return self._route.priority == 0
-
-    @property
-    def _may_be_repeated(self) -> bool:
-        return self._route.is_repeatable or self._route.is_resumable
-
-    def run(self) -> None:
-        """Make attempts until the request is answered."""
-        if self._policy.quarantine.is_quarantined(self._fingerprint):
-            kind = ErrorKind.ENDPOINT_FAILED
-            self._give_up(Problem(kind, "endpoints that ran this request crashed"), None)
-            return
-        connection = self._channel.connection
-        with watch_hang_up(self._relay._loop, connection, self._on_hang_up):
-            while not self._has_left:
-                if self._plan.remaining_ms <= 0:
-                    self._give_up_late()
-                    return
-                option = self._choose()
-                if option is None:
-                    self._give_up_without_option()
-                    return
-                if self._is_hopeless(option):
-                    return
-                if _is_saturated(option):
-                    if not self._wait_for_room():
-                        return
-                    continue
-                if not self._may_send_again():
-                    self._give_up_after_failure("no further attempt is allowed")
-                    return
-                if self._settle(self._attempt(option)):
-                    return
-        self._finish("caller-left")
-
-    def _on_hang_up(self) -> None:
-        self._has_left = True
-        if self._call is not None:
-            self._call.cancel()
-
-    def _on_start(self, call: AttemptCall) -> None:
-        self._call = call
-        if self._has_left:
-            call.cancel()
-
-    def _choose(self) -> LocalOption | RegionOption | None:
-        if self._progress.tries >= MAX_TRIES:
-            return None
-        route = self._route
-        local = None
-        if route.permits(self._relay._region):
-            options = self._relay._local.rank(
-                self._service, self._plan.generation, self._excluded, self._is_urgent
-            )
-            local = options[0] if options else None
-        remote = self._relay._regions.best(
-            self._service,
-            self._plan.generation,
-            route.home_regions,
-            self._excluded_regions,
-            self._is_urgent,
-        )
-        self._record.note_options(local, remote)
-        if remote is None:
-            return local
-        if local is None or prefers_region(local.choice, remote):
-            return remote
-        return local
-
-    def _is_hopeless(self, option: LocalOption | RegionOption) -> bool:
-        """Refuse at once what is not expected to begin before its deadline."""
-        first_ms = option.choice.first_ms if isinstance(option, LocalOption) else option.first_ms
-        if self._progress.sends > 0 or first_ms <= self._plan.remaining_ms:
-            return False
-        excess_s = (first_ms - self._route.latency_target_ms) / 1000
-        problem = Problem(
-            ErrorKind.WOULD_BE_LATE,
-            f"the first byte is expected after {first_ms:.0f} ms, "
-            f"{self._plan.remaining_ms:.0f} ms are left",
-        )
-        self._give_up(problem, min(MAX_RETURN_S, max(MIN_RETURN_S, excess_s)))
-        return True
-
-    def _wait_for_room(self) -> bool:
-        """Wait a little for engines that read too much; ``False`` once that took too long."""
-        waited_ms = (time.monotonic() - self._request.received_s) * 1000
-        limit_ms = min(self._route.latency_target_ms * ROOM_WAIT_SHARE, self._plan.remaining_ms)
-        if waited_ms < limit_ms:
-            time.sleep(ROOM_CHECK_S)
-            return True
-        if self._progress.may_have_run:
-            self._give_up_after_failure("the engines have no room")
-            return False
-        problem = Problem(ErrorKind.WOULD_BE_LATE, "the engines have too much to read")
-        self._give_up(problem, self._relay._return_s())
-        return False
-
-    def _may_send_again(self) -> bool:
-        progress = self._progress
-        if progress.sends == 0:
-            return True
-        if progress.sends >= self._route.max_attempts:
-            return False
-        if progress.may_have_run and not self._may_be_repeated:
-            return False
-        return self._policy.budget.spend(self._service.name, self._relay._peers.live_count())
-
-    def _attempt(self, option: LocalOption | RegionOption) -> AttemptOutcome:
-        self._progress.tries += 1
-        has_more = self._progress.sends + 1 < self._route.max_attempts
-        plan = replace(
-            self._plan,
-            last_event_id=self._progress.last_event_id,
-            may_be_repeated=self._may_be_repeated and has_more,
-        )
-        sink = None
-        if self._route.kind is RouteKind.STREAM:
-            sink = _CallerSink(self._channel)
-        self._record.note_attempt(option)
-        match option:
-            case LocalOption(endpoint):
-                self._excluded.add(endpoint.endpoint)
-                outcome = self._relay._local.run(option, self._service, plan, sink, self._on_start)
-            case RegionOption(region):
-                self._excluded_regions.add(region)
-                outcome = self._relay._regions.run(
-                    option, plan, self._route, tuple(self._excluded), sink, self._on_start
-                )
-                if isinstance(outcome, Answered | StreamEnded):
-                    self._policy.quarantine.clear(self._fingerprint)
-        self._record.note_outcome(outcome)
-        return outcome
-
-    def _settle(self, outcome: AttemptOutcome) -> bool:
-        """Take in an attempt's outcome; ``True`` when the request is answered."""
-        progress = self._progress
-        match outcome:
-            case NotRun(reason, is_sent, retry_after_s):
-                progress.sends += is_sent
-                progress.reason = reason
-                progress.retry_after_s = retry_after_s
-                return False
-            case Answered(answer, is_failure):
-                progress.sends += 1
-                progress.may_have_run = True
-                if is_failure and self._route.is_repeatable:
-                    progress.last_failure = answer
-                    progress.reason = f"status {answer.head.status}"
-                    return False
-                return self._deliver(answer)
-            case StreamEnded(events):
-                progress.events += events
-                is_sent = self._channel.end_stream()
-                self._finish("answered" if is_sent else "caller-left")
-                return True
-            case StreamBroken(reason, last_event_id, events):
-                progress.sends += 1
-                progress.may_have_run = True
-                progress.events += events
-                progress.last_event_id = last_event_id or progress.last_event_id
-                progress.reason = reason
-                return False
-            case Lost(reason):
-                progress.sends += 1
-                progress.may_have_run = True
-                progress.reason = reason
-                return False
-            case CallerLeft():
-                self._finish("caller-left")
-                return True
-
-    def _deliver(self, answer: WholeAnswer) -> bool:
-        if self._channel.state is ChannelState.STREAMING:
-            self._break_off(f"the stream could not go on: status {answer.head.status}")
-            return True
-        is_sent = self._channel.send(answer)
-        self._finish("answered" if is_sent else "caller-left")
-        return True
-
-    def _give_up_late(self) -> None:
-        if self._progress.last_failure is not None:
-            self._deliver(self._progress.last_failure)
-            return
-        kind = ErrorKind.DEADLINE_PASSED
-        self._give_up(Problem(kind, f"no answer in time; {self._progress.reason}"), None)
-
-    def _give_up_without_option(self) -> None:
-        if self._progress.may_have_run:
-            self._give_up_after_failure("no other endpoint is available")
-            return
-        detail = self._progress.reason or "no endpoint is available"
-        wait_s = self._progress.retry_after_s or self._relay._return_s()
-        self._give_up(Problem(ErrorKind.NO_ENDPOINT, detail), wait_s)
-
-    def _give_up_after_failure(self, detail: str) -> None:
-        progress = self._progress
-        if progress.last_failure is not None:
-            self._deliver(progress.last_failure)
-        elif progress.may_have_run:
-            text = f"{progress.reason}; {detail}"
-            self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, text), None)
-        else:
-            wait_s = progress.retry_after_s or self._relay._return_s()
-            self._give_up(Problem(ErrorKind.NO_ENDPOINT, progress.reason), wait_s)
-
-    def _give_up(self, problem: Problem, retry_after_s: float | None) -> None:
-        if self._channel.state is ChannelState.STREAMING:
-            self._break_off(problem.detail)
-            return
-        self._record.reason = problem.detail
-        self._channel.send(problem_answer(problem, retry_after_s))
-        self._finish(problem.kind.value)
-
-    def _break_off(self, reason: str) -> None:
-        self._record.reason = reason
-        self._channel.abort()
-        self._finish("broken-off")
-
-    def _finish(self, outcome: str) -> None:
-        self._record.outcome = outcome
-        self._record.status = self._channel.status
-        self._relay._on_done(self._record)
-
-
-def _is_saturated(option: LocalOption | RegionOption) -> bool:
-    if isinstance(option, LocalOption):
-        return option.choice.is_saturated
-    return option.is_saturated
-
-
-class _CallerSink:
-    """Passes the events of every attempt of a request to its caller as one stream."""
-
-    def __init__(self, channel: AnswerChannel) -> None:
-        self._channel = channel
-
-    def begin(self, head: AnswerHead) -> bool:
-        if self._channel.state is ChannelState.STREAMING:
-            return True
-        return self._channel.begin_stream(head)
-
-    def write(self, data: bytes) -> bool:
-        return self._channel.write_events(data)
+        self._parts.on_done(record)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -0,0 +1,374 @@
+"""One request on its way: admission, attempts and answer, written straight down."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from primroseferry_core.errors import ErrorKind
+from primroseferry_core.errors import Problem
+from primroseferry_transport.hang_up import watch_hang_up
+
+from .attempts.caller_watch import CallerWatch
+from .attempts.outcome import Answered
+from .attempts.outcome import CallerLeft
+from .attempts.outcome import Lost
+from .attempts.outcome import NotRun
+from .attempts.outcome import StreamBroken
+from .attempts.outcome import StreamEnded
+from .ingress.answer_channel import ChannelState
+from .local_attempts import AttemptPlan
+from .local_attempts import LocalOption
+from .local_attempts import fingerprint_of_request
+from .messages import problem_answer
+from .region_choice import RegionOption
+from .region_choice import prefers_region
+from .routes.route import RouteKind
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import RegionId
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from .attempts.outcome import AttemptOutcome
+    from .decision import DecisionRecord
+    from .dialect import RequestFacts
+    from .forwarding.region_attempts import RegionAttempts
+    from .ingress.answer_channel import AnswerChannel
+    from .local_attempts import LocalAttempts
+    from .membership.peer_table import PeerTable
+    from .messages import AnswerHead
+    from .messages import RelayRequest
+    from .messages import WholeAnswer
+    from .relay_policy import RelayPolicy
+    from .routes.route import Route
+    from .routes.service import Service
+
+# Tries that never reached an endpoint are free, but each takes time that the caller is waiting.
+MAX_TRIES = 6
+# When a caller is asked to come back: a random time in these bounds, so that many do not return
+# together.
+MIN_RETURN_S = 0.3
+MAX_RETURN_S = 1.5
+# How long a request waits here for engines with too much to read, as a share of its target, and
+# how often it looks.
+ROOM_WAIT_SHARE = 0.5
+ROOM_CHECK_S = 0.03
+# The endpoints' order of urgency, 0 first; a route's own priority is added to this.
+BASE_PRIORITY = 3
+MAX_PRIORITY = 9
+
+
+@dataclass(frozen=True, slots=True)
+class RelayParts:
+    """What all requests of a gateway share."""
+
+    region: RegionId
+    loop: CurlLoop
+    local: LocalAttempts
+    regions: RegionAttempts
+    peers: PeerTable
+    policy: RelayPolicy
+    on_done: Callable[[DecisionRecord], None]
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What a request's attempts have brought so far."""
+
+    sends: int = 0
+    tries: int = 0
+    events: int = 0
+    last_event_id: str = ""
+    may_have_run: bool = False
+    last_failure: WholeAnswer | None = None
+    reason: str = ""
+    retry_after_s: float | None = None
+
+
+class RequestRun:
+    """One request on its way."""
+
+    def __init__(
+        self,
+        parts: RelayParts,
+        request: RelayRequest,
+        facts: RequestFacts,
+        channel: AnswerChannel,
+        route: Route,
+        service: Service,
+        record: DecisionRecord,
+    ) -> None:
+        self._parts = parts
+        self._policy = parts.policy
+        self._request = request
+        self._channel = channel
+        self._route = route
+        self._service = service
+        self._record = record
+        self._progress = _Progress(last_event_id=facts.last_event_id)
+        self._excluded: set[EndpointId] = set()
+        self._excluded_regions: set[RegionId] = set()
+        self._watch = CallerWatch()
+        limit_ms = route.timeout_ms
+        if facts.deadline_ms is not None:
+            limit_ms = min(limit_ms, facts.deadline_ms)
+        self._fingerprint = fingerprint_of_request(request)
+        self._plan = AttemptPlan(
+            request,
+            facts.request_id,
+            service.name,
+            facts.generation,
+            request.received_s + limit_ms / 1000,
+            min(MAX_PRIORITY, BASE_PRIORITY + route.priority),
+            facts.last_event_id,
+            may_be_repeated=False,
+        )
+
+    @property
+    def _is_urgent(self) -> bool:
+        return self._route.priority == 0
+
+    @property
+    def _may_be_repeated(self) -> bool:
+        return self._route.is_repeatable or self._route.is_resumable
+
+    def run(self) -> None:
+        """Make attempts until the request is answered."""
+        if self._policy.quarantine.is_quarantined(self._fingerprint):
+            kind = ErrorKind.ENDPOINT_FAILED
+            self._give_up(Problem(kind, "endpoints that ran this request crashed"), None)
+            return
+        connection = self._channel.connection
+        with watch_hang_up(self._parts.loop, connection, self._watch.note_left):
+            while not self._watch.has_left:
+                if self._plan.remaining_ms <= 0:
+                    self._give_up_late()
+                    return
+                option = self._choose()
+                if option is None:
+                    self._give_up_without_option()
+                    return
+                if self._is_hopeless(option):
+                    return
+                if _is_saturated(option):
+                    if not self._wait_for_room():
+                        return
+                    continue
+                if not self._may_send_again():
+                    self._give_up_after_failure("no further attempt is allowed")
+                    return
+                if self._settle(self._attempt(option)):
+                    return
+        self._finish("caller-left")
+
+    def _choose(self) -> LocalOption | RegionOption | None:
+        if self._progress.tries >= MAX_TRIES:
+            return None
+        route = self._route
+        local = None
+        if route.permits(self._parts.region):
+            options = self._parts.local.rank(
+                self._service, self._plan.generation, self._excluded, self._is_urgent
+            )
+            local = options[0] if options else None
+        remote = self._parts.regions.best(
+            self._service,
+            self._plan.generation,
+            route.home_regions,
+            self._excluded_regions,
+            self._is_urgent,
+        )
+        self._record.note_options(local, remote)
+        if remote is None:
+            return local
+        if local is None or prefers_region(local.choice, remote):
+            return remote
+        return local
+
+    def _is_hopeless(self, option: LocalOption | RegionOption) -> bool:
+        """Refuse at once what is not expected to begin before its deadline."""
+        first_ms = option.choice.first_ms if isinstance(option, LocalOption) else option.first_ms
+        if self._progress.sends > 0 or first_ms <= self._plan.remaining_ms:
+            return False
+        excess_s = (first_ms - self._route.latency_target_ms) / 1000
+        problem = Problem(
+            ErrorKind.WOULD_BE_LATE,
+            f"the first byte is expected after {first_ms:.0f} ms, "
+            f"{self._plan.remaining_ms:.0f} ms are left",
+        )
+        self._give_up(problem, min(MAX_RETURN_S, max(MIN_RETURN_S, excess_s)))
+        return True
+
+    def _wait_for_room(self) -> bool:
+        """Wait a little for engines that read too much; ``False`` once that took too long."""
+        waited_ms = (time.monotonic() - self._request.received_s) * 1000
+        limit_ms = min(self._route.latency_target_ms * ROOM_WAIT_SHARE, self._plan.remaining_ms)
+        if waited_ms < limit_ms:
+            time.sleep(ROOM_CHECK_S)
+            return True
+        if self._progress.may_have_run:
+            self._give_up_after_failure("the engines have no room")
+            return False
+        problem = Problem(ErrorKind.WOULD_BE_LATE, "the engines have too much to read")
+        self._give_up(problem, _return_s())
+        return False
+
+    def _may_send_again(self) -> bool:
+        progress = self._progress
+        if progress.sends == 0:
+            return True
+        if progress.sends >= self._route.max_attempts:
+            return False
+        if progress.may_have_run and not self._may_be_repeated:
+            return False
+        return self._policy.budget.spend(self._service.name, self._parts.peers.live_count())
+
+    def _attempt(self, option: LocalOption | RegionOption) -> AttemptOutcome:
+        self._progress.tries += 1
+        has_more = self._progress.sends + 1 < self._route.max_attempts
+        plan = replace(
+            self._plan,
+            last_event_id=self._progress.last_event_id,
+            may_be_repeated=self._may_be_repeated and has_more,
+        )
+        sink = None
+        if self._route.kind is RouteKind.STREAM:
+            sink = _CallerSink(self._channel)
+        self._record.note_attempt(option)
+        match option:
+            case LocalOption(endpoint):
+                self._excluded.add(endpoint.endpoint)
+                outcome = self._parts.local.run(
+                    option, self._service, plan, sink, self._watch.note_start
+                )
+            case RegionOption(region):
+                self._excluded_regions.add(region)
+                outcome = self._parts.regions.run(
+                    option, plan, self._route, tuple(self._excluded), sink, self._watch.note_start
+                )
+                if isinstance(outcome, Answered | StreamEnded):
+                    self._policy.quarantine.clear(self._fingerprint)
+        self._record.note_outcome(outcome)
+        return outcome
+
+    def _settle(self, outcome: AttemptOutcome) -> bool:
+        """Take in an attempt's outcome; ``True`` when the request is answered."""
+        progress = self._progress
+        match outcome:
+            case NotRun(reason, is_sent, retry_after_s):
+                progress.sends += is_sent
+                progress.reason = reason
+                progress.retry_after_s = retry_after_s
+                return False
+            case Answered(answer, is_failure):
+                progress.sends += 1
+                progress.may_have_run = True
+                if is_failure and self._route.is_repeatable:
+                    progress.last_failure = answer
+                    progress.reason = f"status {answer.head.status}"
+                    return False
+                return self._deliver(answer)
+            case StreamEnded(events):
+                progress.events += events
+                is_sent = self._channel.end_stream()
+                self._finish("answered" if is_sent else "caller-left")
+                return True
+            case StreamBroken(reason, last_event_id, events):
+                progress.sends += 1
+                progress.may_have_run = True
+                progress.events += events
+                progress.last_event_id = last_event_id or progress.last_event_id
+                progress.reason = reason
+                return False
+            case Lost(reason):
+                progress.sends += 1
+                progress.may_have_run = True
+                progress.reason = reason
+                return False
+            case CallerLeft():
+                self._finish("caller-left")
+                return True
+
+    def _deliver(self, answer: WholeAnswer) -> bool:
+        if self._channel.state is ChannelState.STREAMING:
+            self._break_off(f"the stream could not go on: status {answer.head.status}")
+            return True
+        is_sent = self._channel.send(answer)
+        self._finish("answered" if is_sent else "caller-left")
+        return True
+
+    def _give_up_late(self) -> None:
+        if self._progress.last_failure is not None:
+            self._deliver(self._progress.last_failure)
+            return
+        kind = ErrorKind.DEADLINE_PASSED
+        self._give_up(Problem(kind, f"no answer in time; {self._progress.reason}"), None)
+
+    def _give_up_without_option(self) -> None:
+        if self._progress.may_have_run:
+            self._give_up_after_failure("no other endpoint is available")
+            return
+        detail = self._progress.reason or "no endpoint is available"
+        wait_s = self._progress.retry_after_s or _return_s()
+        self._give_up(Problem(ErrorKind.NO_ENDPOINT, detail), wait_s)
+
+    def _give_up_after_failure(self, detail: str) -> None:
+        progress = self._progress
+        if progress.last_failure is not None:
+            self._deliver(progress.last_failure)
+        elif progress.may_have_run:
+            text = f"{progress.reason}; {detail}"
+            self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, text), None)
+        else:
+            wait_s = progress.retry_after_s or _return_s()
+            self._give_up(Problem(ErrorKind.NO_ENDPOINT, progress.reason), wait_s)
+
+    def _give_up(self, problem: Problem, retry_after_s: float | None) -> None:
+        if self._channel.state is ChannelState.STREAMING:
+            self._break_off(problem.detail)
+            return
+        self._record.reason = problem.detail
+        self._channel.send(problem_answer(problem, retry_after_s))
+        self._finish(problem.kind.value)
+
+    def _break_off(self, reason: str) -> None:
+        self._record.reason = reason
+        self._channel.abort()
+        self._finish("broken-off")
+
+    def _finish(self, outcome: str) -> None:
+        self._record.outcome = outcome
+        self._record.status = self._channel.status
+        self._parts.on_done(self._record)
+
+
+def _is_saturated(option: LocalOption | RegionOption) -> bool:
+    if isinstance(option, LocalOption):
+        return option.choice.is_saturated
+    return option.is_saturated
+
+
+class _CallerSink:
+    """Passes the events of every attempt of a request to its caller as one stream."""
+
+    def __init__(self, channel: AnswerChannel) -> None:
+        self._channel = channel
+
+    def begin(self, head: AnswerHead) -> bool:
+        if self._channel.state is ChannelState.STREAMING:
+            return True
+        return self._channel.begin_stream(head)
+
+    def write(self, data: bytes) -> bool:
+        return self._channel.write_events(data)
+
+
+def _return_s() -> float:
+    """Return when a caller may come back: spread, so that many do not return together."""
+    return random.uniform(MIN_RETURN_S, MAX_RETURN_S)
--- a/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
@@ -27,6 +27,7 @@
 from primroseferry_relay.relay import Relay
 from primroseferry_relay.relay_policy import Placed
 from primroseferry_relay.relay_policy import RelayPolicy
+from primroseferry_relay.request_run import RelayParts
 from primroseferry_relay.routes.route import RouteKind
 from primroseferry_relay.routes.route_table import RouteTable
 from primroseferry_relay.routes.route_table import build_route_table
@@ -132,17 +133,8 @@
             self.blames.append,
         )
         regions = RegionAttempts(loop, peers, self.policy.breakers, self.policy.pace)
-        relay = Relay(
-            NORTH,
-            loop,
-            dialect,
-            lambda: self.table,
-            local,
-            regions,
-            peers,
-            self.policy,
-            self.records.append,
-        )
+        parts = RelayParts(NORTH, loop, local, regions, peers, self.policy, self.records.append)
+        relay = Relay(parts, dialect, lambda: self.table)
         self.listener = Listener("front", "127.0.0.1", 0, relay.serve, lambda: LIMITS, loop, 16)
         self.listener.start()
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_control_state.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_control_state.py
@@ -52,5 +52,5 @@
 def test_any_order_of_arrival_ends_in_the_newest_value(order: list[int]) -> None:
     state = ControlState(lambda _item: None)
     for revision in order:
-        state.apply(StoredItem("op/config", str(revision).encode(), revision))
-    assert state.items_after(0) == [StoredItem("op/config", b"8", 8)]
+        state.apply(StoredItem("routes", str(revision).encode(), revision))
+    assert state.items_after(0) == [StoredItem("routes", b"8", 8)]
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -30,7 +30,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .socket_writer import SocketWriter
+    from .loop_services import PendingWriter
+    from .loop_services import ReadableWatch
 
 SWEEP_INTERVAL_S = 0.1
 MAX_IDLE_HANDLES = 256
@@ -143,15 +144,15 @@
         self._commands.append(command)
         self._wake()
 
-    def flush_when_writable(self, writer: SocketWriter) -> None:
+    def flush_when_writable(self, writer: PendingWriter) -> None:
         """Call ``writer.flush()`` each time its socket can take bytes, until nothing is left."""
         self.run_soon(lambda: self._watch_writer(writer))
 
-    def add_watch(self, watch: HangUpWatch) -> None:
+    def add_watch(self, watch: ReadableWatch) -> None:
         """Call ``watch.check()`` when its connection is readable."""
         self.run_soon(lambda: self._add_watch(watch))
 
-    def remove_watch(self, watch: HangUpWatch) -> None:
+    def remove_watch(self, watch: ReadableWatch) -> None:
         """Stop watching and close the watch's duplicate of the connection."""
         self.run_soon(lambda: self._remove_watch(watch))
 
@@ -311,7 +312,7 @@
             handle.close()
         pending.future.set_result(result)
 
-    def _watch_writer(self, writer: SocketWriter) -> None:
+    def _watch_writer(self, writer: PendingWriter) -> None:
         fd = writer.fileno()
         if fd < 0:
             return
@@ -320,14 +321,14 @@
         except (KeyError, ValueError, OSError):
             return
 
-    def _add_watch(self, watch: HangUpWatch) -> None:
-        self._selector.register(watch.duplicate, selectors.EVENT_READ, watch)
+    def _add_watch(self, watch: ReadableWatch) -> None:
+        self._selector.register(watch.fileno(), selectors.EVENT_READ, watch)
 
-    def _remove_watch(self, watch: HangUpWatch) -> None:
-        self._unregister(watch.duplicate.fileno())
-        watch.duplicate.close()
+    def _remove_watch(self, watch: ReadableWatch) -> None:
+        self._unregister(watch.fileno())
+        watch.close()
 
-    def _flush_writer(self, writer: SocketWriter) -> None:
+    def _flush_writer(self, writer: PendingWriter) -> None:
         if writer.flush():
             return
         for key in list(self._selector.get_map().values()):
--- a/packages/primroseferry-transport/src/primroseferry_transport/hang_up.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/hang_up.py
@@ -10,7 +10,7 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
-    from .curl_loop import CurlLoop
+    from .loop_services import LoopServices
 
 
 class HangUpWatch:
@@ -21,6 +21,14 @@
         self.duplicate.setblocking(False)
         self._on_hang_up = on_hang_up
 
+    def fileno(self) -> int:
+        """The duplicate's file descriptor."""
+        return self.duplicate.fileno()
+
+    def close(self) -> None:
+        """Close the duplicate."""
+        self.duplicate.close()
+
     def check(self) -> bool:
         """Look at a readable connection; ``False`` when there is nothing more to watch for."""
         try:
@@ -36,7 +44,7 @@
 
 @contextlib.contextmanager
 def watch_hang_up(
-    loop: CurlLoop, connection: socket.socket, on_hang_up: Callable[[], None]
+    loop: LoopServices, connection: socket.socket, on_hang_up: Callable[[], None]
 ) -> Iterator[None]:
     """Call ``on_hang_up`` on the loop's thread if the caller closes within the block."""
     try:
--- a/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     import socket
 
-    from .curl_loop import CurlLoop
+    from .loop_services import LoopServices
 
 DEFAULT_MAX_PENDING_BYTES = 1024 * 1024
 
@@ -23,7 +23,7 @@
     def __init__(
         self,
         connection: socket.socket,
-        loop: CurlLoop,
+        loop: LoopServices,
         max_pending_bytes: int = DEFAULT_MAX_PENDING_BYTES,
     ) -> None:
         connection.setblocking(False)
