Wait or refuse here when an endpoint has five calls a slot

Change: beyond five calls a slot an endpoint counts as full, so the request takes another one, waits for half of its target, or is refused here as not run. A test of the ranking.

--- a/packages/primroseferry-policy/src/primroseferry_policy/placement.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -34,6 +34,8 @@
 # the others. What is left generates: below it, streams fall behind their deadlines.
 MAX_URGENT_READING_SHARE = 0.9
 MAX_READING_SHARE = 0.78
+# Calls that an endpoint of a plain service is given for each slot; beyond that it sheds them.
+MAX_CALLS_PER_SLOT = 5
 # Among endpoints with free slots the one with fewer open calls goes first.
 BUSY_WEIGHT = 0.1
 # Reading tokens again costs capacity that others need: what a cached part counts beyond its time.
@@ -87,7 +89,7 @@
 def rank_calls(candidates: Sequence[Candidate], call_ms: float) -> list[Choice]:
     """Return the endpoints for a call of a plain service, the soonest free first."""
     choices = [call_choice(candidate, call_ms) for candidate in candidates]
-    return sorted(choices, key=lambda choice: choice.score)
+    return sorted(choices, key=lambda choice: (choice.is_saturated, choice.score))
 
 
 def call_choice(candidate: Candidate, call_ms: float) -> Choice:
@@ -97,7 +99,9 @@
     wait_ms = max(0, open_requests + 1 - slots) / slots * call_ms
     busy_ms = open_requests / slots * call_ms * BUSY_WEIGHT
     first_ms = (call_ms + wait_ms) * candidate.pace
-    return Choice(candidate.endpoint, first_ms, 0, first_ms + busy_ms + candidate.overdue_ms)
+    score = first_ms + busy_ms + candidate.overdue_ms
+    is_full = open_requests >= slots * MAX_CALLS_PER_SLOT
+    return Choice(candidate.endpoint, first_ms, 0, score, is_saturated=is_full)
 
 
 def engine_choice(candidate: Candidate, generation: Generation, is_urgent: bool = True) -> Choice:
--- a/packages/primroseferry-policy/tests/test_placement.py
+++ b/packages/primroseferry-policy/tests/test_placement.py
@@ -125,3 +125,13 @@
     ranked = rank_calls([full, half, idle], call_ms=60)
     assert [choice.endpoint for choice in ranked] == ["c", "b", "a"]
     assert ranked[2].first_ms > 60
+
+
+def test_endpoint_with_many_calls_for_each_slot_is_full() -> None:
+    full = _named("a", slots=6, work=OpenWork(30, 0, 0))
+    busy = _named("b", slots=6, work=OpenWork(29, 0, 0), overdue_ms=5_000.0)
+    ranked = rank_calls([full, busy], call_ms=60)
+    assert [(choice.endpoint, choice.is_saturated) for choice in ranked] == [
+        ("b", False),
+        ("a", True),
+    ]
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -213,9 +213,9 @@
             time.sleep(ROOM_CHECK_S)
             return True
         if self._progress.may_have_run:
-            self._give_up_after_failure("the engines have no room")
+            self._give_up_after_failure("the other endpoints have no room")
             return False
-        problem = Problem(ErrorKind.WOULD_BE_LATE, "the engines have too much to read")
+        problem = Problem(ErrorKind.WOULD_BE_LATE, "the endpoints have too much to do")
         self._give_up(problem, _return_s())
         return False
 
