--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import zlib
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -25,6 +26,10 @@
     from typing import Any
 
 
+# The first byte of a datagram that is compressed; JSON never begins so.
+_PACKED = b"z"
+
+
 class GatewayState(Enum):
     """Whether a gateway takes new requests of callers."""
 
@@ -148,19 +153,21 @@
         },
         "k": list(report.known),
     }
-    return json.dumps(data, separators=(",", ":")).encode()
+    return _PACKED + zlib.compress(json.dumps(data, separators=(",", ":")).encode(), level=1)
 
 
 def decode_datagram(datagram: bytes) -> PeerReport | PlacementNote | Blame | None:
     """Return the report, note or blame of a datagram, ``None`` where it holds none."""
     try:
+        if datagram.startswith(_PACKED):
+            datagram = zlib.decompress(datagram[1:])
         data = json.loads(datagram)
         if isinstance(data, list):
             return _note(data)
         if "blame" in data:
             return Blame(Fingerprint(data["blame"]), str(data["death"]))
         return _report(data)
-    except (ValueError, KeyError, TypeError, IndexError, AttributeError):
+    except (ValueError, KeyError, TypeError, IndexError, AttributeError, zlib.error):
         return None
 
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -118,11 +118,13 @@
         return [heard.report for heard in self._live_heard()]
 
     def newest_ready(self, region: RegionId) -> PeerReport | None:
-        """Return the report that was heard last of a region's ready gateways."""
+        """Return the last report of a region's ready gateways that tells how its services stand."""
         heard = [
             heard
             for heard in self._live_heard()
-            if heard.report.region == region and heard.report.state is GatewayState.READY
+            if heard.report.region == region
+            and heard.report.state is GatewayState.READY
+            and heard.report.summaries
         ]
         return max(heard, key=lambda one: one.reported_s).report if heard else None
 
