--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -118,13 +118,11 @@
         return [heard.report for heard in self._live_heard()]
 
     def newest_ready(self, region: RegionId) -> PeerReport | None:
-        """Return the last report of a region's ready gateways that tells how its services stand."""
+        """Return the report that was heard last of a region's ready gateways."""
         heard = [
             heard
             for heard in self._live_heard()
-            if heard.report.region == region
-            and heard.report.state is GatewayState.READY
-            and heard.report.summaries
+            if heard.report.region == region and heard.report.state is GatewayState.READY
         ]
         return max(heard, key=lambda one: one.reported_s).report if heard else None
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -41,8 +41,6 @@
 NEAR_PER_TICK = 4
 FAR_PER_TURN = 5
 FAR_EVERY_TICKS = 3
-# Every gateway of a region tells the same of it, so each says it only every so many times.
-FAR_SUMMARY_EVERY = 2
 MAX_DATAGRAM_BYTES = 60_000
 KNOWN_SAMPLE = 4
 
@@ -173,9 +171,7 @@
         sample = self._random.sample(known, min(KNOWN_SAMPLE, len(known)))
         report = self._own_report(self._sequence, tuple(sample))
         if not with_loads:
-            is_summary_due = self._tick % (FAR_EVERY_TICKS * FAR_SUMMARY_EVERY) == 0
-            summaries = report.summaries if is_summary_due else {}
-            report = replace(report, loads={}, summaries=summaries)
+            report = replace(report, loads={})
         datagram = encode_report(report)
         for receiver in receivers:
             if receiver != self.address:
