Keep look-ups from growing with the fleet; sample endpoints in large regions

Each look-up walked over all endpoints, each endpoint's load over all peers, and each note copied the whole catalog.

--- a/packages/primroseferry-policy/src/primroseferry_policy/endpoint_loads.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/endpoint_loads.py
@@ -32,6 +32,9 @@
             self.held_tokens + other.held_tokens,
         )
 
+    def __neg__(self) -> OpenWork:
+        return OpenWork(-self.requests, -self.unread_tokens, -self.held_tokens)
+
 
 NO_WORK = OpenWork()
 
@@ -56,6 +59,8 @@
         self._own: dict[EndpointId, dict[int, OpenRequest]] = {}
         self._peers: dict[InstanceId, Mapping[EndpointId, OpenWork]] = {}
         self._notes: dict[InstanceId, dict[EndpointId, OpenWork]] = {}
+        # The sum over all peers, kept up to date so that a look-up does not grow with the fleet.
+        self._peers_total: dict[EndpointId, OpenWork] = {}
         self._lock = threading.Lock()
 
     def begin(
@@ -88,20 +93,22 @@
     def hear_peer(self, instance: InstanceId, loads: Mapping[EndpointId, OpenWork]) -> None:
         """Take in all open work of another gateway; it holds what was noted singly before."""
         with self._lock:
+            self._drop_peer(instance)
             self._peers[instance] = loads
-            self._notes.pop(instance, None)
+            for endpoint, work in loads.items():
+                self._add_to_total(endpoint, work)
 
     def hear_begin(self, instance: InstanceId, endpoint: EndpointId, work: OpenWork) -> None:
         """Take in one request that another gateway just gave to an endpoint."""
         with self._lock:
             notes = self._notes.setdefault(instance, {})
             notes[endpoint] = notes.get(endpoint, NO_WORK) + work
+            self._add_to_total(endpoint, work)
 
     def forget_peer(self, instance: InstanceId) -> None:
         """Drop what a gateway told that is gone."""
         with self._lock:
-            self._peers.pop(instance, None)
-            self._notes.pop(instance, None)
+            self._drop_peer(instance)
 
     def own_work(self) -> dict[EndpointId, OpenWork]:
         """Return this gateway's open work, as it tells it to its peers."""
@@ -111,12 +118,21 @@
     def work(self, endpoint: EndpointId) -> OpenWork:
         """Return all open work that is known of an endpoint."""
         with self._lock:
-            total = _sum(self._own.get(endpoint, {}))
-            for loads in self._peers.values():
-                total = total + loads.get(endpoint, NO_WORK)
-            for notes in self._notes.values():
-                total = total + notes.get(endpoint, NO_WORK)
-            return total
+            own = self._own.get(endpoint)
+            total = self._peers_total.get(endpoint, NO_WORK)
+            return total + _sum(own) if own else total
+
+    def _drop_peer(self, instance: InstanceId) -> None:
+        for loads in (self._peers.pop(instance, None), self._notes.pop(instance, None)):
+            for endpoint, work in (loads or {}).items():
+                self._add_to_total(endpoint, -work)
+
+    def _add_to_total(self, endpoint: EndpointId, work: OpenWork) -> None:
+        total = self._peers_total.get(endpoint, NO_WORK) + work
+        if total == NO_WORK:
+            self._peers_total.pop(endpoint, None)
+        else:
+            self._peers_total[endpoint] = total
 
     def overdue_ms(self, endpoint: EndpointId) -> float:
         """Return by how much the endpoint's worst open request misses its expected first byte."""
--- a/packages/primroseferry-policy/tests/test_shared_limits.py
+++ b/packages/primroseferry-policy/tests/test_shared_limits.py
@@ -141,3 +141,25 @@
     assert reading.tokens_per_s(ENDPOINT) == 10_000
     clock.now_s += 0.6
     assert reading.tokens_per_s(ENDPOINT) == 1_000
+
+
+def test_total_over_many_peers_equals_their_sum() -> None:
+    """Reports, notes and losses in any order leave the sum of what is known of each peer."""
+    loads = EndpointLoads()
+    source = random.Random(1)
+    known: dict[int, OpenWork] = {}
+    for _ in range(2_000):
+        peer = source.randrange(8)
+        name = InstanceId(f"g-{peer}")
+        work = OpenWork(source.randrange(4), source.randrange(900), source.randrange(900))
+        match source.randrange(3):
+            case 0:
+                loads.hear_peer(name, {ENDPOINT: work})
+                known[peer] = work
+            case 1:
+                loads.hear_begin(name, ENDPOINT, work)
+                known[peer] = known.get(peer, OpenWork()) + work
+            case _:
+                loads.forget_peer(name)
+                known.pop(peer, None)
+        assert loads.work(ENDPOINT) == sum(known.values(), OpenWork())
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -59,7 +59,7 @@
             case RoutesChanged(table):
                 self._put_table(table, item)
             case EndpointChanged(endpoint):
-                held = self._catalog.entries().get(endpoint.endpoint)
+                held = self._catalog.find(endpoint.endpoint)
                 if held is not None and not held.is_same_run(endpoint):
                     self._policy.forget(endpoint.endpoint)
                 self._catalog.put(endpoint)
@@ -78,7 +78,7 @@
                 log_event(Event.CONTROL_ITEM_IGNORED, key=item.key, reason=reason)
 
     def _forget_if_gone(self, endpoint: EndpointId) -> None:
-        if endpoint not in self._catalog.entries():
+        if self._catalog.find(endpoint) is None:
             self._policy.forget(endpoint)
 
     def _put_table(self, table: RouteTable, item: StoredItem) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -26,6 +26,7 @@
 
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import FailureDomainId
+    from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
 
 # How long entries may take to come back after an outage of the store, as its operators state.
@@ -39,12 +40,23 @@
     missing_until_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Place:
+    """What requests look endpoints up by."""
+
+    service: ServiceId
+    region: RegionId
+
+
 class EndpointCatalog:
     """Entries by id, and the failure domains that are closed for work."""
 
     def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
         self._clock_s = clock_s
         self._listed: dict[EndpointId, _Listed] = {}
+        # Names in the order of their arrival, so that a look-up does not grow with the fleet.
+        self._by_place: dict[_Place, dict[EndpointId, None]] = {}
+        self._missing: set[EndpointId] = set()
         self._evacuated: frozenset[FailureDomainId] = frozenset()
         self._returned_s = float("-inf")
         self._lock = threading.Lock()
@@ -66,7 +78,9 @@
                 change = endpoint.state.value if is_changed else ""
                 if endpoint.cold_left_ms == held.endpoint.cold_left_ms:
                     cold_until_s = held.cold_until_s
+            self._forget(endpoint.endpoint)
             self._listed[endpoint.endpoint] = _Listed(endpoint, cold_until_s)
+            self._by_place.setdefault(_place(endpoint), {})[endpoint.endpoint] = None
         if change:
             log_event(
                 Event.ENDPOINT_LISTED,
@@ -107,16 +121,23 @@
         for domain in changed:
             log_event(Event.DOMAIN_EVACUATED, failure_domain=domain, closed=int(domain in domains))
 
-    def usable(self, service: ServiceId) -> list[Endpoint]:
-        """Return the endpoints of a service that take new work, cold ones too."""
+    def usable(self, service: ServiceId, region: RegionId) -> list[Endpoint]:
+        """Return the endpoints of a service in a region that take new work, cold ones too."""
         with self._lock:
             self._expire()
+            names = self._by_place.get(_Place(service, region), {})
             return [
-                held.endpoint
-                for held in self._listed.values()
-                if held.endpoint.service == service and self._takes_work(held.endpoint)
+                endpoint
+                for name in names
+                if self._takes_work(endpoint := self._listed[name].endpoint)
             ]
 
+    def find(self, endpoint: EndpointId) -> Endpoint | None:
+        """Return the entry of an endpoint, ``None`` where it has none."""
+        with self._lock:
+            held = self._listed.get(endpoint)
+            return held.endpoint if held is not None else None
+
     def may_use(self, endpoint: Endpoint) -> bool:
         """Whether exactly this run of an endpoint still takes new work."""
         with self._lock:
@@ -152,14 +173,26 @@
             return
         if held.missing_until_s is None and now_s < self._returned_s + RETURN_S:
             held.missing_until_s = self._returned_s + RETURN_S
+            self._missing.add(endpoint)
             return
         if held.missing_until_s is not None and now_s < held.missing_until_s:
             return
-        del self._listed[endpoint]
+        self._forget(endpoint)
         log_event(Event.ENDPOINT_GONE, endpoint=endpoint)
 
+    def _forget(self, endpoint: EndpointId) -> None:
+        held = self._listed.pop(endpoint, None)
+        self._missing.discard(endpoint)
+        if held is not None:
+            del self._by_place[_place(held.endpoint)][endpoint]
+
     def _expire(self) -> None:
         now_s = self._clock_s()
-        for name, held in list(self._listed.items()):
-            if held.missing_until_s is not None and now_s >= held.missing_until_s:
+        for name in list(self._missing):
+            missing_until_s = self._listed[name].missing_until_s
+            if missing_until_s is not None and now_s >= missing_until_s:
                 self._remove(name, now_s)
+
+
+def _place(endpoint: Endpoint) -> _Place:
+    return _Place(endpoint.service, endpoint.region)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -27,6 +27,7 @@
 from .attempts.outcome import StreamEnded
 from .dialect import SendOrder
 from .endpoints.probe import is_listening
+from .endpoints.sample import choose_sample
 from .membership.peer_report import Blame
 from .membership.peer_report import ServiceSummary
 from .relay_policy import Placed
@@ -121,11 +122,11 @@
         is_urgent: bool = True,
     ) -> list[LocalOption]:
         """Return the endpoints that may be sent to now, best first."""
+        near = self._catalog.usable(service.name, self._region)
         usable = {
             endpoint.endpoint: endpoint
-            for endpoint in self._catalog.usable(service.name)
-            if endpoint.region == self._region
-            and endpoint.endpoint not in excluded
+            for endpoint in choose_sample(near, generation)
+            if endpoint.endpoint not in excluded
             and self._policy.breakers.permits(endpoint.endpoint)
             and self._may_send_cold(endpoint, service)
         }
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -45,7 +45,7 @@
         placed = note.placed
         self._policy.loads.hear_begin(note.instance, placed.endpoint, placed.work)
         table = self._tables()
-        endpoint = self._catalog.entries().get(placed.endpoint)
+        endpoint = self._catalog.find(placed.endpoint)
         service = table.services.get(endpoint.service) if table and endpoint else None
         if service is not None and service.engine is not None:
             tokens = service.engine.cache_tokens
--- a/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
@@ -12,12 +12,13 @@
 from primroseferry_relay.endpoints.endpoint import EndpointState
 
 SERVICE = ServiceId("orders")
+NORTH = RegionId("north")
 ENDPOINT = Endpoint(
     EndpointId("e-1"),
     SERVICE,
     "10.0.0.1:80",
     FailureDomainId("north-a"),
-    RegionId("north"),
+    NORTH,
     6,
     EndpointState.READY,
     0.0,
@@ -36,9 +37,9 @@
 def test_draining_endpoint_takes_no_new_work() -> None:
     catalog = EndpointCatalog()
     catalog.put(ENDPOINT)
-    assert catalog.usable(SERVICE) == [ENDPOINT]
+    assert catalog.usable(SERVICE, NORTH) == [ENDPOINT]
     catalog.put(replace(ENDPOINT, state=EndpointState.DRAINING))
-    assert catalog.usable(SERVICE) == []
+    assert catalog.usable(SERVICE, NORTH) == []
     assert not catalog.may_use(ENDPOINT)
 
 
@@ -46,7 +47,7 @@
     catalog = EndpointCatalog()
     catalog.put(ENDPOINT)
     catalog.remove(ENDPOINT.endpoint)
-    assert catalog.usable(SERVICE) == []
+    assert catalog.usable(SERVICE, NORTH) == []
 
 
 def test_removal_after_an_outage_waits_for_the_entry_to_come_back() -> None:
@@ -55,10 +56,10 @@
     catalog.put(ENDPOINT)
     catalog.note_store_returned()
     catalog.remove(ENDPOINT.endpoint)
-    assert catalog.usable(SERVICE) == [ENDPOINT]
+    assert catalog.usable(SERVICE, NORTH) == [ENDPOINT]
     catalog.put(ENDPOINT)
     clock.now_s += RETURN_S + 1
-    assert catalog.usable(SERVICE) == [ENDPOINT]
+    assert catalog.usable(SERVICE, NORTH) == [ENDPOINT]
 
 
 def test_entry_still_missing_after_an_outage_is_gone() -> None:
@@ -70,16 +71,16 @@
     assert catalog.may_use(ENDPOINT)
     clock.now_s += RETURN_S
     assert not catalog.may_use(ENDPOINT)
-    assert catalog.usable(SERVICE) == []
+    assert catalog.usable(SERVICE, NORTH) == []
 
 
 def test_evacuated_domain_is_closed_until_taken_back() -> None:
     catalog = EndpointCatalog()
     catalog.put(ENDPOINT)
     catalog.set_evacuated(frozenset({FailureDomainId("north-a")}))
-    assert catalog.usable(SERVICE) == []
+    assert catalog.usable(SERVICE, NORTH) == []
     catalog.set_evacuated(frozenset())
-    assert catalog.usable(SERVICE) == [ENDPOINT]
+    assert catalog.usable(SERVICE, NORTH) == [ENDPOINT]
 
 
 def test_reused_id_is_not_the_same_run() -> None:
@@ -101,3 +102,16 @@
     assert not catalog.is_cold(ENDPOINT.endpoint)
     catalog.set_cold(ENDPOINT.endpoint, 500)
     assert catalog.is_cold(ENDPOINT.endpoint)
+
+
+def test_endpoint_that_moves_to_another_service_leaves_its_old_one() -> None:
+    catalog = EndpointCatalog()
+    catalog.put(ENDPOINT)
+    moved = replace(ENDPOINT, service=ServiceId("model"), started_ms=2_000)
+    catalog.put(moved)
+    assert catalog.usable(SERVICE, NORTH) == []
+    assert catalog.usable(ServiceId("model"), NORTH) == [moved]
+    assert catalog.usable(ServiceId("model"), RegionId("south")) == []
+    assert catalog.find(ENDPOINT.endpoint) == moved
+    catalog.remove(ENDPOINT.endpoint)
+    assert catalog.find(ENDPOINT.endpoint) is None
