--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -21,6 +21,7 @@
     SETTINGS_RELOADED = (1007, "info", "settings read again")
     SETTINGS_REJECTED = (1008, "error", "changed settings fail their checks, last good ones kept")
     PORT_NOT_OPENED = (1009, "warning", "port could not be opened")
+    BACKGROUND_FAILED = (1010, "error", "background task failed and goes on")
     REQUEST_DONE = (2001, "info", "request answered")
     REQUEST_REFUSED = (2002, "warning", "request ended with a problem")
     CALLER_GONE = (2003, "warning", "caller closed the connection before the answer was whole")
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/registration.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/registration.py
@@ -71,7 +71,11 @@
             if self._lease is None and not self._is_on_duty():
                 wait_s = DUTY_CHECK_S
                 continue
-            failure = self._renew() if self._lease is not None else self._register()
+            try:
+                failure = self._renew() if self._lease is not None else self._register()
+            except Exception as error:
+                log_event(Event.BACKGROUND_FAILED, task="registration", error=repr(error)[:300])
+                failure = StoreFailure.UNKNOWN
             if failure is not None:
                 log_event(Event.REGISTRATION_FAILED, reason=failure.value)
             base_s = RENEW_S if failure is None else RETRY_S
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -80,7 +80,13 @@
             if is_known and not self._is_on_duty():
                 time.sleep(DUTY_CHECK_S)
                 continue
-            after = self._list() if after is None else self._watch(after)
+            try:
+                after = self._list() if after is None else self._watch(after)
+            except Exception as error:
+                # A gateway without this thread would never hear of a change.
+                log_event(Event.BACKGROUND_FAILED, task="store watch", error=repr(error)[:300])
+                after = None
+                time.sleep(MAX_EMPTY_RETRY_S)
 
     def _list(self) -> int | None:
         match self._store.list_items(self._prefix):
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -111,12 +111,18 @@
         next_s = time.monotonic()
         while self._is_open:
             remaining_s = next_s - time.monotonic()
-            if remaining_s > 0:
-                self._receive(remaining_s)
-                continue
-            next_s = max(next_s + TICK_S, time.monotonic() + TICK_S / 2)
-            self._on_tick()
-            self._send_in_turn()
+            is_tick = remaining_s <= 0
+            if is_tick:
+                next_s = max(next_s + TICK_S, time.monotonic() + TICK_S / 2)
+            try:
+                if is_tick:
+                    self._on_tick()
+                    self._send_in_turn()
+                else:
+                    self._receive(remaining_s)
+            except Exception as error:
+                # A gateway without this thread would neither hear nor be heard.
+                log_event(Event.BACKGROUND_FAILED, task="reporter", error=repr(error)[:300])
 
     def _receive(self, timeout_s: float) -> None:
         self._socket.settimeout(max(0.001, timeout_s))
--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_tests/test_background.py
@@ -0,0 +1,90 @@
+"""Background threads go on after a failure that nobody expected."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from primroseferry_core.ids import IncarnationId
+from primroseferry_core.ids import InstanceId
+from primroseferry_relay.control.control_state import ControlState
+from primroseferry_relay.control.metadata_store import LeaseId
+from primroseferry_relay.control.metadata_store import Listing
+from primroseferry_relay.control.metadata_store import StoredItem
+from primroseferry_relay.control.metadata_store import StoreFailure
+from primroseferry_relay.control.store_watch import StoreWatch
+from primroseferry_relay.membership.peer_table import PeerTable
+from primroseferry_relay.membership.reporter import Reporter
+from result import Err
+from result import Ok
+
+from .test_peer_table import NORTH
+from .test_peer_table import REPORT
+
+if TYPE_CHECKING:
+    from primroseferry_relay.control.metadata_store import Changes
+    from result import Result
+
+
+class FailingOnceStore:
+    """Raises at the first listing, as a client with a fault might, and answers the next."""
+
+    def __init__(self) -> None:
+        self.listings = 0
+
+    def list_items(self, prefix: str) -> Result[Listing, StoreFailure]:
+        self.listings += 1
+        if self.listings == 1:
+            raise KeyError("items")
+        return Ok(Listing((StoredItem(f"{prefix}a", b"1", 4),), 4))
+
+    def watch(self, prefix: str, after: int, wait_ms: int) -> Result[Changes, StoreFailure]:
+        return Err(StoreFailure.UNREACHABLE)
+
+    def grant_lease(self, ttl_ms: int) -> Result[LeaseId, StoreFailure]:
+        return Err(StoreFailure.UNREACHABLE)
+
+    def renew_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
+        return Err(StoreFailure.UNREACHABLE)
+
+    def end_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
+        return Err(StoreFailure.UNREACHABLE)
+
+    def put(self, key: str, value: bytes, lease: LeaseId) -> Result[int, StoreFailure]:
+        return Err(StoreFailure.UNREACHABLE)
+
+
+def test_store_watch_goes_on_after_a_failure() -> None:
+    listed = threading.Event()
+    state = ControlState(lambda _item: listed.set())
+    watch = StoreWatch(FailingOnceStore(), state, "x/", lambda: None, lambda: True)
+    watch.start()
+    assert listed.wait(8)
+    watch.stop()
+
+
+def test_reporter_goes_on_after_a_failure() -> None:
+    ticks: list[int] = []
+    went_on = threading.Event()
+
+    def tick() -> None:
+        ticks.append(1)
+        if len(ticks) == 1:
+            raise RuntimeError("unexpected")
+        went_on.set()
+
+    peers = PeerTable(InstanceId("g-1"), NORTH)
+    reporter = Reporter(
+        "127.0.0.1",
+        0,
+        peers,
+        IncarnationId("one"),
+        lambda _sequence, _known: REPORT,
+        lambda _report: None,
+        lambda _note: None,
+        lambda _blame: None,
+        tick,
+    )
+    reporter.start()
+    assert went_on.wait(8)
+    reporter.stop()
