Do not take a refused repeat of libcurl for a proof that nothing was sent

Change: 'not sent' holds only where libcurl has sent no byte of the request in this call. The new test brings it about with a server that dies with the second request; it fails without the change.

--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -436,11 +436,14 @@
 
 
 def _result_of(handle: Any, pending: PendingCall, code: int, message: str) -> HttpResult:
+    # A kept connection may die with the request on it and libcurl's own repeat find nobody: that
+    # the last connection was never made proves nothing then.
     if pending._stop_reason is not None:
         return Err(pending._stop_reason)
     if code == pycurl.E_OK:
         return Ok(pending._reply(bytes(pending._body)))
-    if code in _NOT_SENT_CODES or _sent_nothing(handle, pending.call):
+    is_unsent = code in _NOT_SENT_CODES and handle.getinfo(pycurl.REQUEST_SIZE) == 0
+    if is_unsent or _sent_nothing(handle, pending.call):
         return Err(HttpFailure(FailureStage.NOT_SENT, message))
     if code == pycurl.E_OPERATION_TIMEDOUT:
         return Err(HttpFailure(FailureStage.TIMED_OUT, message))
--- a/packages/primroseferry-transport/tests/test_curl_loop.py
+++ b/packages/primroseferry-transport/tests/test_curl_loop.py
@@ -119,3 +119,33 @@
     server.stop()
 
     assert (reply.status, reply.body, chunks) == (503, b"not now", [])
+
+
+def test_repeat_that_finds_nobody_is_no_proof_that_nothing_was_sent() -> None:
+    """A kept connection dies with the request on it, and libcurl's own repeat is refused.
+
+    The far side has seen the request, so the failure must not say that it was never sent.
+    """
+    listener = socket.create_server(("127.0.0.1", 0))
+    port = listener.getsockname()[1]
+    seen: list[bytes] = []
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        seen.append(connection.recv(65_536))
+        connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        seen.append(connection.recv(65_536))
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
+        connection.close()
+
+    threading.Thread(target=serve, daemon=True).start()
+    loop = CurlLoop("kept")
+    try:
+        call = HttpCall("POST", f"http://127.0.0.1:{port}/", body=b"order")
+        assert loop.call(call).is_ok()
+        failure = loop.call(call).unwrap_err()
+    finally:
+        loop.close()
+    assert len(seen) == 2
+    assert failure.stage is FailureStage.CONNECTION_LOST
