Cut what a gateway's work grows by with the size of its region

Wake-ups and system calls bind, not decisions: start and idle cost 0.95 s a gateway, a request 2.5 ms with 6 gateways and some 18 ms with 89. A profile of one gateway counted 312 datagrams a second with three system calls and a wake-up each, a third of them notes of parts passed on again and again; the look-ups among the live gateways and the choice of a copy took half of the rest.

Change: datagrams are gathered for up to 20 ms in a large region and taken in together; a region tells a shared part once in 8 s; only work for engines is told at once (a note of a plain call outlived the call); reports leave out what the receiver does not use; the table of peers keeps a view for 50 ms; the choice of a copy looks at the fullest engine of each failure domain; garbage collection leaves out what is there at the start; idle connections, idle ports and an idle HTTP loop look around less often.

Tried and taken back: handling the bytes of streams together every 6 ms.

--- a/packages/primroseferry-policy/src/primroseferry_policy/far_parts.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/far_parts.py
@@ -23,9 +23,10 @@
     from .prompt import PartId
     from .prompt import PromptPart
 
-# How long an engine is expected to keep a part that it is not known to use: at the load of a peak
-# an engine reads its whole memory anew in 5 to 10 s.
-LIFE_S = 8.0
+# A region tells a part again after this time, if an engine reads it anew; what it told is believed
+# twice as long. At the load of a peak an engine reads its whole memory anew in 5 to 10 s.
+TELL_PAUSE_S = 8.0
+LIFE_S = 2 * TELL_PAUSE_S
 # Some hundred bytes each; a deployment's prompts share some hundred parts.
 MAX_PARTS = 4_096
 
@@ -45,6 +46,32 @@
     told_s: float
 
 
+class ToldParts:
+    """When the parts that this region's engines hold were last told, or used, by any gateway.
+
+    Every gateway of the region hears of each request that is given to an engine, so one of them
+    tells the other regions of a part, and the others know.
+    """
+
+    def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
+        self._clock_s = clock_s
+        self._noted_s: OrderedDict[PartId, float] = OrderedDict()
+        self._lock = threading.Lock()
+
+    def note(self, part: PartId) -> bool:
+        """Note that an engine reads a part; ``True`` where other regions are to be told."""
+        now_s = self._clock_s()
+        with self._lock:
+            noted_s = self._noted_s.get(part)
+            if noted_s is not None and now_s - noted_s < TELL_PAUSE_S:
+                return False
+            self._noted_s.pop(part, None)
+            self._noted_s[part] = now_s
+            if len(self._noted_s) > MAX_PARTS:
+                self._noted_s.popitem(last=False)
+            return True
+
+
 class FarParts:
     """The newest reader of each part in any other region."""
 
--- a/packages/primroseferry-policy/src/primroseferry_policy/part_copy.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/part_copy.py
@@ -13,7 +13,7 @@
 from .part_cache import NOTHING_HELD
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Iterable
 
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import FailureDomainId
@@ -46,28 +46,38 @@
     duration_ms: float
 
 
-def choose_copy(
-    target: PartHolder, holders: Sequence[PartHolder], copy_tokens_per_ms: float
-) -> PartCopy | None:
-    """Return the copy that saves the target most reading; ``None`` where none is worth it.
+class CopySources:
+    """The engines that one prompt may be copied from.
 
-    Args:
-        target: The engine that the prompt would be given to.
-        holders: All engines that may be copied from; the target itself is passed over.
-        copy_tokens_per_ms: How fast an engine copies; 0 where engines cannot.
+    Only the fullest engines of each failure domain are kept, so that choosing for each of many
+    targets costs little.
     """
-    if copy_tokens_per_ms <= 0:
-        return None
-    sources = [holder for holder in holders if holder.endpoint != target.endpoint]
-    if not sources:
-        return None
-    best = max(sources, key=lambda one: _preference(one, target))
-    tokens = best.held.settled_tokens - target.held.tokens
-    if tokens < MIN_COPY_TOKENS:
-        return None
-    factor = 1.0 if best.failure_domain == target.failure_domain else FAR_COPY_FACTOR
-    duration_ms = COPY_SETUP_MS + tokens / copy_tokens_per_ms * factor
-    return PartCopy(best.endpoint, tokens, duration_ms)
+
+    def __init__(self, holders: Iterable[PartHolder], copy_tokens_per_ms: float) -> None:
+        """``copy_tokens_per_ms`` is how fast an engine copies; 0 where engines cannot."""
+        self._copy_tokens_per_ms = copy_tokens_per_ms
+        fullest: dict[FailureDomainId, PartHolder] = {}
+        if copy_tokens_per_ms > 0:
+            for holder in holders:
+                best = fullest.get(holder.failure_domain)
+                if best is None or holder.held.settled_tokens > best.held.settled_tokens:
+                    fullest[holder.failure_domain] = holder
+        self._fullest = [one for one in fullest.values() if one.held.settled_tokens > 0]
+
+    def choose(self, target: PartHolder) -> PartCopy | None:
+        """Return the copy that saves the target most reading; ``None`` where none is worth it.
+
+        A target that is itself the fullest of its failure domain has no use for the others there.
+        """
+        if not self._fullest:
+            return None
+        best = max(self._fullest, key=lambda one: _preference(one, target))
+        tokens = best.held.settled_tokens - target.held.tokens
+        if tokens < MIN_COPY_TOKENS:
+            return None
+        factor = 1.0 if best.failure_domain == target.failure_domain else FAR_COPY_FACTOR
+        duration_ms = COPY_SETUP_MS + tokens / self._copy_tokens_per_ms * factor
+        return PartCopy(best.endpoint, tokens, duration_ms)
 
 
 def _preference(source: PartHolder, target: PartHolder) -> tuple[int, bool]:
--- a/packages/primroseferry-policy/src/primroseferry_policy/placement.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -94,8 +95,13 @@
 
 
 def rank_calls(candidates: Sequence[Candidate], call_ms: float) -> list[Choice]:
-    """Return the endpoints for a call of a plain service, the soonest free first."""
+    """Return the endpoints for a call of a plain service, the soonest free first.
+
+    Equal ones come in random order: gateways do not hear of each other's calls at once, and would
+    all take the same one.
+    """
     choices = [call_choice(candidate, call_ms) for candidate in candidates]
+    random.shuffle(choices)
     return sorted(choices, key=lambda choice: (choice.is_saturated, choice.score))
 
 
--- a/packages/primroseferry-policy/tests/policy_tests/engine_model.py
+++ b/packages/primroseferry-policy/tests/policy_tests/engine_model.py
@@ -18,8 +18,8 @@
 from primroseferry_core.ids import FailureDomainId
 from primroseferry_policy.endpoint_loads import EndpointLoads
 from primroseferry_policy.part_cache import PartCache
+from primroseferry_policy.part_copy import CopySources
 from primroseferry_policy.part_copy import PartHolder
-from primroseferry_policy.part_copy import choose_copy
 from primroseferry_policy.placement import Candidate
 from primroseferry_policy.placement import Choice
 from primroseferry_policy.prompt import Generation
@@ -158,6 +158,7 @@
             PartHolder(name, ONLY_DOMAIN, self._parts.held_tokens(name, parts))
             for name in self._engines
         ]
+        sources = CopySources(holders, self._copy_tokens_per_ms)
         candidates = [
             Candidate(
                 holder.endpoint,
@@ -168,7 +169,7 @@
                 1.0,
                 0.0,
                 self._reading.tokens_per_s(holder.endpoint),
-                choose_copy(holder, holders, self._copy_tokens_per_ms),
+                sources.choose(holder),
             )
             for holder in holders
         ]
--- a/packages/primroseferry-policy/tests/policy_tests/test_far_parts.py
+++ b/packages/primroseferry-policy/tests/policy_tests/test_far_parts.py
@@ -5,8 +5,10 @@
 from primroseferry_core.ids import EndpointId
 from primroseferry_policy import far_parts
 from primroseferry_policy.far_parts import LIFE_S
+from primroseferry_policy.far_parts import TELL_PAUSE_S
 from primroseferry_policy.far_parts import FarParts
 from primroseferry_policy.far_parts import PartReading
+from primroseferry_policy.far_parts import ToldParts
 from primroseferry_policy.part_cache import SETTLE_S
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
@@ -65,3 +67,15 @@
     clock.now_s += SETTLE_S * 1.01
     assert parts.find([PromptPart(PartId("p0"), 100)]) is None
     assert parts.find([PromptPart(PartId("p1"), 100)]) is not None
+
+
+def test_region_tells_a_part_once_until_what_it_told_ages() -> None:
+    clock = Clock()
+    told = ToldParts(clock)
+    assert told.note(GROUP.part)
+    clock.now_s += TELL_PAUSE_S / 2
+    assert not told.note(GROUP.part)
+    assert told.note(SUBJECT.part)
+    clock.now_s += TELL_PAUSE_S / 2
+    assert told.note(GROUP.part)
+    assert TELL_PAUSE_S < LIFE_S
--- a/packages/primroseferry-policy/tests/policy_tests/test_part_copy.py
+++ b/packages/primroseferry-policy/tests/policy_tests/test_part_copy.py
@@ -9,8 +9,8 @@
 from primroseferry_policy.part_cache import HeldTokens
 from primroseferry_policy.part_cache import PartCache
 from primroseferry_policy.part_copy import COPY_SETUP_MS
+from primroseferry_policy.part_copy import CopySources
 from primroseferry_policy.part_copy import PartHolder
-from primroseferry_policy.part_copy import choose_copy
 from primroseferry_policy.placement import Candidate
 from primroseferry_policy.placement import engine_choice
 from primroseferry_policy.prompt import Generation
@@ -25,31 +25,31 @@
     return PartHolder(EndpointId(name), domain, HeldTokens(settled_tokens, settled_tokens))
 
 
-def test_choose_copy_takes_the_fullest_source_and_the_nearest_of_equals() -> None:
+def test_copy_sources_takes_the_fullest_source_and_the_nearest_of_equals() -> None:
     holders = [
         EMPTY,
         holder("less", NEAR, 1_000),
         holder("b", FAR, 6_300),
         holder("a", NEAR, 6_300),
     ]
-    copy = choose_copy(EMPTY, holders, 420)
+    copy = CopySources(holders, 420).choose(EMPTY)
     assert copy is not None
     assert copy.source == "a"
     assert copy.tokens == 6_300
     assert copy.duration_ms == COPY_SETUP_MS + 15
 
 
-def test_choose_copy_doubles_the_time_between_failure_domains() -> None:
-    copy = choose_copy(EMPTY, [holder("b", FAR, 4_200)], 420)
+def test_copy_sources_doubles_the_time_between_failure_domains() -> None:
+    copy = CopySources([holder("b", FAR, 4_200)], 420).choose(EMPTY)
     assert copy is not None
     assert copy.duration_ms == COPY_SETUP_MS + 20
 
 
-def test_choose_copy_finds_none_where_little_is_gained() -> None:
+def test_copy_sources_finds_none_where_little_is_gained() -> None:
     full = holder("full", NEAR, 6_300)
-    assert choose_copy(full, [full], 420) is None
-    assert choose_copy(full, [full, holder("same", NEAR, 6_400)], 420) is None
-    assert choose_copy(EMPTY, [full], 0) is None
+    assert CopySources([full], 420).choose(full) is None
+    assert CopySources([full, holder("same", NEAR, 6_400)], 420).choose(full) is None
+    assert CopySources([full], 0).choose(EMPTY) is None
 
 
 def test_parts_that_are_still_being_read_are_not_copied() -> None:
@@ -68,7 +68,7 @@
 
 def test_engine_choice_expects_a_copied_part_sooner_than_one_that_is_read() -> None:
     generation = Generation((PromptPart(PartId("shared"), 6_300),), 9_000, 50)
-    copy = choose_copy(EMPTY, [holder("full", NEAR, 6_300)], 420)
+    copy = CopySources([holder("full", NEAR, 6_300)], 420).choose(EMPTY)
     reading = Candidate(EMPTY.endpoint, 64, 250_000, NO_WORK, 0, 1.0, 0.0)
     copying = Candidate(EMPTY.endpoint, 64, 250_000, NO_WORK, 0, 1.0, 0.0, copy=copy)
     read, copied = engine_choice(reading, generation), engine_choice(copying, generation)
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
@@ -29,7 +29,7 @@
 LINGER_S = 0.5
 LINGER_LIMIT_BYTES = 4 * 1024 * 1024
 # How often an idle connection looks whether it is to be closed.
-IDLE_CHECK_S = 0.5
+IDLE_CHECK_S = 1.0
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _STATUS_KINDS = {413: ErrorKind.BODY_TOO_LARGE, 431: ErrorKind.HEAD_TOO_LARGE}
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
@@ -25,7 +25,7 @@
 
 LISTEN_BACKLOG = 1_024
 # How often the accepting thread looks whether it is to stop.
-ACCEPT_CHECK_S = 0.5
+ACCEPT_CHECK_S = 2.0
 
 
 class Listener:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import logging
 import os
 import signal
@@ -66,6 +67,9 @@
 
 THREAD_STACK_BYTES = 256 * 1024
 SWITCH_INTERVAL_S = 0.002
+# What is there at the start stays; a search through all of it for each 700 new objects would cost
+# more than the requests that made them.
+GARBAGE_THRESHOLD = 20_000
 SIGNAL_CHECK_S = 0.25
 # How long callers that asked before the stop may still come with new connections.
 ACCEPT_AFTER_STOP_S = 2.5
@@ -362,3 +366,5 @@
     configure_logs(log_level, BatchedLogHandler(sys.stdout.fileno()))
     threading.stack_size(THREAD_STACK_BYTES)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
+    gc.freeze()
+    gc.set_threshold(GARBAGE_THRESHOLD)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -17,8 +17,8 @@
 from primroseferry_policy.far_parts import PartReading
 from primroseferry_policy.part_cache import HeldTokens
 from primroseferry_policy.part_copy import MIN_COPY_TOKENS
+from primroseferry_policy.part_copy import CopySources
 from primroseferry_policy.part_copy import PartHolder
-from primroseferry_policy.part_copy import choose_copy
 from primroseferry_policy.placement import Candidate
 from primroseferry_policy.placement import rank_calls
 from primroseferry_policy.placement import rank_engines
@@ -41,7 +41,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
-    from collections.abc import Sequence
+    from collections.abc import Iterable
 
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import RegionId
@@ -61,6 +61,7 @@
     from .messages import AnswerHead
     from .messages import RelayRequest
     from .relay_policy import RelayPolicy
+    from .routes.service import EngineSize
     from .routes.service import Service
 
 # An answer whose first byte is this late against its expectation is looked for elsewhere, where
@@ -148,22 +149,12 @@
             and self._policy.breakers.permits(endpoint.endpoint)
             and self._may_send_cold(endpoint, service)
         }
-        holders = [
-            PartHolder(
-                name,
-                endpoint.failure_domain,
-                self._policy.parts.held_tokens(name, generation.parts),
-            )
-            for name, endpoint in usable.items()
-        ]
-        sources = [*holders, *self._far_holders(service, generation)]
-        candidates = [
-            self._candidate(usable[holder.endpoint], service, holder, sources) for holder in holders
-        ]
         if service.engine is not None:
-            choices = rank_engines(candidates, generation, is_urgent)
+            engines = self._engine_candidates(usable.values(), service, service.engine, generation)
+            choices = rank_engines(engines, generation, is_urgent)
         else:
-            choices = rank_calls(candidates, self._policy.pace.call_ms(service.name))
+            calls = [self._call_candidate(endpoint) for endpoint in usable.values()]
+            choices = rank_calls(calls, self._policy.pace.call_ms(service.name))
         return [LocalOption(usable[choice.endpoint], choice) for choice in choices]
 
     def run(
@@ -207,8 +198,9 @@
             self._tell_new_parts(endpoint, plan.generation)
             policy.parts.note_read(endpoint.endpoint, parts, service.engine.cache_tokens)
             policy.reading.note(endpoint.endpoint, choice.unread_tokens)
-        work = OpenWork(1, choice.unread_tokens, plan.generation.held_tokens)
-        self._teller.tell_placed(Placed(endpoint.endpoint, work, parts))
+            # A plain call ends sooner than the next report would correct a note of its begin.
+            work = OpenWork(1, choice.unread_tokens, plan.generation.held_tokens)
+            self._teller.tell_placed(Placed(endpoint.endpoint, work, parts))
         call = EndpointCall(
             self._loop,
             self._dialect,
@@ -240,26 +232,50 @@
             self._policy.reading.tokens_per_s(best.endpoint),
         )
 
-    def _candidate(
+    def _engine_candidates(
         self,
-        endpoint: Endpoint,
+        endpoints: Iterable[Endpoint],
         service: Service,
-        holder: PartHolder,
-        sources: Sequence[PartHolder],
-    ) -> Candidate:
+        engine: EngineSize,
+        generation: Generation,
+    ) -> list[Candidate]:
+        policy = self._policy
+        holders = [
+            PartHolder(
+                endpoint.endpoint,
+                endpoint.failure_domain,
+                policy.parts.held_tokens(endpoint.endpoint, generation.parts),
+            )
+            for endpoint in endpoints
+        ]
+        far_holders = self._far_holders(service, generation)
+        sources = CopySources([*holders, *far_holders], engine.copy_tokens_per_ms)
+        return [
+            Candidate(
+                holder.endpoint,
+                engine.slots,
+                engine.cache_tokens,
+                policy.loads.work(holder.endpoint),
+                holder.held.tokens,
+                policy.pace.ratio(holder.endpoint),
+                policy.loads.overdue_ms(holder.endpoint),
+                policy.reading.tokens_per_s(holder.endpoint),
+                sources.choose(holder),
+            )
+            for holder in holders
+        ]
+
+    def _call_candidate(self, endpoint: Endpoint) -> Candidate:
         policy = self._policy
         name = endpoint.endpoint
-        engine = service.engine
         return Candidate(
             name,
-            engine.slots if engine is not None else max(1, endpoint.slots),
-            engine.cache_tokens if engine is not None else 0,
-            policy.loads.work(name),
-            holder.held.tokens,
-            policy.pace.ratio(name),
-            policy.loads.overdue_ms(name),
-            policy.reading.tokens_per_s(name),
-            choose_copy(holder, sources, engine.copy_tokens_per_ms) if engine is not None else None,
+            max(1, endpoint.slots),
+            cache_tokens=0,
+            work=policy.loads.work(name),
+            cached_tokens=0,
+            pace=policy.pace.ratio(name),
+            overdue_ms=policy.loads.overdue_ms(name),
         )
 
     def _far_holders(self, service: Service, generation: Generation) -> list[PartHolder]:
@@ -280,7 +296,8 @@
         tokens = sum(part.tokens for part in shared)
         if tokens < MIN_COPY_TOKENS:
             return
-        if self._policy.parts.held_tokens(endpoint.endpoint, shared).tokens < tokens:
+        held = self._policy.parts.held_tokens(endpoint.endpoint, shared)
+        if held.tokens < tokens and self._policy.told_parts.note(shared[-1].part):
             self._teller.tell_reading(PartReading(endpoint.endpoint, shared[-1].part, tokens))
 
     def _copy_address(self, choice: Choice) -> str:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -52,6 +52,8 @@
         if service is not None and service.engine is not None:
             tokens = service.engine.cache_tokens
             self._policy.parts.note_read(placed.endpoint, placed.parts, tokens)
+            if len(placed.parts) > 1:
+                self._policy.told_parts.note(placed.parts[-2].part)
             self._policy.reading.note(placed.endpoint, placed.work.unread_tokens)
 
     def hear_blame(self, blame: Blame) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from primroseferry_core.ids import InstanceId
     from primroseferry_core.ids import RegionId
@@ -29,6 +30,9 @@
 FAR_LIVE_TURNS = 2
 # A gateway that is silent for so long is forgotten; the store or a peer may name it again.
 FORGET_S = 30.0
+# How long a view of the live gateways is used: each request asks for it several times, and who
+# lives changes after seconds of silence.
+VIEW_S = 0.05
 
 
 @dataclass(slots=True)
@@ -39,6 +43,16 @@
     is_live: bool = True
 
 
+@dataclass(frozen=True, slots=True)
+class _View:
+    """The gateways that live, and those of each region that take requests."""
+
+    made_s: float
+    live: tuple[_Heard, ...]
+    ready: Mapping[RegionId, tuple[_Heard, ...]]
+    regions: frozenset[RegionId]
+
+
 class PeerTable:
     """What was heard of each other gateway, and when."""
 
@@ -56,6 +70,7 @@
         self._candidates: set[str] = set()
         self._near_live_s = LIVE_S
         self._far_live_s = LIVE_S
+        self._view: _View | None = None
         self._lock = threading.Lock()
 
     def add_candidates(self, addresses: Iterable[str]) -> None:
@@ -82,14 +97,20 @@
         if report.instance == self.own_instance:
             return False
         with self._lock:
+            now_s = self._clock_s()
             held = self._heard.get(report.instance)
+            was_live = False
             if held is not None and held.report.incarnation == report.incarnation:
                 if report.sequence <= held.report.sequence:
                     return False
                 was_live = held.is_live
+                if held.report.state is not report.state or not was_live:
+                    self._view = None
+                held.report, held.reported_s, held.heard_s = report, now_s, now_s
+                held.is_live = True
             else:
-                was_live = False
-            self._heard[report.instance] = _Heard(report, self._clock_s(), self._clock_s())
+                self._heard[report.instance] = _Heard(report, now_s, now_s)
+                self._view = None
             self._candidates.add(report.address.report)
             self._candidates.update(report.known)
         if not was_live:
@@ -115,40 +136,49 @@
 
     def live(self) -> list[PeerReport]:
         """Return the last report of each gateway that lives, without this one."""
-        return [heard.report for heard in self._live_heard()]
+        return [heard.report for heard in self._current().live]
 
     def newest_ready(self, region: RegionId) -> PeerReport | None:
         """Return the report that was heard last of a region's ready gateways."""
-        heard = [
-            heard
-            for heard in self._live_heard()
-            if heard.report.region == region and heard.report.state is GatewayState.READY
-        ]
+        heard = self._current().ready.get(region)
         return max(heard, key=lambda one: one.reported_s).report if heard else None
 
-    def _live_heard(self) -> list[_Heard]:
+    def _current(self) -> _View:
         now_s = self._clock_s()
+        view = self._view
+        if view is not None and 0 <= now_s - view.made_s < VIEW_S:
+            return view
         with self._lock:
-            return [
-                heard
-                for heard in self._heard.values()
-                if now_s - heard.heard_s <= self._live_s(heard.report)
-            ]
+            self._view = view = self._make_view(now_s)
+        return view
+
+    def _make_view(self, now_s: float) -> _View:
+        live = tuple(
+            heard
+            for heard in self._heard.values()
+            if now_s - heard.heard_s <= self._live_s(heard.report)
+        )
+        ready: dict[RegionId, list[_Heard]] = {}
+        for heard in live:
+            if heard.report.state is GatewayState.READY:
+                ready.setdefault(heard.report.region, []).append(heard)
+        return _View(
+            now_s,
+            live,
+            {region: tuple(members) for region, members in ready.items()},
+            frozenset(heard.report.region for heard in live) - {self.own_region},
+        )
 
     def _live_s(self, report: PeerReport) -> float:
         return self._near_live_s if report.region == self.own_region else self._far_live_s
 
     def live_count(self) -> int:
         """Return how many gateways live, with this one."""
-        return len(self.live()) + 1
+        return len(self._current().live) + 1
 
     def ready_peers(self, region: RegionId) -> list[PeerReport]:
         """Return the other gateways of a region that take requests."""
-        return [
-            report
-            for report in self.live()
-            if report.region == region and report.state is GatewayState.READY
-        ]
+        return [heard.report for heard in self._current().ready.get(region, ())]
 
     def ready_in(self, region: RegionId) -> list[InstanceId]:
         """Return the gateways of a region that take requests, with this one where it does."""
@@ -174,9 +204,9 @@
             if report.region == region and report.state is GatewayState.DRAINING
         )
 
-    def regions(self) -> set[RegionId]:
+    def regions(self) -> frozenset[RegionId]:
         """Return the other regions of which a gateway lives."""
-        return {report.region for report in self.live()} - {self.own_region}
+        return self._current().regions
 
     def report_addresses(self) -> list[str]:
         """Return every address at which a gateway may listen for reports."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -11,6 +11,7 @@
 
 import math
 import random
+import select
 import socket
 import threading
 import time
@@ -48,6 +49,14 @@
 FAR_EVERY_TICKS = 3
 MAX_DATAGRAM_BYTES = 60_000
 KNOWN_SAMPLE = 4
+# How long datagrams are gathered before they are taken in, for each gateway of the region, and at
+# the most. In a fleet of a hundred gateways some hundred arrive each second, and a wake-up for each
+# costs far more than its content. Reading a prompt takes 100 ms, so a note as old as the longest
+# pause still tells of it in time.
+GATHER_S_PER_GATEWAY = 0.0007
+MAX_GATHER_S = 0.02
+# A tick is not kept waiting by a flood of datagrams.
+MAX_GATHERED = 256
 
 
 class ReportFeed(Protocol):
@@ -83,6 +92,9 @@
     ) -> None:
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.bind((host, port))
+        self._socket.setblocking(False)
+        self._readable = select.poll()
+        self._readable.register(self._socket, select.POLLIN)
         self.address = f"{host}:{self._socket.getsockname()[1]}"
         self._peers = peers
         self._incarnation = incarnation
@@ -103,7 +115,7 @@
 
     def send_now(self) -> None:
         """Tell every peer at once, because something changed that they must know."""
-        self._send(self._peers.report_addresses(), with_loads=True)
+        self._send(self._peers.report_addresses(), self._next_report())
 
     def tell_placed(self, placed: Placed) -> None:
         """Tell the region's gateways of a request that an endpoint was just given."""
@@ -146,29 +158,30 @@
         next_s = time.monotonic()
         while self._is_open:
             remaining_s = next_s - time.monotonic()
-            is_tick = remaining_s <= 0
-            if is_tick:
-                next_s = max(next_s + TICK_S, time.monotonic() + TICK_S / 2)
             try:
-                if is_tick:
+                if remaining_s <= 0:
+                    next_s = max(next_s + TICK_S, time.monotonic() + TICK_S / 2)
                     self._feed.tick()
                     self._send_in_turn()
-                else:
-                    self._receive(remaining_s)
+                elif self._readable.poll(remaining_s * 1000):
+                    time.sleep(min(MAX_GATHER_S, len(self._near) * GATHER_S_PER_GATEWAY))
+                    self._receive_gathered()
             except Exception as error:
                 # A gateway without this thread would neither hear nor be heard.
                 log_event(Event.BACKGROUND_FAILED, task="reporter", error=repr(error)[:300])
 
-    def _receive(self, timeout_s: float) -> None:
-        self._socket.settimeout(max(0.001, timeout_s))
-        try:
-            datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
-        except TimeoutError:
-            return
-        except OSError as error:
-            log_event(Event.PEER_EXCHANGE_FAILED, reason=f"receive: {error}")
-            time.sleep(0.01)
-            return
+    def _receive_gathered(self) -> None:
+        for _ in range(MAX_GATHERED):
+            try:
+                datagram = self._socket.recv(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                log_event(Event.PEER_EXCHANGE_FAILED, reason=f"receive: {error}")
+                return
+            self._take(datagram)
+
+    def _take(self, datagram: bytes) -> None:
         match decode_datagram(datagram):
             case PeerReport() as report:
                 if self._peers.hear(report):
@@ -201,20 +214,19 @@
             self._near_turn.period(len(near)) * TICK_S,
             self._far_turn.period(len(far)) * TICK_S * FAR_EVERY_TICKS,
         )
-        self._send(self._near_turn.take(near), with_loads=True)
+        # Loads are of use within the region only, summaries only outside.
+        self._send(self._near_turn.take(near), replace(self._next_report(), summaries={}))
         is_starting = self._peers.own_state is GatewayState.STARTING
         if is_starting or self._tick % FAR_EVERY_TICKS == 0:
-            self._send(self._far_turn.take(far), with_loads=False)
+            self._send(self._far_turn.take(far), replace(self._next_report(), loads={}))
 
-    def _send(self, receivers: list[str], with_loads: bool) -> None:
-        if not receivers:
-            return
+    def _next_report(self) -> PeerReport:
         self._sequence += 1
         known = self._peers.report_addresses()
         sample = self._random.sample(known, min(KNOWN_SAMPLE, len(known)))
-        report = self._own_report(self._sequence, tuple(sample))
-        if not with_loads:
-            report = replace(report, loads={})
+        return self._own_report(self._sequence, tuple(sample))
+
+    def _send(self, receivers: list[str], report: PeerReport) -> None:
         datagram = encode_report(report)
         for receiver in receivers:
             if receiver != self.address:
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
@@ -9,6 +9,7 @@
 from primroseferry_policy.breaker import Breakers
 from primroseferry_policy.endpoint_loads import EndpointLoads
 from primroseferry_policy.far_parts import FarParts
+from primroseferry_policy.far_parts import ToldParts
 from primroseferry_policy.pace import Pace
 from primroseferry_policy.part_cache import PartCache
 from primroseferry_policy.quarantine import Quarantine
@@ -41,6 +42,7 @@
     breakers: Breakers = field(default_factory=Breakers)
     parts: PartCache = field(default_factory=PartCache)
     far_parts: FarParts = field(default_factory=FarParts)
+    told_parts: ToldParts = field(default_factory=ToldParts)
     cold_gate: ColdGate = field(default_factory=ColdGate)
     quarantine: Quarantine = field(default_factory=Quarantine)
     reading: ReadingLoad = field(default_factory=ReadingLoad)
--- a/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
@@ -104,3 +104,13 @@
     else:
         assert copy is None
     assert near.region == NORTH
+
+
+def test_only_work_for_engines_is_told_at_once(loop: CurlLoop) -> None:
+    bench = RelayBench(loop, [say()])
+    call = bench.local.rank(SERVICE, PROMPT, ())[0]
+    bench.local.run(call, SERVICE, plan(), None, lambda _call: None)
+    assert bench.placed == []
+    generation = bench.local.rank(ENGINES, PROMPT, ())[0]
+    bench.local.run(generation, ENGINES, plan(), None, lambda _call: None)
+    assert [placed.endpoint for placed in bench.placed] == [FIRST]
--- a/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
@@ -87,3 +87,14 @@
     assert [gateway.feed.readings for gateway in north] == [[], []]
     for gateway in everyone:
         gateway.reporter.stop()
+
+
+def test_gathered_datagrams_are_all_heard() -> None:
+    listener = start_gateway("n-1", NORTH)
+    speaker = start_gateway("n-2", NORTH)
+    listener.reporter.start()
+    speaker.peers.add_candidates([listener.reporter.address])
+    for _ in range(40):
+        speaker.reporter.send_now()
+    wait_until(lambda: len(listener.feed.reports) == 40)
+    listener.reporter.stop()
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -34,6 +34,8 @@
     from .loop_services import ReadableWatch
 
 SWEEP_INTERVAL_S = 0.1
+# Without calls under way there is nothing to sweep; commands wake the loop.
+IDLE_WAIT_S = 5.0
 MAX_IDLE_HANDLES = 256
 MAX_KEPT_CONNECTIONS = 1_024
 # A far side that answers no probe for so long is gone: long enough for a few lost packets.
@@ -201,7 +203,7 @@
         if self._commands:
             return 0.0
         now_s = time.monotonic()
-        due_s = self._next_sweep_s
+        due_s = self._next_sweep_s if self._active else now_s + IDLE_WAIT_S
         if self._timer_due_s is not None:
             due_s = min(due_s, self._timer_due_s)
         return max(0.0, due_s - now_s)
@@ -370,7 +372,8 @@
 
 def _watch_far_side(fd: int, _purpose: int) -> int:
     """Make the kernel notice a far side that is gone without a word."""
-    connection = socket.socket(fileno=fd)
+    # Family and type are given, so that Python does not ask the kernel for them.
+    connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, fileno=fd)
     try:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
