--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -23,7 +23,7 @@
 from ..attempts.outcome import StreamBroken
 from ..attempts.outcome import StreamEnded
 from ..control.peer_sync import CONTROL_PATH
-from ..ingress.answer_channel import ChannelState
+from ..ingress.channel_sink import ChannelSink
 from ..local_attempts import AttemptPlan
 from ..messages import AnswerHead
 from ..messages import RelayRequest
@@ -165,7 +165,7 @@
             if not options or self._watch.has_left:
                 break
             excluded.add(options[0].endpoint.endpoint)
-            sink = _PeerSink(self._channel) if order.is_stream else None
+            sink = ChannelSink(self._channel, _answered) if order.is_stream else None
             outcome = self._server._local.run(
                 options[0], service, plan, sink, self._watch.note_start
             )
@@ -199,26 +199,15 @@
                 channel.abort()
 
 
-class _PeerSink:
-    """Passes the events of the attempt to the peer that asked for it."""
-
-    def __init__(self, channel: AnswerChannel) -> None:
-        self._channel = channel
-
-    def begin(self, head: AnswerHead) -> bool:
-        if self._channel.state is ChannelState.STREAMING:
-            return True
-        return self._channel.begin_stream(_marked(head, HopOutcome.ANSWERED))
-
-    def write(self, data: bytes) -> bool:
-        return self._channel.write_events(data)
-
-
 def _marked(head: AnswerHead, outcome: HopOutcome, detail: str = "") -> AnswerHead:
     value = f"{outcome.value};{detail}" if detail else outcome.value
     return AnswerHead(head.status, head.reason, (*head.headers, Header(OUTCOME_HEADER, value)))
 
 
+def _answered(head: AnswerHead) -> AnswerHead:
+    return _marked(head, HopOutcome.ANSWERED)
+
+
 def _send(channel: AnswerChannel, outcome: HopOutcome, detail: str) -> None:
     problem = Problem(ErrorKind.NO_ENDPOINT, detail)
     answer = problem_answer(problem)
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -20,6 +20,7 @@
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
 from .ingress.answer_channel import ChannelState
+from .ingress.channel_sink import ChannelSink
 from .local_attempts import AttemptPlan
 from .local_attempts import LocalOption
 from .local_attempts import fingerprint_of_request
@@ -42,7 +43,6 @@
     from .ingress.answer_channel import AnswerChannel
     from .local_attempts import LocalAttempts
     from .membership.peer_table import PeerTable
-    from .messages import AnswerHead
     from .messages import RelayRequest
     from .messages import WholeAnswer
     from .relay_policy import RelayPolicy
@@ -239,7 +239,7 @@
         )
         sink = None
         if self._route.kind is RouteKind.STREAM:
-            sink = _CallerSink(self._channel)
+            sink = ChannelSink(self._channel)
         self._record.note_attempt(option)
         match option:
             case LocalOption(endpoint):
@@ -354,21 +354,6 @@
     return option.is_saturated
 
 
-class _CallerSink:
-    """Passes the events of every attempt of a request to its caller as one stream."""
-
-    def __init__(self, channel: AnswerChannel) -> None:
-        self._channel = channel
-
-    def begin(self, head: AnswerHead) -> bool:
-        if self._channel.state is ChannelState.STREAMING:
-            return True
-        return self._channel.begin_stream(head)
-
-    def write(self, data: bytes) -> bool:
-        return self._channel.write_events(data)
-
-
 def _return_s() -> float:
     """Return when a caller may come back: spread, so that many do not return together."""
     return random.uniform(MIN_RETURN_S, MAX_RETURN_S)
