Tell other regions again of shared parts that stay in use

Cause, found in reading the diff: a part was told when an engine read it for the first time, and any later use held back the next telling for 8 s. Other regions believe a part for 16 s, so those that stayed on one engine faded there, and a later first reading on another engine was often not told at all.

Change: whoever gives a part to an engine tells it when its region has not told it for 8 s.

--- a/packages/primroseferry-policy/src/primroseferry_policy/far_parts.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/far_parts.py
@@ -1,7 +1,7 @@
 """Which engines of other regions lately read parts of prompts.
 
-Other regions tell only of parts that an engine did not hold before, so what is known here ages: an
-engine may have given a part up since. A copy that finds nothing costs little more than reading.
+Other regions tell of a part once in a while, so what is known here ages: an engine may have given a
+part up since. A copy that finds nothing costs little more than reading.
 """
 
 from __future__ import annotations
@@ -23,8 +23,8 @@
     from .prompt import PartId
     from .prompt import PromptPart
 
-# A region tells a part again after this time, if an engine reads it anew; what it told is believed
-# twice as long. At the load of a peak an engine reads its whole memory anew in 5 to 10 s.
+# A region tells a part that is in use again after this time; what it told is believed twice as
+# long. At the load of a peak an engine reads its whole memory anew in 5 to 10 s.
 TELL_PAUSE_S = 8.0
 LIFE_S = 2 * TELL_PAUSE_S
 # Some hundred bytes each; a deployment's prompts share some hundred parts.
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PartReading:
-    """An engine began to read a prompt up to ``part``, ``tokens`` tokens in all."""
+    """An engine was given a prompt up to ``part``, ``tokens`` tokens in all."""
 
     endpoint: EndpointId
     part: PartId
@@ -47,10 +47,10 @@
 
 
 class ToldParts:
-    """When the parts that this region's engines hold were last told, or used, by any gateway.
+    """When the parts that this region's engines use were last told to other regions.
 
-    Every gateway of the region hears of each request that is given to an engine, so one of them
-    tells the other regions of a part, and the others know.
+    Every gateway of the region hears of each request that is given to an engine, so the gateway
+    that gives a part to an engine first, or first after the pause, tells it, and the others know.
     """
 
     def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
@@ -59,7 +59,7 @@
         self._lock = threading.Lock()
 
     def note(self, part: PartId) -> bool:
-        """Note that an engine reads a part; ``True`` where other regions are to be told."""
+        """Note that an engine gets a part; ``True`` where other regions are to be told."""
         now_s = self._clock_s()
         with self._lock:
             noted_s = self._noted_s.get(part)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -109,7 +109,7 @@
         """Tell every gateway of a request that an endpoint died of."""
 
     def tell_reading(self, reading: PartReading) -> None:
-        """Tell other regions of shared parts that an engine begins to read."""
+        """Tell other regions of an engine that was given shared parts."""
 
 
 class LocalAttempts:
@@ -195,7 +195,7 @@
         )
         parts = plan.generation.parts
         if service.engine is not None:
-            self._tell_new_parts(endpoint, plan.generation)
+            self._tell_parts(endpoint, plan.generation)
             policy.parts.note_read(endpoint.endpoint, parts, service.engine.cache_tokens)
             policy.reading.note(endpoint.endpoint, choice.unread_tokens)
             # A plain call ends sooner than the next report would correct a note of its begin.
@@ -290,14 +290,13 @@
         held = HeldTokens(reading.tokens, reading.tokens)
         return [PartHolder(endpoint.endpoint, endpoint.failure_domain, held)]
 
-    def _tell_new_parts(self, endpoint: Endpoint, generation: Generation) -> None:
-        """Tell other regions of shared parts that the engine did not hold before."""
+    def _tell_parts(self, endpoint: Endpoint, generation: Generation) -> None:
+        """Tell other regions where shared parts are, unless the region told it lately."""
         shared = generation.shared_parts
         tokens = sum(part.tokens for part in shared)
         if tokens < MIN_COPY_TOKENS:
             return
-        held = self._policy.parts.held_tokens(endpoint.endpoint, shared)
-        if held.tokens < tokens and self._policy.told_parts.note(shared[-1].part):
+        if self._policy.told_parts.note(shared[-1].part):
             self._teller.tell_reading(PartReading(endpoint.endpoint, shared[-1].part, tokens))
 
     def _copy_address(self, choice: Choice) -> str:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -61,7 +61,7 @@
         self._policy.quarantine.blame(blame.fingerprint, [blame.death])
 
     def hear_reading(self, reading: PartReading) -> None:
-        """Take in shared parts that an engine of another region begins to read."""
+        """Take in which engine of another region was given shared parts."""
         self._policy.far_parts.note(reading)
 
     def tick(self) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PartNote:
-    """Shared parts that an engine of another region begins to read.
+    """Shared parts that an engine of another region was given.
 
     The gateway that hears it from another region passes it on to its own region's gateways, once.
     """
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -2,9 +2,9 @@
 
 Gateways of the region hear of each request that is given to an endpoint at once, in a note of its
 own, so that placement agrees on what endpoints have to do. One gateway of each other region hears
-of shared parts of prompts that an endpoint reads for the first time, and passes that on. Whole
-reports correct what notes were lost and tell what ended; they go to a bounded number of gateways in
-each tick, in turn, near ones more often than far ones.
+now and then which endpoint was given a shared part of prompts, and passes that on. Whole reports
+correct what notes were lost and tell what ended; they go to a bounded number of gateways in each
+tick, in turn, near ones more often than far ones.
 """
 
 from __future__ import annotations
@@ -72,7 +72,7 @@
         """Take in a request that an endpoint died of."""
 
     def hear_reading(self, reading: PartReading) -> None:
-        """Take in shared parts that an engine of another region begins to read."""
+        """Take in which engine of another region was given shared parts."""
 
     def tick(self) -> None:
         """Do what is due many times a second."""
@@ -134,7 +134,7 @@
                 self._send_to(_host_and_port(address), datagram)
 
     def tell_reading(self, reading: PartReading) -> None:
-        """Tell one gateway of each other region of parts that an engine reads; it passes it on."""
+        """Tell one gateway of each other region who was given shared parts; it passes that on."""
         datagram = encode_part_note(PartNote(reading, is_passed_on=False))
         for region in self._peers.regions():
             peers = self._peers.ready_peers(region)
