Say in a request's log line which parts were asked to be copied

The copy is a decision that touches the request, so its source and size belong to the line of the attempt. Only the log changes; the test reads the line.

--- a/packages/primroseferry-relay/src/primroseferry_relay/decision.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -11,10 +11,10 @@
 from primroseferry_core.logs import log_event
 
 from .local_attempts import LocalOption
+from .region_choice import RegionOption
 
 if TYPE_CHECKING:
     from .attempts.outcome import AttemptOutcome
-    from .region_choice import RegionOption
 
 
 @dataclass(slots=True)
@@ -40,12 +40,7 @@
 
     def note_attempt(self, option: LocalOption | RegionOption) -> None:
         """Note whom the request is sent to."""
-        target = (
-            option.endpoint.endpoint
-            if isinstance(option, LocalOption)
-            else f"{option.region}/{option.peer.instance}"
-        )
-        self.attempts.append(f"{target} ({self.options})")
+        self.attempts.append(f"{_target(option)} ({self.options})")
 
     def note_outcome(self, outcome: AttemptOutcome) -> None:
         """Note what became of the last attempt."""
@@ -73,3 +68,13 @@
             attempts=" | ".join(self.attempts),
             duration_ms=self.elapsed_ms,
         )
+
+
+def _target(option: LocalOption | RegionOption) -> str:
+    match option:
+        case RegionOption(region, peer):
+            return f"{region}/{peer.instance}"
+        case LocalOption(endpoint, choice) if choice.copy is not None:
+            return f"{endpoint.endpoint} copying {choice.copy.tokens} from {choice.copy.source}"
+        case LocalOption(endpoint):
+            return str(endpoint.endpoint)
--- a/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
@@ -17,6 +17,7 @@
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
 from primroseferry_relay.attempts.outcome import Answered
+from primroseferry_relay.decision import DecisionRecord
 from primroseferry_relay.local_attempts import AttemptPlan
 from primroseferry_relay.membership.peer_report import GatewayState
 from primroseferry_relay.messages import RelayRequest
@@ -53,6 +54,9 @@
         one for one in bench.local.rank(ENGINES, PROMPT, ()) if one.endpoint.endpoint == SECOND
     )
     assert option.choice.unread_tokens == 2_900
+    record = DecisionRecord("r1", time.monotonic())
+    record.note_attempt(option)
+    assert record.attempts[0].startswith("e-1 copying 6300 from e-0 (")
     outcome = bench.local.run(option, ENGINES, plan(), None, lambda _call: None)
     assert isinstance(outcome, Answered)
     assert engines[1].requests[0].header("x-copy-from") == engines[0].address
