Let one piece of code name a prompt's shared part, a far gateway and what was put last

Found in reading the whole change once more; behaviour stays.

- The part by which gateways agree on an engine was worked out in the same words in placement and in the sample of a large region, and once more by index in the peer feed: `Generation.affinity_key` and `last_shared_part`.
- The name of a far gateway in log lines stood in the decision record and in the attempts: `RegionOption.target`.
- Five maps dropped their oldest entry by hand, three of them of this change: `RecentMap` in the core, with a test.

--- /dev/null
+++ b/packages/primroseferry-core/src/primroseferry_core/recent_map.py
@@ -0,0 +1,31 @@
+"""A map that forgets what was put longest ago."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TypeVar
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class RecentMap(OrderedDict[K, V]):
+    """Keeps the ``max_entries`` that were put last.
+
+    >>> recent = RecentMap(2)
+    >>> for number in (1, 2, 1, 3):
+    ...     recent.put(number, str(number))
+    >>> list(recent)
+    [1, 3]
+    """
+
+    def __init__(self, max_entries: int) -> None:
+        super().__init__()
+        self._max_entries = max_entries
+
+    def put(self, key: K, value: V) -> None:
+        """Put an entry as the newest and drop the oldest one beyond the limit."""
+        self.pop(key, None)
+        self[key] = value
+        if len(self) > self._max_entries:
+            self.popitem(last=False)
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/decisions.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/decisions.py
@@ -4,11 +4,11 @@
 
 import threading
 import time
-from collections import OrderedDict
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from primroseferry_core.recent_map import RecentMap
 from primroseferry_policy.routing import LocalTarget
 from primroseferry_policy.routing import RemoteTarget
 
@@ -63,16 +63,14 @@
     """The traces of the newest requests."""
 
     def __init__(self) -> None:
-        self._traces: OrderedDict[RequestId, DecisionTrace] = OrderedDict()
+        self._traces: RecentMap[RequestId, DecisionTrace] = RecentMap(MAX_TRACES)
         self._lock = threading.Lock()
 
     def open(self, request_id: RequestId, target: str) -> DecisionTrace:
         """Start the trace of a request; the oldest one is dropped where there are too many."""
         trace = DecisionTrace(request_id, target, time.monotonic())
         with self._lock:
-            self._traces[request_id] = trace
-            while len(self._traces) > MAX_TRACES:
-                self._traces.popitem(last=False)
+            self._traces.put(request_id, trace)
         return trace
 
     def find(self, request_id: RequestId) -> DecisionTrace | None:
--- a/packages/primroseferry-platform/src/primroseferry_platform/client_directory.py
+++ b/packages/primroseferry-platform/src/primroseferry_platform/client_directory.py
@@ -5,7 +5,6 @@
 import json
 import threading
 import time
-from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from urllib.parse import quote
@@ -16,6 +15,7 @@
 from primroseferry_core.ids import CustomerId
 from primroseferry_core.ids import RegionId
 from primroseferry_core.logs import log_event
+from primroseferry_core.recent_map import RecentMap
 from primroseferry_transport.calls import HttpCall
 from primroseferry_transport.calls import HttpReply
 from result import Ok
@@ -53,7 +53,7 @@
     def __init__(self, loop: CurlLoop, address: str) -> None:
         self._loop = loop
         self._base_url = f"http://{address}/v1/clients/"
-        self._cache: OrderedDict[str, _Cached] = OrderedDict()
+        self._cache: RecentMap[str, _Cached] = RecentMap(MAX_CACHED_CLIENTS)
         self._lock = threading.Lock()
 
     def authenticate(self, token: str) -> Client:
@@ -91,8 +91,5 @@
 
     def _remember(self, token: str, cached: _Cached) -> _Cached:
         with self._lock:
-            self._cache[token] = cached
-            self._cache.move_to_end(token)
-            while len(self._cache) > MAX_CACHED_CLIENTS:
-                self._cache.popitem(last=False)
+            self._cache.put(token, cached)
         return cached
--- a/packages/primroseferry-policy/src/primroseferry_policy/far_parts.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/far_parts.py
@@ -8,10 +8,11 @@
 
 import threading
 import time
-from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primroseferry_core.recent_map import RecentMap
+
 from .part_cache import SETTLE_S
 
 if TYPE_CHECKING:
@@ -55,7 +56,7 @@
 
     def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
         self._clock_s = clock_s
-        self._noted_s: OrderedDict[PartId, float] = OrderedDict()
+        self._noted_s: RecentMap[PartId, float] = RecentMap(MAX_PARTS)
         self._lock = threading.Lock()
 
     def note(self, part: PartId) -> bool:
@@ -65,10 +66,7 @@
             noted_s = self._noted_s.get(part)
             if noted_s is not None and now_s - noted_s < TELL_PAUSE_S:
                 return False
-            self._noted_s.pop(part, None)
-            self._noted_s[part] = now_s
-            if len(self._noted_s) > MAX_PARTS:
-                self._noted_s.popitem(last=False)
+            self._noted_s.put(part, now_s)
             return True
 
 
@@ -77,16 +75,13 @@
 
     def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
         self._clock_s = clock_s
-        self._told: OrderedDict[PartId, _Told] = OrderedDict()
+        self._told: RecentMap[PartId, _Told] = RecentMap(MAX_PARTS)
         self._lock = threading.Lock()
 
     def note(self, reading: PartReading) -> None:
         """Take in what a gateway of another region told."""
         with self._lock:
-            self._told.pop(reading.part, None)
-            self._told[reading.part] = _Told(reading, self._clock_s())
-            if len(self._told) > MAX_PARTS:
-                self._told.popitem(last=False)
+            self._told.put(reading.part, _Told(reading, self._clock_s()))
 
     def find(self, parts: Sequence[PromptPart]) -> PartReading | None:
         """Return who holds the longest known beginning of a prompt, ``None`` if nobody does."""
--- a/packages/primroseferry-policy/src/primroseferry_policy/placement.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -162,8 +162,9 @@
 
 
 def _hash_order(candidates: Sequence[Candidate], generation: Generation) -> dict[EndpointId, int]:
-    parts = generation.parts
-    key = parts[-2].part if len(parts) > 1 else (parts[0].part if parts else "")
     names = [candidate.endpoint for candidate in candidates]
     by_text = {str(name): name for name in names}
-    return {by_text[name]: at for at, name in enumerate(rendezvous_order(key, list(by_text)))}
+    return {
+        by_text[name]: at
+        for at, name in enumerate(rendezvous_order(generation.affinity_key, list(by_text)))
+    }
--- a/packages/primroseferry-policy/src/primroseferry_policy/prompt.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/prompt.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 from typing import NewType
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 PartId = NewType("PartId", str)
 
 
@@ -29,10 +33,26 @@
         """The parts that other prompts may have too: all but the last."""
         return self.parts[:-1]
 
+    @property
+    def affinity_key(self) -> str:
+        """What gateways hash to send prompts with the same parts to the same engines.
+
+        The last shared part, or the only one; empty where the prompt has none.
+        """
+        shared = last_shared_part(self.parts)
+        if shared is not None:
+            return shared.part
+        return self.parts[0].part if self.parts else ""
+
     @property
     def held_tokens(self) -> int:
         """Tokens of engine memory that the run takes at its end."""
         return self.prompt_tokens + self.answer_tokens
 
 
+def last_shared_part(parts: Sequence[PromptPart]) -> PromptPart | None:
+    """Return the last part that other prompts may have too, ``None`` where all is its own."""
+    return parts[-2] if len(parts) > 1 else None
+
+
 NO_GENERATION = Generation()
--- a/packages/primroseferry-relay/src/primroseferry_relay/decision.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -72,8 +72,8 @@
 
 def _target(option: LocalOption | RegionOption) -> str:
     match option:
-        case RegionOption(region, peer):
-            return f"{region}/{peer.instance}"
+        case RegionOption():
+            return option.target
         case LocalOption(endpoint, choice) if choice.copy is not None:
             return f"{endpoint.endpoint} copying {choice.copy.tokens} from {choice.copy.source}"
         case LocalOption(endpoint):
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/sample.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/sample.py
@@ -28,9 +28,8 @@
     if len(endpoints) <= MAX_WHOLE:
         return endpoints
     ring = sorted(endpoints, key=lambda endpoint: _point(endpoint.endpoint))
-    parts = generation.parts
-    key = parts[-2].part if len(parts) > 1 else (parts[0].part if parts else "")
-    at = bisect.bisect(ring, _point(key), key=lambda endpoint: _point(endpoint.endpoint))
+    start = _point(generation.affinity_key)
+    at = bisect.bisect(ring, start, key=lambda endpoint: _point(endpoint.endpoint))
     near = (ring[at:] + ring[:at])[:RING_SAMPLE]
     names = {endpoint.endpoint for endpoint in near}
     drawn = random.sample(endpoints, RANDOM_SAMPLE)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -4,7 +4,6 @@
 
 import threading
 import time
-from collections import OrderedDict
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
@@ -12,6 +11,7 @@
 from primroseferry_core.errors import Problem
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
+from primroseferry_core.recent_map import RecentMap
 from primroseferry_transport.calls import Header
 from primroseferry_transport.hang_up import watch_hang_up
 
@@ -75,7 +75,7 @@
         self._tables = tables
         self._local = local
         self._sync = sync
-        self._seen: OrderedDict[str, None] = OrderedDict()
+        self._seen: RecentMap[str, None] = RecentMap(REMEMBERED_HOPS)
         self._lock = threading.Lock()
 
     def serve(self, request: RelayRequest, channel: AnswerChannel) -> None:
@@ -104,9 +104,7 @@
         with self._lock:
             if order.hop_id in self._seen:
                 return True
-            self._seen[order.hop_id] = None
-            if len(self._seen) > REMEMBERED_HOPS:
-                self._seen.popitem(last=False)
+            self._seen.put(order.hop_id, None)
             return False
 
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -131,7 +131,7 @@
         if isinstance(outcome, NotRun | Lost | StreamBroken):
             log_event(
                 Event.ATTEMPT_FAILED,
-                endpoint=f"{option.region}/{option.peer.instance}",
+                endpoint=option.target,
                 reason=outcome.reason,
             )
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from primroseferry_policy.prompt import last_shared_part
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -52,8 +54,9 @@
         if service is not None and service.engine is not None:
             tokens = service.engine.cache_tokens
             self._policy.parts.note_read(placed.endpoint, placed.parts, tokens)
-            if len(placed.parts) > 1:
-                self._policy.told_parts.note(placed.parts[-2].part)
+            shared = last_shared_part(placed.parts)
+            if shared is not None:
+                self._policy.told_parts.note(shared.part)
             self._policy.reading.note(placed.endpoint, placed.work.unread_tokens)
 
     def hear_blame(self, blame: Blame) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/region_choice.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/region_choice.py
@@ -30,6 +30,11 @@
     score: float
     is_saturated: bool
 
+    @property
+    def target(self) -> str:
+        """Whom a log line names: the region and its gateway."""
+        return f"{self.region}/{self.peer.instance}"
+
 
 def prefers_region(local: Choice, remote: RegionOption) -> bool:
     """Whether the other region is expected to be enough better."""
