Log the status of refusals that come before a route is found

Cause: the relay ended the record of a request by hand beside `RequestRun._finish`, without the status, so that the lines of `gateway-not-ready` and `unknown-path` said 0 where docs/OPERATIONS.md promises the status. Both use `DecisionRecord.close` now. The test failed first. Answers to callers do not change.

--- a/packages/primroseferry-relay/src/primroseferry_relay/decision.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -53,6 +53,11 @@
         """Milliseconds since the request arrived."""
         return round((time.monotonic() - self.started_s) * 1000)
 
+    def close(self, outcome: str, status: int) -> None:
+        """Note how the request ended and what its caller was answered, 0 for nothing."""
+        self.outcome = outcome
+        self.status = status
+
     def log(self) -> None:
         """Write the record."""
         is_good = self.outcome in ("answered", "caller-left")
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -72,5 +72,5 @@
     ) -> None:
         record.reason = problem.detail
         channel.send(problem_answer(problem, retry_after_s))
-        record.outcome = problem.kind.value
+        record.close(problem.kind.value, channel.status)
         self._parts.on_done(record)
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -343,8 +343,7 @@
         self._finish("broken-off")
 
     def _finish(self, outcome: str) -> None:
-        self._record.outcome = outcome
-        self._record.status = self._channel.status
+        self._record.close(outcome, self._channel.status)
         self._parts.on_done(self._record)
 
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_relay.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_relay.py
@@ -368,3 +368,12 @@
     for _ in range(3):
         bench.call("/once/", "POST", body=b"deadly")
     assert status_of(bench.call("/once/", "POST", body=b"innocent")) == 200
+
+
+@pytest.mark.parametrize(("has_table", "status"), [(False, 503), (True, 404)])
+def test_refusal_before_a_route_is_logged_with_its_status(
+    loop: CurlLoop, has_table: bool, status: int
+) -> None:
+    bench = RelayBench(loop, [], has_table)
+    assert status_of(bench.call("/nowhere/")) == status
+    assert bench.wait_records()[0].status == status
