Leave endpoints alone that say they leave or want a rest; bound bytes that are no event

Cause: an endpoint's own word in its answers was not read. One that said that it leaves got new work until the store told so, and one that turned a request away with a time to come back was asked again at once. A stream whose bytes never ended an event was collected without bound, and searched anew from its start for each block.

Ruled out: marking an address instead of a run (a new process there would be blamed), believing the endpoint's time as the caller's time (other endpoints may be free), limiting rests to plain services.

A run that leaves is remembered in the catalog beyond its entry and told to the region. Rests are kept by policy.endpoint_rests; a refusal names the earliest end only where all endpoints rest. Streams are given up after 1 MiB without the end of an event.

Chunk extensions without end are bounded by time only: libcurl reads past them without telling.

--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -55,6 +55,7 @@
     ORDER_RIGHT_TAKEN = (5009, "info", "right to order engines taken under a new fencing number")
     ENDPOINT_LISTED = (5010, "info", "endpoint listed or changed")
     ENDPOINT_GONE = (5011, "info", "endpoint no longer listed")
+    ENDPOINT_RESTS = (5013, "warning", "endpoint turned a request away and wants to be left alone")
     DOMAIN_EVACUATED = (5012, "warning", "failure domain closed for work or opened again")
     KEY_CLAIMED = (6001, "info", "idempotency key claimed in the key-value service")
     KEY_CLAIM_FAILED = (6002, "warning", "idempotency key could not be claimed")
--- /dev/null
+++ b/packages/primroseferry-policy/src/primroseferry_policy/endpoint_rests.py
@@ -0,0 +1,65 @@
+"""How long endpoints that turned a request away want to be left alone."""
+
+from __future__ import annotations
+
+import math
+import threading
+import time
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from primroseferry_core.ids import EndpointId
+
+# A longer rest is not believed: the endpoint is tried again after this time.
+MAX_REST_S = 300.0
+
+
+class EndpointRests:
+    """Endpoints that gave a time before which this gateway must not send to them again.
+
+    It answers load that an endpoint sheds: a gateway that comes back at once only adds to it.
+
+    >>> from primroseferry_core.ids import EndpointId
+    >>> rests = EndpointRests(lambda: 10.0)
+    >>> rests.note(EndpointId("e-1"), 1.5)
+    >>> rests.left_s(EndpointId("e-1"))
+    1.5
+    """
+
+    def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
+        self._clock_s = clock_s
+        self._until_s: dict[EndpointId, float] = {}
+        self._lock = threading.Lock()
+
+    def note(self, endpoint: EndpointId, rest_s: float) -> None:
+        """Leave an endpoint alone for ``rest_s``; values that cannot be meant are ignored."""
+        if not math.isfinite(rest_s) or rest_s <= 0:
+            return
+        until_s = self._clock_s() + min(rest_s, MAX_REST_S)
+        with self._lock:
+            self._until_s[endpoint] = max(until_s, self._until_s.get(endpoint, 0.0))
+
+    def left_s(self, endpoint: EndpointId) -> float:
+        """Return how long the endpoint still rests, 0 where it does not."""
+        until_s = self._until_s.get(endpoint)
+        if until_s is None:
+            return 0.0
+        left_s = until_s - self._clock_s()
+        if left_s <= 0:
+            with self._lock:
+                if self._until_s.get(endpoint) == until_s:
+                    del self._until_s[endpoint]
+            return 0.0
+        return left_s
+
+    def earliest_end_s(self, endpoints: Iterable[EndpointId]) -> float:
+        """Return when the first of the endpoints has rested, 0 where one does not rest."""
+        return min((self.left_s(endpoint) for endpoint in endpoints), default=0.0)
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Drop what is known of an endpoint, because its process is new."""
+        with self._lock:
+            self._until_s.pop(endpoint, None)
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -57,6 +57,7 @@
         self._last_event_id = ""
         self._has_begun = False
         self._is_refused_by_sink = False
+        self._is_flooded = False
         self._pending: PendingCall | None = None
         self._is_cancelled = False
         self.first_byte_s: float | None = None
@@ -105,7 +106,8 @@
     def _on_chunk(self, chunk: bytes) -> bool:
         whole = self._splitter.feed(chunk)
         if whole is None:
-            return True
+            self._is_flooded = self._splitter.is_flooded
+            return not self._is_flooded
         return self._pass_on(whole.data, whole.count, whole.last_event_id)
 
     def _pass_on(self, data: bytes, count: int, last_event_id: str) -> bool:
@@ -134,6 +136,8 @@
         return StreamEnded(self._events)
 
     def _failure(self, failure: HttpFailure) -> AttemptOutcome:
+        if self._is_flooded:
+            return self._broken("bytes without end that are no event")
         if failure.stage is FailureStage.NOT_SENT:
             return NotRun(failure.reason, is_sent=False)
         return self._broken(failure.reason, failure.stage is FailureStage.CONNECTION_LOST)
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -55,7 +55,10 @@
 
 
 class EndpointCall(AttemptCall):
-    """An attempt on an endpoint of this region. ``on_reply`` gets what its headers say."""
+    """An attempt on an endpoint of this region.
+
+    ``on_reply`` gets the answer's status and what its headers say.
+    """
 
     def __init__(
         self,
@@ -63,7 +66,7 @@
         dialect: EndpointDialect,
         attempt: EndpointAttempt,
         sink: StreamSink | None,
-        on_reply: Callable[[ReplyFacts], None],
+        on_reply: Callable[[int, ReplyFacts], None],
     ) -> None:
         super().__init__(loop, sink)
         self._dialect = dialect
@@ -98,7 +101,7 @@
         self._is_foreign = self._facts.request_id not in ("", self._attempt.request_id)
         if self._is_foreign:
             return False
-        self._on_reply(self._facts)
+        self._on_reply(head.status, self._facts)
         return True
 
     def _end_of_answer(self, reply: HttpReply) -> AttemptOutcome:
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/event_splitter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/event_splitter.py
@@ -4,7 +4,10 @@
 
 from dataclasses import dataclass
 
+# An endpoint that sends more than this without ending an event sends no events.
+MAX_EVENT_BYTES = 1024 * 1024
 _EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+_LONGEST_END = max(map(len, _EVENT_ENDS))
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,10 +37,16 @@
         """The bytes of an event that is not whole yet."""
         return bytes(self._pending)
 
+    @property
+    def is_flooded(self) -> bool:
+        """Whether more bytes came without the end of an event than any event may have."""
+        return len(self._pending) > MAX_EVENT_BYTES
+
     def feed(self, data: bytes) -> WholeEvents | None:
         """Take in bytes; return the events that are whole now, ``None`` where there are none."""
+        searched = max(0, len(self._pending) - _LONGEST_END + 1)
         self._pending += data
-        end = max(self._end_of(mark) for mark in _EVENT_ENDS)
+        end = max(self._end_of(mark, searched) for mark in _EVENT_ENDS)
         if end <= 0:
             return None
         whole = bytes(self._pending[:end])
@@ -45,8 +54,8 @@
         count, last_id = _describe(whole)
         return WholeEvents(whole, count, last_id)
 
-    def _end_of(self, mark: bytes) -> int:
-        at = self._pending.rfind(mark)
+    def _end_of(self, mark: bytes, start: int) -> int:
+        at = self._pending.rfind(mark, start)
         return -1 if at < 0 else at + len(mark)
 
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/dialect.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/dialect.py
@@ -48,12 +48,17 @@
 
     ``request_id`` is the request that it answers, empty where it does not say. ``is_not_run``
     states that it did not run the request; ``is_signed`` that the answer is an endpoint's own.
+    ``is_leaving`` says that it takes no new work from now on. ``rest_s`` is for how long it wants
+    to be left alone after turning a request away, ``None`` where it does not say or the value
+    cannot be meant.
     """
 
     request_id: str
     is_not_run: bool
     is_signed: bool
     cold_ms: float | None = None
+    is_leaving: bool = False
+    rest_s: float | None = None
 
 
 class EndpointDialect(Protocol):
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -4,6 +4,10 @@
 store is away, and those of live endpoints are back shortly after its return. A removal that is seen
 within ``RETURN_S`` of the store's return therefore takes effect only when the entry is still
 missing after that.
+
+An endpoint that says in an answer that it leaves is given no new work from then on, whatever its
+entry says. The mark belongs to one run of its process and outlives its entry, which may lapse and
+come back.
 """
 
 from __future__ import annotations
@@ -15,6 +19,7 @@
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
+from primroseferry_core.recent_map import RecentMap
 
 from .endpoint import Endpoint
 from .endpoint import EndpointState
@@ -31,6 +36,8 @@
 
 # How long entries may take to come back after an outage of the store, as its operators state.
 RETURN_S = 2.0
+# Runs of endpoints that said that they leave; a fleet replaces far fewer in an hour.
+MAX_LEAVING = 4_096
 
 
 @dataclass(slots=True)
@@ -40,6 +47,15 @@
     missing_until_s: float | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointRun:
+    """One run of one endpoint's process."""
+
+    endpoint: EndpointId
+    started_ms: int
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class _Place:
     """What requests look endpoints up by."""
@@ -59,6 +75,7 @@
         self._missing: set[EndpointId] = set()
         self._evacuated: frozenset[FailureDomainId] = frozenset()
         self._returned_s = float("-inf")
+        self._leaving: RecentMap[EndpointRun, None] = RecentMap(MAX_LEAVING)
         self._lock = threading.Lock()
 
     def note_store_returned(self) -> None:
@@ -113,6 +130,15 @@
             if held is not None:
                 held.cold_until_s = self._clock_s() + cold_ms / 1000
 
+    def note_leaving(self, run: EndpointRun) -> bool:
+        """Note that an endpoint says that it leaves; ``True`` where that is news."""
+        with self._lock:
+            if run in self._leaving:
+                return False
+            self._leaving.put(run, None)
+        log_event(Event.ENDPOINT_LEAVING, endpoint=run.endpoint, started_ms=run.started_ms)
+        return True
+
     def set_evacuated(self, domains: frozenset[FailureDomainId]) -> None:
         """Close exactly these failure domains for work."""
         with self._lock:
@@ -164,8 +190,9 @@
         return self._evacuated
 
     def _takes_work(self, endpoint: Endpoint) -> bool:
-        is_ready = endpoint.state is EndpointState.READY
-        return is_ready and endpoint.failure_domain not in self._evacuated
+        if endpoint.state is not EndpointState.READY or run_of(endpoint) in self._leaving:
+            return False
+        return endpoint.failure_domain not in self._evacuated
 
     def _remove(self, endpoint: EndpointId, now_s: float) -> None:
         held = self._listed.get(endpoint)
@@ -194,5 +221,10 @@
                 self._remove(name, now_s)
 
 
+def run_of(endpoint: Endpoint) -> EndpointRun:
+    """Return the run that an entry tells of."""
+    return EndpointRun(endpoint.endpoint, endpoint.started_ms, endpoint.address)
+
+
 def _place(endpoint: Endpoint) -> _Place:
     return _Place(endpoint.service, endpoint.region)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -32,6 +32,7 @@
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
 from .dialect import SendOrder
+from .endpoints.catalog import run_of
 from .endpoints.probe import is_listening
 from .endpoints.sample import choose_sample
 from .membership.peer_report import Blame
@@ -56,6 +57,7 @@
     from .dialect import EndpointDialect
     from .dialect import ReplyFacts
     from .endpoints.catalog import EndpointCatalog
+    from .endpoints.catalog import EndpointRun
     from .endpoints.endpoint import Endpoint
     from .membership.peer_table import PeerTable
     from .messages import AnswerHead
@@ -68,6 +70,8 @@
 # the request may be sent again.
 PATIENCE_RATIO = 4.0
 MIN_PATIENCE_MS = 400.0
+# The status of an endpoint that turns a request away because it has too much to do.
+OVERLOADED_STATUS = 503
 # What other regions are told the expected time of: a prompt of which most is cached.
 TYPICAL_GENERATION = Generation(prompt_tokens=1_000, answer_tokens=200)
 
@@ -111,6 +115,9 @@
     def tell_reading(self, reading: PartReading) -> None:
         """Tell other regions of an engine that was given shared parts."""
 
+    def tell_leaving(self, run: EndpointRun) -> None:
+        """Tell the region's gateways of an endpoint that says that it leaves."""
+
 
 class LocalAttempts:
     """The endpoints of one region, as one gateway uses them."""
@@ -147,6 +154,7 @@
             for endpoint in choose_sample(near, generation)
             if endpoint.endpoint not in excluded
             and self._policy.breakers.permits(endpoint.endpoint)
+            and self._policy.rests.left_s(endpoint.endpoint) <= 0
             and self._may_send_cold(endpoint, service)
         }
         if service.engine is not None:
@@ -171,6 +179,8 @@
             return NotRun("the endpoint is cold and was sent enough", is_sent=False)
         if not self._catalog.may_use(endpoint):
             return NotRun("the endpoint takes no new work", is_sent=False)
+        if self._policy.rests.left_s(endpoint.endpoint) > 0:
+            return NotRun("the endpoint wants to be left alone", is_sent=False)
         patience_ms = None
         if plan.may_be_repeated:
             patience_ms = int(max(MIN_PATIENCE_MS, option.choice.first_ms * PATIENCE_RATIO))
@@ -206,7 +216,7 @@
             self._dialect,
             attempt,
             _CountingSink(sink, policy.loads.first_byte, opened) if sink is not None else None,
-            lambda facts: self._note_reply(endpoint, facts),
+            lambda status, facts: self._note_reply(endpoint, status, facts),
         )
         on_start(call)
         try:
@@ -217,6 +227,11 @@
         self._judge(endpoint, plan.request, outcome)
         return outcome
 
+    def rest_left_s(self, service: Service) -> float:
+        """Return how long all endpoints of a service here want to be left alone, 0 if not all."""
+        near = self._catalog.usable(service.name, self._region)
+        return self._policy.rests.earliest_end_s(endpoint.endpoint for endpoint in near)
+
     def summary(self, service: Service) -> ServiceSummary:
         """Return what this region has of a service, as other regions are told."""
         options = self.rank(service, TYPICAL_GENERATION, ())
@@ -317,9 +332,14 @@
             return True
         return self._policy.cold_gate.take(endpoint.endpoint, service.warmup_per_s)
 
-    def _note_reply(self, endpoint: Endpoint, facts: ReplyFacts) -> None:
+    def _note_reply(self, endpoint: Endpoint, status: int, facts: ReplyFacts) -> None:
         if facts.cold_ms is not None:
             self._catalog.set_cold(endpoint.endpoint, facts.cold_ms)
+        if facts.is_leaving and self._catalog.note_leaving(run_of(endpoint)):
+            self._teller.tell_leaving(run_of(endpoint))
+        if status == OVERLOADED_STATUS and facts.rest_s is not None:
+            self._policy.rests.note(endpoint.endpoint, facts.rest_s)
+            log_event(Event.ENDPOINT_RESTS, endpoint=endpoint.endpoint, rest_s=facts.rest_s)
 
     def _learn(
         self,
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -13,6 +13,7 @@
 
     from ..control.peer_sync import PeerSync
     from ..endpoints.catalog import EndpointCatalog
+    from ..endpoints.catalog import EndpointRun
     from ..relay_policy import RelayPolicy
     from ..routes.route_table import RouteTable
     from .peer_report import Blame
@@ -63,6 +64,10 @@
         """Take in a request that an endpoint died of."""
         self._policy.quarantine.blame(blame.fingerprint, [blame.death])
 
+    def hear_leaving(self, run: EndpointRun) -> None:
+        """Take in an endpoint that said to another gateway that it leaves."""
+        self._catalog.note_leaving(run)
+
     def hear_reading(self, reading: PartReading) -> None:
         """Take in which engine of another region was given shared parts."""
         self._policy.far_parts.note(reading)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_report.py
@@ -20,6 +20,7 @@
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
 
+from ..endpoints.catalog import EndpointRun
 from ..relay_policy import Placed
 
 if TYPE_CHECKING:
@@ -114,7 +115,21 @@
     is_passed_on: bool
 
 
-Datagram = PeerReport | PlacementNote | PartNote | Blame
+@dataclass(frozen=True, slots=True)
+class LeavingNote:
+    """An endpoint's run that said that it leaves; told to the region's gateways at once."""
+
+    run: EndpointRun
+
+
+Datagram = PeerReport | PlacementNote | PartNote | Blame | LeavingNote
+
+
+def encode_leaving(note: LeavingNote) -> bytes:
+    """Return the datagram of an endpoint that leaves."""
+    run = note.run
+    data = {"leaving": [run.endpoint, run.started_ms, run.address]}
+    return json.dumps(data, separators=(",", ":")).encode()
 
 
 def encode_part_note(note: PartNote) -> bytes:
@@ -190,6 +205,9 @@
             return _part_note(data["part"])
         if "blame" in data:
             return Blame(Fingerprint(data["blame"]), str(data["death"]))
+        if "leaving" in data:
+            endpoint, started_ms, address = data["leaving"]
+            return LeavingNote(EndpointRun(EndpointId(endpoint), int(started_ms), str(address)))
         return _report(data)
     except (ValueError, KeyError, TypeError, IndexError, AttributeError, zlib.error):
         return None
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -24,11 +24,13 @@
 
 from .peer_report import Blame
 from .peer_report import GatewayState
+from .peer_report import LeavingNote
 from .peer_report import PartNote
 from .peer_report import PeerReport
 from .peer_report import PlacementNote
 from .peer_report import decode_datagram
 from .peer_report import encode_blame
+from .peer_report import encode_leaving
 from .peer_report import encode_note
 from .peer_report import encode_part_note
 from .peer_report import encode_report
@@ -39,6 +41,7 @@
     from primroseferry_core.ids import IncarnationId
     from primroseferry_policy.far_parts import PartReading
 
+    from ..endpoints.catalog import EndpointRun
     from ..relay_policy import Placed
     from .peer_table import PeerTable
 
@@ -71,6 +74,9 @@
     def hear_blame(self, blame: Blame) -> None:
         """Take in a request that an endpoint died of."""
 
+    def hear_leaving(self, run: EndpointRun) -> None:
+        """Take in an endpoint that said that it leaves."""
+
     def hear_reading(self, reading: PartReading) -> None:
         """Take in which engine of another region was given shared parts."""
 
@@ -133,6 +139,12 @@
             if address != self.address:
                 self._send_to(_host_and_port(address), datagram)
 
+    def tell_leaving(self, run: EndpointRun) -> None:
+        """Tell the region's gateways of an endpoint that leaves, twice: datagrams get lost."""
+        datagram = encode_leaving(LeavingNote(run))
+        for address in self._near * 2:
+            self._send_to(address, datagram)
+
     def tell_reading(self, reading: PartReading) -> None:
         """Tell one gateway of each other region who was given shared parts; it passes that on."""
         datagram = encode_part_note(PartNote(reading, is_passed_on=False))
@@ -191,6 +203,8 @@
                     self._feed.hear_note(note)
             case Blame() as blame:
                 self._feed.hear_blame(blame)
+            case LeavingNote(run):
+                self._feed.hear_leaving(run)
             case PartNote() as note:
                 self._hear_part_note(note)
             case None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
@@ -8,6 +8,7 @@
 
 from primroseferry_policy.breaker import Breakers
 from primroseferry_policy.endpoint_loads import EndpointLoads
+from primroseferry_policy.endpoint_rests import EndpointRests
 from primroseferry_policy.far_parts import FarParts
 from primroseferry_policy.far_parts import ToldParts
 from primroseferry_policy.pace import Pace
@@ -46,6 +47,7 @@
     cold_gate: ColdGate = field(default_factory=ColdGate)
     quarantine: Quarantine = field(default_factory=Quarantine)
     reading: ReadingLoad = field(default_factory=ReadingLoad)
+    rests: EndpointRests = field(default_factory=EndpointRests)
 
     def forget(self, endpoint: EndpointId) -> None:
         """Drop what is known of an endpoint, because its process is new or gone."""
@@ -54,3 +56,4 @@
         self.parts.forget(endpoint)
         self.far_parts.forget(endpoint)
         self.reading.forget(endpoint)
+        self.rests.forget(endpoint)
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -316,6 +316,10 @@
             return
         detail = self._progress.reason or "no endpoint is available"
         wait_s = self._progress.retry_after_s or _return_s()
+        rest_s = self._parts.local.rest_left_s(self._service)
+        if rest_s > 0:
+            # Spread like the other times, so that callers do not come back all at once.
+            wait_s = rest_s + _return_s() - MIN_RETURN_S
         self._give_up(Problem(ErrorKind.NO_ENDPOINT, detail), wait_s)
 
     def _give_up_after_failure(self, detail: str) -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
@@ -44,6 +44,7 @@
     from primroseferry_policy.far_parts import PartReading
     from primroseferry_relay.decision import DecisionRecord
     from primroseferry_relay.dialect import SendOrder
+    from primroseferry_relay.endpoints.catalog import EndpointRun
     from primroseferry_transport.curl_loop import CurlLoop
 
     from .scripted_endpoint import ScriptedEndpoint
@@ -91,7 +92,14 @@
         return passed
 
     def read_reply(self, headers: Mapping[str, str]) -> ReplyFacts:
-        return ReplyFacts(headers.get("x-id", ""), "x-not-run" in headers, "x-signed" in headers)
+        rest = headers.get("retry-after")
+        return ReplyFacts(
+            headers.get("x-id", ""),
+            "x-not-run" in headers,
+            "x-signed" in headers,
+            is_leaving="x-leaving" in headers,
+            rest_s=float(rest) if rest else None,
+        )
 
 
 class RelayBench:
@@ -103,6 +111,7 @@
         self.records: list[DecisionRecord] = []
         self.placed: list[Placed] = []
         self.blames: list[Blame] = []
+        self.leaving: list[EndpointRun] = []
         self.readings: list[PartReading] = []
         self.catalog = EndpointCatalog()
         for number, endpoint in enumerate(endpoints):
@@ -147,6 +156,9 @@
     def tell_blame(self, blame: Blame) -> None:
         self.blames.append(blame)
 
+    def tell_leaving(self, run: EndpointRun) -> None:
+        self.leaving.append(run)
+
     def tell_reading(self, reading: PartReading) -> None:
         self.readings.append(reading)
 
--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_tests/test_endless_bytes.py
@@ -0,0 +1,123 @@
+"""Endpoints whose bytes are no answer and never end."""
+
+from __future__ import annotations
+
+import itertools
+import resource
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from .relay_bench import RelayBench
+from .scripted_endpoint import Received
+from .scripted_endpoint import ScriptedEndpoint
+from .scripted_endpoint import stream_head
+from .test_relay import say
+from .test_relay import status_of
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Iterable
+
+    from primroseferry_transport.curl_loop import CurlLoop
+
+BLOCK = b"x" * 65_536
+# A flood that never ends is stopped long before this much of it is kept.
+MAX_GROWTH_KB = 150_000
+MAX_FLOOD_S = 10.0
+HEAD = b"HTTP/1.1 200 OK\r\nX-Signed: yes\r\nX-Id: r1\r\n"
+
+
+def _flood(first: bytes, blocks: Iterable[bytes], pause_s: float = 0.0) -> ScriptedEndpoint:
+    """Return an endpoint that sends ``first`` and then blocks until the far side closes."""
+
+    def script(connection: socket.socket, request: Received) -> None:
+        until_s = time.monotonic() + MAX_FLOOD_S
+        try:
+            connection.sendall(first)
+            for block in blocks:
+                connection.sendall(block)
+                if time.monotonic() > until_s:
+                    return
+                time.sleep(pause_s)
+        except OSError:
+            request.closed.set()
+
+    return ScriptedEndpoint(script)
+
+
+FLOODS = {
+    "no-answer": lambda: _flood(b"", itertools.repeat(BLOCK)),
+    "status-line": lambda: _flood(b"HTTP/1.1 200 ", itertools.repeat(BLOCK)),
+    "one-header": lambda: _flood(HEAD + b"X-Long: ", itertools.repeat(BLOCK)),
+    "headers": lambda: _flood(HEAD, itertools.repeat(b"X-More: y\r\n" * 500)),
+    "interim": lambda: _flood(b"", itertools.repeat(b"HTTP/1.1 100 Continue\r\n\r\n" * 500)),
+    "body": lambda: _flood(HEAD + b"\r\n", itertools.repeat(BLOCK)),
+    "chunk-extension": lambda: _flood(
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n5;", itertools.repeat(BLOCK)
+    ),
+    "chunk-trailers": lambda: _flood(
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
+        itertools.repeat(b"X-More: y\r\n" * 500),
+    ),
+    "trickle": lambda: _flood(HEAD, itertools.repeat(b"X"), pause_s=0.02),
+}
+
+
+def _peak_kb() -> int:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+
+
+@pytest.mark.parametrize("path", ["/once/", "/stream/", "/safe/"])
+@pytest.mark.parametrize("kind", list(FLOODS))
+def test_flood_is_bounded_and_not_taken_for_an_answer(loop: CurlLoop, kind: str, path: str) -> None:
+    endpoint = FLOODS[kind]()
+    bench = RelayBench(loop, [endpoint])
+    before_kb = _peak_kb()
+    started_s = time.monotonic()
+    data = bench.call(path)
+    # The route's limit is 1.5 s, 3 s for streams; an endpoint is not asked twice here.
+    assert time.monotonic() - started_s < 4.0
+    assert _peak_kb() - before_kb < MAX_GROWTH_KB
+    # The request may have run, so nothing may say that it did not; 200 is no answer either.
+    if data:
+        assert status_of(data) in (502, 504)
+    if endpoint.requests:
+        assert endpoint.requests[0].closed.wait(3)
+
+
+def test_events_without_end_do_not_grow_and_are_not_complete(loop: CurlLoop) -> None:
+    def script(connection: socket.socket, request: Received) -> None:
+        connection.sendall(stream_head(request))
+        try:
+            for _ in range(2_000):
+                connection.sendall(b"%x\r\n%b\r\n" % (len(BLOCK), BLOCK))
+        except OSError:
+            request.closed.set()
+
+    endpoint = ScriptedEndpoint(script)
+    bench = RelayBench(loop, [endpoint])
+    started_s = time.monotonic()
+    data = bench.call("/stream/")
+    assert time.monotonic() - started_s < 2.5
+    assert not data or status_of(data) in (502, 504)
+    assert endpoint.requests[0].closed.wait(3)
+
+
+@pytest.mark.parametrize("kind", ["body", "headers", "chunk-extension"])
+def test_other_requests_are_served_beside_a_flood(loop: CurlLoop, kind: str) -> None:
+    flooding = FLOODS[kind]()
+    sound = say()
+    busy = RelayBench(loop, [flooding])
+    bench = RelayBench(loop, [sound])
+    threads = [threading.Thread(target=busy.call, args=("/once/",)) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    try:
+        for _ in range(10):
+            assert status_of(bench.call("/safe/")) == 200
+    finally:
+        for thread in threads:
+            thread.join()
