--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -41,6 +41,8 @@
     PEER_EXCHANGE_FAILED = (4001, "warning", "exchange with a peer failed")
     PEER_JOINED = (4002, "info", "peer seen for the first time")
     PEER_LOST = (4003, "warning", "peer no longer heard of")
+    COLLECTOR_CHOSEN = (4007, "info", "digests of the region are taken from this collector now")
+    COLLECTOR_SILENT = (4008, "warning", "collector is silent and avoided for a while")
     FORWARD_REFUSED = (4004, "warning", "forwarded request refused")
     REQUEST_FORWARDED = (4005, "info", "request sent to another region")
     HOP_ATTEMPTED = (4006, "info", "attempt made for a gateway of another region")
--- a/packages/primroseferry-policy/src/primroseferry_policy/endpoint_loads.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/endpoint_loads.py
@@ -1,4 +1,4 @@
-"""The open requests of each endpoint: a gateway's own, and those its peers tell."""
+"""The open requests of each endpoint: a gateway's own, and those of its region."""
 
 from __future__ import annotations
 
@@ -12,7 +12,6 @@
     from collections.abc import Mapping
 
     from primroseferry_core.ids import EndpointId
-    from primroseferry_core.ids import InstanceId
 
     from .prompt import Generation
 
@@ -32,6 +31,14 @@
             self.held_tokens + other.held_tokens,
         )
 
+    def without(self, other: OpenWork) -> OpenWork:
+        """Return what is left of this work, never below nothing."""
+        return OpenWork(
+            max(0, self.requests - other.requests),
+            max(0, self.unread_tokens - other.unread_tokens),
+            max(0, self.held_tokens - other.held_tokens),
+        )
+
     def __neg__(self) -> OpenWork:
         return OpenWork(-self.requests, -self.unread_tokens, -self.held_tokens)
 
@@ -57,10 +64,10 @@
     def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
         self._clock_s = clock_s
         self._own: dict[EndpointId, dict[int, OpenRequest]] = {}
-        self._peers: dict[InstanceId, Mapping[EndpointId, OpenWork]] = {}
-        self._notes: dict[InstanceId, dict[EndpointId, OpenWork]] = {}
-        # The sum over all peers, kept up to date so that a look-up does not grow with the fleet.
-        self._peers_total: dict[EndpointId, OpenWork] = {}
+        self._told: dict[EndpointId, OpenWork] = {}
+        self._own_share: Mapping[EndpointId, OpenWork] = {}
+        # Requests that other gateways have probably placed since they were last heard of.
+        self.unseen_placements = 0.0
         self._lock = threading.Lock()
 
     def begin(
@@ -90,25 +97,23 @@
             if not own:
                 self._own.pop(request.endpoint, None)
 
-    def hear_peer(self, instance: InstanceId, loads: Mapping[EndpointId, OpenWork]) -> None:
-        """Take in all open work of another gateway; it holds what was noted singly before."""
-        with self._lock:
-            self._drop_peer(instance)
-            self._peers[instance] = loads
-            for endpoint, work in loads.items():
-                self._add_to_total(endpoint, work)
-
-    def hear_begin(self, instance: InstanceId, endpoint: EndpointId, work: OpenWork) -> None:
-        """Take in one request that another gateway just gave to an endpoint."""
-        with self._lock:
-            notes = self._notes.setdefault(instance, {})
-            notes[endpoint] = notes.get(endpoint, NO_WORK) + work
-            self._add_to_total(endpoint, work)
-
-    def forget_peer(self, instance: InstanceId) -> None:
-        """Drop what a gateway told that is gone."""
+    def hear_region(
+        self,
+        told: Mapping[EndpointId, OpenWork],
+        own_share: Mapping[EndpointId, OpenWork],
+        is_full: bool,
+    ) -> None:
+        """Take in what all gateways of the region have open, this one's share included.
+
+        ``told`` holds what changed, or everything where ``is_full``. ``own_share`` is what of it
+        this gateway had told itself.
+        """
         with self._lock:
-            self._drop_peer(instance)
+            if is_full:
+                self._told = dict(told)
+            else:
+                self._told.update(told)
+            self._own_share = own_share
 
     def own_work(self) -> dict[EndpointId, OpenWork]:
         """Return this gateway's open work, as it tells it to its peers."""
@@ -119,20 +124,10 @@
         """Return all open work that is known of an endpoint."""
         with self._lock:
             own = self._own.get(endpoint)
-            total = self._peers_total.get(endpoint, NO_WORK)
-            return total + _sum(own) if own else total
-
-    def _drop_peer(self, instance: InstanceId) -> None:
-        for loads in (self._peers.pop(instance, None), self._notes.pop(instance, None)):
-            for endpoint, work in (loads or {}).items():
-                self._add_to_total(endpoint, -work)
-
-    def _add_to_total(self, endpoint: EndpointId, work: OpenWork) -> None:
-        total = self._peers_total.get(endpoint, NO_WORK) + work
-        if total == NO_WORK:
-            self._peers_total.pop(endpoint, None)
-        else:
-            self._peers_total[endpoint] = total
+            others = self._told.get(endpoint, NO_WORK).without(
+                self._own_share.get(endpoint, NO_WORK)
+            )
+            return others + _sum(own) if own else others
 
     def overdue_ms(self, endpoint: EndpointId) -> float:
         """Return by how much the endpoint's worst open request misses its expected first byte."""
--- a/packages/primroseferry-policy/src/primroseferry_policy/placement.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/placement.py
@@ -8,6 +8,8 @@
 
 from primroseferry_core.hashing import rendezvous_order
 
+from .slot_time import DEFAULT_HOLD_MS
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
@@ -22,8 +24,6 @@
 PREFILL_TOKENS_PER_MS = 45.0
 # A batch slows each of its requests down a little.
 BATCH_MS_PER_REQUEST = 0.6
-# Expected time that a waiting request waits for each request that must end before it.
-ENGINE_SLOT_WAIT_MS = 40.0
 # An engine that runs out of memory preempts requests, which are then read anew.
 MEMORY_FULL_SHARE = 0.85
 MEMORY_FULL_MS = 1_500.0
@@ -49,7 +49,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """One endpoint as it stands. ``cache_tokens`` is 0 for a plain service."""
+    """One endpoint as it stands. ``cache_tokens`` is 0 for a plain service.
+
+    ``hold_ms`` is how long a run usually holds a slot.
+    """
 
     endpoint: EndpointId
     slots: int
@@ -60,6 +63,7 @@
     overdue_ms: float
     reading_tokens_per_s: int = 0
     copy: PartCopy | None = None
+    hold_ms: float = DEFAULT_HOLD_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +131,8 @@
     waiting = max(0, work.requests + 1 - candidate.slots)
     read_ms = (work.unread_tokens + unread) / PREFILL_TOKENS_PER_MS
     batch_ms = work.requests * BATCH_MS_PER_REQUEST
-    first_ms = ENGINE_FIRST_MS + copy_ms + read_ms + batch_ms + waiting * ENGINE_SLOT_WAIT_MS
+    slot_ms = waiting * candidate.hold_ms / max(1, candidate.slots)
+    first_ms = ENGINE_FIRST_MS + copy_ms + read_ms + batch_ms + slot_ms
     memory = work.held_tokens + generation.held_tokens
     if candidate.cache_tokens and memory > candidate.cache_tokens * MEMORY_FULL_SHARE:
         first_ms += MEMORY_FULL_MS
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -7,7 +7,7 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
-from ..membership.peer_report import GatewayState
+from ..membership.peer import GatewayState
 from .changes import DomainEvacuated
 from .changes import EndpointChanged
 from .changes import EndpointRemoved
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import random
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -22,7 +23,6 @@
 if TYPE_CHECKING:
     from primroseferry_transport.curl_loop import CurlLoop
 
-    from ..membership.peer_report import PeerReport
     from ..membership.peer_table import PeerTable
     from .control_state import ControlState
     from .watch_duty import WatchDuty
@@ -46,12 +46,11 @@
         self._duty = duty
         self._behind_since_s: float | None = None
         self._is_fetching = threading.Lock()
+        self._random = random.Random()
 
     def tick(self) -> None:
         """Look whether a peer is ahead; called many times a second, never blocks."""
-        ahead = [
-            peer for peer in self._peers.live() if peer.control_revision > self._state.revision
-        ]
+        ahead = self._peers.ahead_of(self._state.revision)
         if not ahead:
             self._behind_since_s = None
             return
@@ -62,8 +61,8 @@
         if expects_watch and now_s - self._behind_since_s < LAG_S:
             return
         if self._is_fetching.acquire(blocking=False):
-            nearest = min(ahead, key=self._distance)
-            threading.Thread(target=self._fetch, args=(nearest,), daemon=True).start()
+            holder = self._random.choice(ahead)
+            threading.Thread(target=self._fetch, args=(holder,), daemon=True).start()
 
     def answer(self, after: int) -> WholeAnswer:
         """Return the items newer than a revision, as a peer asks for them."""
@@ -77,25 +76,22 @@
         ]
         return json_answer(200, {"items": items})
 
-    def _distance(self, peer: PeerReport) -> tuple[bool, int]:
-        return peer.region != self._peers.own_region, -peer.control_revision
-
-    def _fetch(self, peer: PeerReport) -> None:
+    def _fetch(self, holder: str) -> None:
         after = self._state.revision
-        url = f"http://{peer.address.hop}{CONTROL_PATH}?after={after}"
+        url = f"http://{holder}{CONTROL_PATH}?after={after}"
         try:
             match self._loop.call(HttpCall("GET", url, timeout_ms=FETCH_TIMEOUT_MS)):
                 case Ok(HttpReply(status=200, body=body)):
-                    self._take(peer, after, body)
+                    self._take(holder, after, body)
                 case Ok(reply):
-                    _log_failure(peer, f"status {reply.status}")
+                    _log_failure(holder, f"status {reply.status}")
                 case Err(failure):
-                    _log_failure(peer, failure.reason)
+                    _log_failure(holder, failure.reason)
             time.sleep(FETCH_PAUSE_S)
         finally:
             self._is_fetching.release()
 
-    def _take(self, peer: PeerReport, after: int, body: bytes) -> None:
+    def _take(self, holder: str, after: int, body: bytes) -> None:
         try:
             items = [
                 StoredItem(
@@ -106,11 +102,11 @@
                 for item in json.loads(body)["items"]
             ]
         except (ValueError, KeyError, TypeError) as error:
-            _log_failure(peer, f"its answer cannot be read: {error!r}")
+            _log_failure(holder, f"its answer cannot be read: {error!r}")
             return
         taken = sum(self._state.apply(item) for item in items)
-        log_event(Event.CONTROL_FROM_PEER, peer=peer.instance, after=after, items=taken)
+        log_event(Event.CONTROL_FROM_PEER, peer=holder, after=after, items=taken)
 
 
-def _log_failure(peer: PeerReport, reason: str) -> None:
-    log_event(Event.PEER_EXCHANGE_FAILED, peer=peer.instance, reason=f"control items: {reason}")
+def _log_failure(holder: str, reason: str) -> None:
+    log_event(Event.PEER_EXCHANGE_FAILED, peer=holder, reason=f"control items: {reason}")
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -28,7 +28,10 @@
 # A gateway that holds nothing yet serves nobody, so it asks again sooner.
 MAX_EMPTY_RETRY_S = 0.5
 # Gateways that start together do not all list the store: the first tell the others.
-MAX_START_WAIT_S = 0.15
+MAX_FIRST_WAIT_S = 0.15
+MIN_START_WAIT_S = 0.8
+MAX_START_WAIT_S = 1.6
+START_CHECK_S = 0.05
 # How often a gateway that leaves watching to its peers looks whether it is needed.
 DUTY_CHECK_S = 0.5
 # An outage shorter than this cannot have let entries lapse.
@@ -45,15 +48,19 @@
         prefix: str,
         on_return: Callable[[], None],
         is_on_duty: Callable[[], bool],
+        is_first: bool = True,
     ) -> None:
+        """``is_first``: this gateway is one of those that the others ask when they start."""
         self._store = store
         self._state = state
         self._prefix = prefix
         self._on_return = on_return
         self._is_on_duty = is_on_duty
+        self._is_first = is_first
         self._random = random.Random()
         self._retry_s = FIRST_RETRY_S
-        self._answered_s = time.monotonic()
+        self._started_s = time.monotonic()
+        self._answered_s: float | None = None
         self._is_lost = False
         self._is_open = True
         self.is_listed = False
@@ -61,7 +68,9 @@
 
     @property
     def age_ms(self) -> float:
-        """How long ago the store last answered."""
+        """How long ago the store last answered this gateway, infinite if it never did."""
+        if self._answered_s is None:
+            return float("inf")
         return (time.monotonic() - self._answered_s) * 1000
 
     def start(self) -> None:
@@ -74,10 +83,9 @@
 
     def _run(self) -> None:
         after: int | None = None
-        time.sleep(self._random.uniform(0.0, MAX_START_WAIT_S))
+        self._wait_for_others()
         while self._is_open:
-            is_known = self.is_listed or self._state.revision > 0
-            if is_known and not self._is_on_duty():
+            if not self._is_on_duty():
                 time.sleep(DUTY_CHECK_S)
                 continue
             try:
@@ -88,6 +96,15 @@
                 after = None
                 time.sleep(MAX_EMPTY_RETRY_S)
 
+    def _wait_for_others(self) -> None:
+        """Give the gateways that start first the time to tell this one what the store holds."""
+        if self._is_first:
+            time.sleep(self._random.uniform(0.0, MAX_FIRST_WAIT_S))
+            return
+        until_s = self._started_s + self._random.uniform(MIN_START_WAIT_S, MAX_START_WAIT_S)
+        while time.monotonic() < until_s and self._state.revision == 0:
+            time.sleep(START_CHECK_S)
+
     def _list(self) -> int | None:
         match self._store.list_items(self._prefix):
             case Ok(listing):
@@ -117,7 +134,7 @@
     def _note_answer(self) -> None:
         now_s = time.monotonic()
         if self._is_lost:
-            outage_s = now_s - self._answered_s
+            outage_s = now_s - (self._answered_s or self._started_s)
             log_event(Event.PLATFORM_RECOVERED, prefix=self._prefix, outage_s=round(outage_s, 2))
             if outage_s >= OUTAGE_S:
                 self._on_return()
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -23,6 +23,7 @@
 
 from .endpoint import Endpoint
 from .endpoint import EndpointState
+from .endpoint_point import endpoint_point
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,6 +35,8 @@
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
 
+    from .endpoint_point import EndpointPoint
+
 # How long entries may take to come back after an outage of the store, as its operators state.
 RETURN_S = 2.0
 # Runs of endpoints that said that they leave; a fleet replaces far fewer in an hour.
@@ -72,6 +75,7 @@
         self._listed: dict[EndpointId, _Listed] = {}
         # Names in the order of their arrival, so that a look-up does not grow with the fleet.
         self._by_place: dict[_Place, dict[EndpointId, None]] = {}
+        self._by_point: dict[int, EndpointId] = {}
         self._missing: set[EndpointId] = set()
         self._evacuated: frozenset[FailureDomainId] = frozenset()
         self._returned_s = float("-inf")
@@ -98,6 +102,7 @@
             self._forget(endpoint.endpoint)
             self._listed[endpoint.endpoint] = _Listed(endpoint, cold_until_s)
             self._by_place.setdefault(_place(endpoint), {})[endpoint.endpoint] = None
+            self._by_point[endpoint_point(endpoint.endpoint)] = endpoint.endpoint
         if change:
             log_event(
                 Event.ENDPOINT_LISTED,
@@ -164,6 +169,10 @@
             held = self._listed.get(endpoint)
             return held.endpoint if held is not None else None
 
+    def at_point(self, point: EndpointPoint) -> EndpointId | None:
+        """Return the endpoint that datagrams name so, ``None`` where none is listed."""
+        return self._by_point.get(point)
+
     def may_use(self, endpoint: Endpoint) -> bool:
         """Whether exactly this run of an endpoint still takes new work."""
         with self._lock:
@@ -212,6 +221,7 @@
         self._missing.discard(endpoint)
         if held is not None:
             del self._by_place[_place(held.endpoint)][endpoint]
+            self._by_point.pop(endpoint_point(endpoint), None)
 
     def _expire(self) -> None:
         now_s = self._clock_s()
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -140,9 +140,10 @@
             _send(self._channel, HopOutcome.REFUSED, "the route does not permit this region")
             return
         with watch_hang_up(self._server._loop, self._channel.connection, self._watch.note_left):
-            self._answer(self._attempt(table))
+            target_ms = route.latency_target_ms if route is not None else 0.0
+            self._answer(self._attempt(table, target_ms))
 
-    def _attempt(self, table: RouteTable) -> AttemptOutcome:
+    def _attempt(self, table: RouteTable, target_ms: float) -> AttemptOutcome:
         order = self._order
         service = table.services[order.service]
         facts = self._server._dialect.read_request(self._request.headers)
@@ -155,6 +156,7 @@
             order.priority,
             order.last_event_id,
             order.is_repeatable,
+            target_ms,
         )
         excluded = set(order.excluded)
         outcome: AttemptOutcome = NotRun("no endpoint is available here", is_sent=False)
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/directory.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/directory.py
@@ -9,7 +9,7 @@
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import Problem
 
-from ..membership.peer_report import GatewayState
+from ..membership.peer import GatewayState
 from ..messages import json_answer
 from ..messages import problem_answer
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -23,6 +23,7 @@
 
 from ..control.control_feed import ControlFeed
 from ..control.control_state import ControlState
+from ..control.counted_store import CountedStore
 from ..control.peer_sync import PeerSync
 from ..control.registration import Registration
 from ..control.store_watch import StoreWatch
@@ -34,11 +35,13 @@
 from ..ingress.directory import Directory
 from ..ingress.listener import Listener
 from ..local_attempts import LocalAttempts
+from ..membership.exchange import OwnFacts
+from ..membership.peer import ControlFacts
+from ..membership.peer import GatewayState
+from ..membership.peer import Peer
+from ..membership.peer import PeerAddress
+from ..membership.peer import ServiceSummary
 from ..membership.peer_feed import PeerFeed
-from ..membership.peer_report import GatewayState
-from ..membership.peer_report import PeerAddress
-from ..membership.peer_report import PeerReport
-from ..membership.peer_report import ServiceSummary
 from ..membership.peer_table import PeerTable
 from ..membership.reporter import Reporter
 from ..relay import Relay
@@ -102,7 +105,9 @@
         self._metrics = RelayMetrics()
         self._incarnation = new_incarnation_id()
         self._loop = CurlLoop("relay")
-        self._store = make_store(self._loop)
+        self._store = CountedStore(make_store(self._loop))
+        self._address: PeerAddress | None = None
+        self._watches: list[StoreWatch] = []
         self._summaries: dict[ServiceId, ServiceSummary] = {}
         self._summaries_s = 0.0
         self._stopping = threading.Event()
@@ -114,13 +119,13 @@
         self._state = ControlState(self._feed.apply)
         self._duty = WatchDuty(self._peers)
         self._sync = PeerSync(self._loop, self._peers, self._state, self._duty)
-        peer_feed = PeerFeed(self._peers, self._catalog, self._policy, self._sync, self._feed.table)
+        peer_feed = PeerFeed(self._catalog, self._policy, self._sync, self._feed.table)
         self._reporter = Reporter(
             settings.host,
             settings.report_port,
             self._peers,
-            self._incarnation,
-            self._own_report,
+            self._own_facts,
+            self._current_summaries,
             peer_feed,
         )
         self._watches = [
@@ -130,6 +135,7 @@
                 prefix,
                 self._catalog.note_store_returned,
                 self._duty.is_on_duty,
+                is_first=self._reporter.address in settings.seeds,
             )
             for prefix in control_dialect.prefixes
         ]
@@ -156,7 +162,7 @@
             settings.region,
             self._loop,
             local,
-            RegionAttempts(self._loop, self._peers, self._policy.breakers, self._policy.pace),
+            RegionAttempts(self._loop, self._peers, self._policy),
             self._peers,
             self._policy,
             self._note_done,
@@ -221,7 +227,7 @@
             instance=self._settings.instance,
             incarnation=self._incarnation,
             region=self._settings.region,
-            front=self._address.front,
+            front=f"{self._settings.host}:{self._front.port}",
         )
 
     def run(self) -> int:
@@ -246,7 +252,7 @@
         log_event(Event.DRAIN_STARTED, open_requests=self._front.busy + self._hops.busy)
         self._peers.own_state = GatewayState.DRAINING
         self._front.drain()
-        self._reporter.send_now()
+        self._reporter.tell_state()
         threading.Thread(target=self._registration.stop, daemon=True).start()
         time.sleep(IDLE_AFTER_STOP_S)
         self._front.close_idle()
@@ -305,6 +311,8 @@
             self._peers.live_count(),
             oldest_answer_ms(self._watches),
             dropped_lines(),
+            self._reporter.collected,
+            self._store.counts(),
         )
 
     def _dump(self) -> dict[str, object]:
@@ -323,22 +331,25 @@
             **dump_policy(self._policy),
         }
 
-    def _own_report(self, sequence: int, known: tuple[str, ...]) -> PeerReport:
-        table = self._feed.table()
-        return PeerReport(
-            self._settings.instance,
-            self._incarnation,
-            sequence,
-            self._settings.region,
-            self._settings.failure_domain,
-            self._address,
-            self._peers.own_state,
-            table.revision if table is not None else 0,
-            self._state.revision,
-            oldest_answer_ms(self._watches),
+    def _own_facts(self, report_address: str) -> OwnFacts:
+        settings = self._settings
+        address = PeerAddress(
+            f"{settings.host}:{settings.front_port}",
+            f"{settings.host}:{settings.hop_port}",
+            report_address,
+        )
+        return OwnFacts(
+            Peer(
+                settings.instance,
+                self._incarnation,
+                settings.region,
+                settings.failure_domain,
+                self._address or address,
+                self._peers.own_state,
+                settings.link_mbps,
+            ),
+            ControlFacts(self._state.revision, oldest_answer_ms(self._watches)),
             self._policy.loads.own_work(),
-            self._current_summaries(),
-            known,
         )
 
     def _current_summaries(self) -> dict[ServiceId, ServiceSummary]:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
@@ -18,6 +18,7 @@
 
     from aioprometheus.collectors import Registry
 
+    from ..control.counted_store import StoreCallLabels
     from ..decision import DecisionRecord
 
 DURATION_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 4.0, 8.0, 16.0]
@@ -44,6 +45,8 @@
     live_gateways: int
     store_age_ms: float
     log_lines_dropped: int
+    collected_members: int
+    store_calls: Mapping[StoreCallLabels, int]
 
 
 class RelayMetrics:
@@ -94,14 +97,19 @@
         attempts = CounterCollector("primroseferry_attempts_total", "Attempts on endpoints.")
         for service, count in self._attempts.items():
             attempts.set({"service": service}, count)
+        store_calls = CounterCollector("primroseferry_store_calls_total", "Calls on the store.")
+        for call, count in gauges.store_calls.items():
+            store_calls.set({"call": call.call, "outcome": call.outcome}, count)
         registry.register(requests)
         registry.register(attempts)
+        registry.register(store_calls)
         for name, text, value in (
             ("open_connections", "Callers' connections.", gauges.open_connections),
             ("route_revision", "The revision of the routes in force.", gauges.route_revision),
             ("endpoints", "Endpoints listed.", gauges.endpoints),
             ("live_gateways", "Gateways that live, with this one.", gauges.live_gateways),
             ("store_age_seconds", "Since the store last answered.", gauges.store_age_ms / 1000),
+            ("collected_members", "Gateways that tell this one.", gauges.collected_members),
             ("log_lines_dropped", "Log lines dropped lately.", gauges.log_lines_dropped),
         ):
             gauge = Gauge(f"primroseferry_{name}", text)
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/settings.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/settings.py
@@ -26,6 +26,7 @@
 
     Ports are on ``host``; port 0 takes a free one. ``seeds`` are addresses at which other gateways
     listen for reports. ``stop_timeout_ms`` is the time between a stop signal and the kill.
+    ``link_mbps`` is what the instance's link carries, 0 where that is not known.
     """
 
     instance: InstanceId
@@ -43,3 +44,4 @@
     stop_timeout_ms: float
     max_connections: int
     log_level: str = "info"
+    link_mbps: int = 0
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/state_dump.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/state_dump.py
@@ -34,10 +34,5 @@
 def dump_gateways(peers: PeerTable) -> dict[str, object]:
     """Return the other gateways that live."""
     return {
-        report.instance: {
-            "region": report.region,
-            "state": report.state.value,
-            "route_revision": report.route_revision,
-        }
-        for report in peers.live()
+        peer.instance: {"region": peer.region, "state": peer.state.value} for peer in peers.live()
     }
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -14,9 +14,7 @@
 from primroseferry_core.logs import log_event
 from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_policy.endpoint_loads import OpenWork
-from primroseferry_policy.far_parts import PartReading
 from primroseferry_policy.part_cache import HeldTokens
-from primroseferry_policy.part_copy import MIN_COPY_TOKENS
 from primroseferry_policy.part_copy import CopySources
 from primroseferry_policy.part_copy import PartHolder
 from primroseferry_policy.placement import Candidate
@@ -35,8 +33,8 @@
 from .endpoints.catalog import run_of
 from .endpoints.probe import is_listening
 from .endpoints.sample import choose_sample
-from .membership.peer_report import Blame
-from .membership.peer_report import ServiceSummary
+from .membership.datagrams import Blame
+from .membership.peer import ServiceSummary
 from .relay_policy import Placed
 
 if TYPE_CHECKING:
@@ -70,6 +68,9 @@
 # the request may be sent again.
 PATIENCE_RATIO = 4.0
 MIN_PATIENCE_MS = 400.0
+# Nothing is looked for elsewhere as long as the answer may still come in time, which is told in
+# targets: what an overloaded endpoint has read until then would be read again.
+MIN_PATIENCE_TARGETS = 1.0
 # The status of an endpoint that turns a request away because it has too much to do.
 OVERLOADED_STATUS = 503
 # What other regions are told the expected time of: a prompt of which most is cached.
@@ -86,7 +87,10 @@
 
 @dataclass(frozen=True, slots=True)
 class AttemptPlan:
-    """What one attempt is about, wherever it is made. ``deadline_s`` is monotonic."""
+    """What one attempt is about, wherever it is made.
+
+    ``deadline_s`` is monotonic; ``target_ms`` is the time to the first byte that earns full credit.
+    """
 
     request: RelayRequest
     request_id: str
@@ -96,6 +100,7 @@
     priority: int
     last_event_id: str
     may_be_repeated: bool
+    target_ms: float = 0.0
 
     @property
     def remaining_ms(self) -> float:
@@ -112,9 +117,6 @@
     def tell_blame(self, blame: Blame) -> None:
         """Tell every gateway of a request that an endpoint died of."""
 
-    def tell_reading(self, reading: PartReading) -> None:
-        """Tell other regions of an engine that was given shared parts."""
-
     def tell_leaving(self, run: EndpointRun) -> None:
         """Tell the region's gateways of an endpoint that says that it leaves."""
 
@@ -148,15 +150,24 @@
         is_urgent: bool = True,
     ) -> list[LocalOption]:
         """Return the endpoints that may be sent to now, best first."""
-        near = self._catalog.usable(service.name, self._region)
-        usable = {
-            endpoint.endpoint: endpoint
-            for endpoint in choose_sample(near, generation)
+        near = [
+            endpoint
+            for endpoint in self._catalog.usable(service.name, self._region)
             if endpoint.endpoint not in excluded
             and self._policy.breakers.permits(endpoint.endpoint)
             and self._policy.rests.left_s(endpoint.endpoint) <= 0
             and self._may_send_cold(endpoint, service)
-        }
+        ]
+        unseen = self._policy.loads.unseen_placements if service.engine is not None else 0.0
+        sample = choose_sample(
+            near,
+            generation,
+            lambda endpoint: self._policy.parts.held_tokens(
+                endpoint.endpoint, generation.parts
+            ).tokens,
+            unseen,
+        )
+        usable = {endpoint.endpoint: endpoint for endpoint in sample}
         if service.engine is not None:
             engines = self._engine_candidates(usable.values(), service, service.engine, generation)
             choices = rank_engines(engines, generation, is_urgent)
@@ -183,7 +194,13 @@
             return NotRun("the endpoint wants to be left alone", is_sent=False)
         patience_ms = None
         if plan.may_be_repeated:
-            patience_ms = int(max(MIN_PATIENCE_MS, option.choice.first_ms * PATIENCE_RATIO))
+            patience_ms = int(
+                max(
+                    MIN_PATIENCE_MS,
+                    plan.target_ms * MIN_PATIENCE_TARGETS,
+                    option.choice.first_ms * PATIENCE_RATIO,
+                )
+            )
         attempt = EndpointAttempt(
             endpoint,
             plan.request,
@@ -205,7 +222,6 @@
         )
         parts = plan.generation.parts
         if service.engine is not None:
-            self._tell_parts(endpoint, plan.generation)
             policy.parts.note_read(endpoint.endpoint, parts, service.engine.cache_tokens)
             policy.reading.note(endpoint.endpoint, choice.unread_tokens)
             # A plain call ends sooner than the next report would correct a note of its begin.
@@ -276,6 +292,7 @@
                 policy.loads.overdue_ms(holder.endpoint),
                 policy.reading.tokens_per_s(holder.endpoint),
                 sources.choose(holder),
+                policy.slot_times.hold_ms(service.name),
             )
             for holder in holders
         ]
@@ -305,15 +322,6 @@
         held = HeldTokens(reading.tokens, reading.tokens)
         return [PartHolder(endpoint.endpoint, endpoint.failure_domain, held)]
 
-    def _tell_parts(self, endpoint: Endpoint, generation: Generation) -> None:
-        """Tell other regions where shared parts are, unless the region told it lately."""
-        shared = generation.shared_parts
-        tokens = sum(part.tokens for part in shared)
-        if tokens < MIN_COPY_TOKENS:
-            return
-        if self._policy.told_parts.note(shared[-1].part):
-            self._teller.tell_reading(PartReading(endpoint.endpoint, shared[-1].part, tokens))
-
     def _copy_address(self, choice: Choice) -> str:
         """Return the address of the engine to copy from, empty where there is none."""
         source = self._catalog.find(choice.copy.source) if choice.copy is not None else None
@@ -356,6 +364,8 @@
             policy.pace.observe(name, option.choice.first_ms, observed_ms)
             if service.engine is None and policy.loads.work(name).requests < option.endpoint.slots:
                 policy.pace.observe_call(service.name, observed_ms)
+        if isinstance(outcome, StreamEnded) and call.first_byte_s is not None:
+            policy.slot_times.observe(service.name, (time.monotonic() - call.first_byte_s) * 1000)
         match outcome:
             case Answered() | StreamEnded():
                 policy.breakers.succeed(name)
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -0,0 +1,401 @@
+"""Datagrams on the wire: a magic byte, the format's version, the kind, and msgpack.
+
+A release may append fields; those that an older one does not know are ignored. A change of what is
+there needs a new version, and gateways of the two then do not hear each other.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgpack
+from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import FailureDomainId
+from primroseferry_core.ids import Fingerprint
+from primroseferry_core.ids import IncarnationId
+from primroseferry_core.ids import InstanceId
+from primroseferry_core.ids import RegionId
+from primroseferry_core.ids import ServiceId
+from primroseferry_policy.endpoint_loads import OpenWork
+from primroseferry_policy.prompt import PartId
+from primroseferry_policy.prompt import PromptPart
+
+from ..endpoints.catalog import EndpointRun
+from ..endpoints.endpoint_point import EndpointPoint
+from .datagrams import Blame
+from .datagrams import Digest
+from .datagrams import EndpointLoad
+from .datagrams import FarPart
+from .datagrams import FarParts
+from .datagrams import HeldParts
+from .datagrams import LeavingNote
+from .datagrams import MemberUpdate
+from .datagrams import Placement
+from .datagrams import Referral
+from .datagrams import RegionSummary
+from .datagrams import Roster
+from .datagrams import RosterVersion
+from .datagrams import RosterWanted
+from .peer import ControlFacts
+from .peer import GatewayState
+from .peer import Peer
+from .peer import PeerAddress
+from .peer import ServiceSummary
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from .datagrams import Datagram
+
+MAGIC = 0xF7
+VERSION = 1
+# No datagram is larger; what a decoder makes of one stays in proportion.
+MAX_DATAGRAM_BYTES = 60_000
+MAX_INFLATED_BYTES = 1_000_000
+_HEAD = struct.Struct("<BBBI")
+# An endpoint's point, open requests, and tokens: unread, held, and read a second, in steps that
+# decide nothing. A digest goes to every gateway of a region many times a second, so bytes count.
+_LOAD = struct.Struct("<IBHHB")
+_MAX_REQUESTS = 0xFF
+UNREAD_STEP = 16
+HELD_STEP = 64
+READING_STEP = 512
+_STATES = (GatewayState.STARTING, GatewayState.READY, GatewayState.DRAINING)
+
+_UPDATE, _DIGEST, _SUMMARY, _ROSTER, _WANTED, _REFERRAL, _FAR_PARTS, _BLAME, _LEAVING = range(1, 10)
+
+
+def encode(datagram: Datagram) -> bytes:
+    """Return the bytes of a datagram."""
+    match datagram:
+        case MemberUpdate():
+            return _packed(_UPDATE, _update_fields(datagram))
+        case Digest(acked=acked):
+            return digest_head(acked) + encode_digest_body(datagram)
+        case RegionSummary():
+            return _packed(_SUMMARY, _summary_fields(datagram))
+        case Roster(region, version, peers, sender):
+            packed = msgpack.packb([_peer_fields(peer) for peer in peers])
+            return _packed(_ROSTER, [region, version, zlib.compress(packed, level=1), sender])
+        case RosterWanted(reply_to, regions):
+            return _packed(_WANTED, [reply_to, list(regions)])
+        case Referral(addresses):
+            return _packed(_REFERRAL, list(addresses))
+        case FarParts(parts):
+            return _packed(_FAR_PARTS, [_far_part_fields(part) for part in parts])
+        case Blame(fingerprint, death):
+            return _packed(_BLAME, [fingerprint, death])
+        case LeavingNote(run):
+            return _packed(_LEAVING, [run.endpoint, run.started_ms, run.address])
+
+
+def digest_head(acked: int) -> bytes:
+    """Return what of a digest differs between its receivers."""
+    return _HEAD.pack(MAGIC, VERSION, _DIGEST, acked & 0xFFFFFFFF)
+
+
+def encode_digest_body(digest: Digest) -> bytes:
+    """Return what all receivers of a digest get."""
+    fields = [
+        digest.collector,
+        digest.incarnation,
+        digest.address,
+        digest.sequence,
+        digest.is_full,
+        digest.is_warm,
+        digest.roster,
+        _control_fields(digest.control),
+        b"".join(_load_bytes(load) for load in digest.loads),
+        [[held.endpoint, _part_fields(held.parts)] for held in digest.parts],
+        [_far_part_fields(part) for part in digest.far_parts],
+        [_summary_fields(summary) for summary in digest.far_regions],
+        round(digest.unseen_placements, 1),
+    ]
+    return zlib.compress(msgpack.packb(fields), level=1)
+
+
+def decode(data: bytes) -> Datagram | None:
+    """Return what a datagram says, ``None`` where it is not one of ours or is damaged."""
+    if len(data) < _HEAD.size or len(data) > MAX_DATAGRAM_BYTES:
+        return None
+    magic, version, kind, acked = _HEAD.unpack_from(data)
+    if magic != MAGIC or version != VERSION:
+        return None
+    try:
+        packed = data[_HEAD.size :]
+        if kind == _DIGEST:
+            packed = _inflated(packed)
+        fields = msgpack.unpackb(packed, strict_map_key=False)
+        return _decoded(kind, fields, acked)
+    except (
+        ValueError,
+        KeyError,
+        TypeError,
+        IndexError,
+        AttributeError,
+        OverflowError,
+        struct.error,
+        zlib.error,
+        msgpack.UnpackException,
+    ):
+        return None
+
+
+def rounded(work: OpenWork) -> OpenWork:
+    """Return work as it is after its way through a datagram."""
+    return OpenWork(
+        min(_MAX_REQUESTS, work.requests),
+        _steps(work.unread_tokens, UNREAD_STEP, 0xFFFF) * UNREAD_STEP,
+        _steps(work.held_tokens, HELD_STEP, 0xFFFF) * HELD_STEP,
+    )
+
+
+def _packed(kind: int, fields: Sequence[Any]) -> bytes:
+    return _HEAD.pack(MAGIC, VERSION, kind, 0) + bytes(msgpack.packb(fields))
+
+
+def _decoded(kind: int, fields: Any, acked: int) -> Datagram | None:
+    match kind:
+        case 1:
+            return _update(fields)
+        case 2:
+            return _digest(fields, acked)
+        case 3:
+            return _summary(fields)
+        case 4:
+            return _roster(fields)
+        case 5:
+            return RosterWanted(_text(fields[0]), tuple(RegionId(_text(one)) for one in fields[1]))
+        case 6:
+            return Referral(tuple(map(_text, fields)))
+        case 7:
+            return FarParts(tuple(map(_far_part, fields)))
+        case 8:
+            return Blame(Fingerprint(_text(fields[0])), _text(fields[1]))
+        case 9:
+            endpoint, started_ms, address = fields[:3]
+            return LeavingNote(
+                EndpointRun(EndpointId(_text(endpoint)), _whole(started_ms), _text(address))
+            )
+    return None
+
+
+def _update_fields(update: MemberUpdate) -> list[Any]:
+    return [
+        _peer_fields(update.peer),
+        update.sequence,
+        update.wants_digest,
+        update.wants_full,
+        _control_fields(update.control),
+        b"".join(
+            _load_bytes(EndpointLoad(endpoint, work, 0)) for endpoint, work in update.loads.items()
+        ),
+        [
+            [
+                placed.number,
+                placed.endpoint,
+                placed.unread_tokens,
+                _part_fields(placed.shared_parts),
+            ]
+            for placed in update.placements
+        ],
+    ]
+
+
+def _update(fields: Any) -> MemberUpdate:
+    peer, sequence, wants_digest, wants_full, control, loads, placements = fields[:7]
+    return MemberUpdate(
+        _peer(peer),
+        _whole(sequence),
+        bool(wants_digest),
+        bool(wants_full),
+        _control(control),
+        {load.endpoint: load.work for load in _loads(loads)},
+        tuple(
+            Placement(_whole(number), _point(endpoint), _whole(unread), _parts(parts))
+            for number, endpoint, unread, parts in placements
+        ),
+    )
+
+
+def _digest(fields: Any, acked: int) -> Digest:
+    collector, incarnation, address, sequence, is_full, is_warm, roster, control = fields[:8]
+    loads, parts, far_parts, far_regions, unseen = fields[8:13]
+    return Digest(
+        InstanceId(_text(collector)),
+        IncarnationId(_text(incarnation)),
+        _text(address),
+        _whole(sequence),
+        bool(is_full),
+        bool(is_warm),
+        RosterVersion(_whole(roster)),
+        _control(control),
+        tuple(_loads(loads)),
+        tuple(HeldParts(_point(endpoint), _parts(held)) for endpoint, held in parts),
+        tuple(map(_far_part, far_parts)),
+        tuple(map(_summary, far_regions)),
+        float(unseen),
+        acked,
+    )
+
+
+def _summary_fields(summary: RegionSummary) -> list[Any]:
+    return [
+        summary.region,
+        summary.collector,
+        summary.roster,
+        _control_fields(summary.control),
+        [
+            [
+                name,
+                one.endpoints,
+                one.slots,
+                [one.work.requests, one.work.unread_tokens, one.work.held_tokens],
+                round(one.pace, 2),
+                one.reading_tokens_per_s,
+            ]
+            for name, one in summary.services.items()
+        ],
+        list(summary.others),
+    ]
+
+
+def _summary(fields: Any) -> RegionSummary:
+    region, collector, roster, control, services, others = fields[:6]
+    return RegionSummary(
+        RegionId(_text(region)),
+        _text(collector),
+        RosterVersion(_whole(roster)),
+        _control(control),
+        {
+            ServiceId(_text(name)): ServiceSummary(
+                _whole(endpoints),
+                _whole(slots),
+                OpenWork(*map(_whole, work)),
+                float(pace),
+                _whole(reading),
+            )
+            for name, endpoints, slots, work, pace, reading in services
+        },
+        tuple(map(_text, others)),
+    )
+
+
+def _roster(fields: Any) -> Roster:
+    region, version, packed, sender = fields[:4]
+    peers = msgpack.unpackb(_inflated(packed))
+    return Roster(
+        RegionId(_text(region)),
+        RosterVersion(_whole(version)),
+        tuple(map(_peer, peers)),
+        InstanceId(_text(sender)),
+    )
+
+
+def _inflated(packed: bytes) -> bytes:
+    inflater = zlib.decompressobj()
+    content = inflater.decompress(packed, MAX_INFLATED_BYTES)
+    if not inflater.eof:
+        raise ValueError("the content is cut or too large")
+    return content
+
+
+def _peer_fields(peer: Peer) -> list[Any]:
+    address = peer.address
+    return [
+        peer.instance,
+        peer.incarnation,
+        peer.region,
+        peer.failure_domain,
+        address.front,
+        address.hop,
+        address.report,
+        _STATES.index(peer.state),
+        peer.link_mbps,
+    ]
+
+
+def _peer(fields: Any) -> Peer:
+    instance, incarnation, region, domain, front, hop, report, state, link_mbps = fields[:9]
+    if not 0 <= state < len(_STATES):
+        raise ValueError(f"state {state} is not known")
+    return Peer(
+        InstanceId(_text(instance)),
+        IncarnationId(_text(incarnation)),
+        RegionId(_text(region)),
+        FailureDomainId(_text(domain)),
+        PeerAddress(_text(front), _text(hop), _text(report)),
+        _STATES[state],
+        _whole(link_mbps),
+    )
+
+
+def _control_fields(control: ControlFacts) -> list[Any]:
+    return [control.revision, round(min(control.store_age_ms, 1e9)), list(control.holders)]
+
+
+def _control(fields: Any) -> ControlFacts:
+    revision, age_ms, holders = fields[:3]
+    return ControlFacts(_whole(revision), float(age_ms), tuple(map(_text, holders)))
+
+
+def _load_bytes(load: EndpointLoad) -> bytes:
+    work = load.work
+    return _LOAD.pack(
+        load.endpoint,
+        min(_MAX_REQUESTS, max(0, work.requests)),
+        _steps(work.unread_tokens, UNREAD_STEP, 0xFFFF),
+        _steps(work.held_tokens, HELD_STEP, 0xFFFF),
+        _steps(load.reading_tokens_per_s, READING_STEP, 0xFF),
+    )
+
+
+def _steps(value: int, step: int, most: int) -> int:
+    return min(most, max(0, (value + step // 2) // step))
+
+
+def _loads(data: bytes) -> list[EndpointLoad]:
+    return [
+        EndpointLoad(
+            EndpointPoint(endpoint),
+            OpenWork(requests, unread * UNREAD_STEP, held * HELD_STEP),
+            reading * READING_STEP,
+        )
+        for endpoint, requests, unread, held, reading in _LOAD.iter_unpack(data)
+    ]
+
+
+def _part_fields(parts: Sequence[PromptPart]) -> list[list[Any]]:
+    return [[part.part, part.tokens] for part in parts]
+
+
+def _parts(fields: Any) -> tuple[PromptPart, ...]:
+    return tuple(PromptPart(PartId(_text(part)), _whole(tokens)) for part, tokens in fields)
+
+
+def _far_part_fields(part: FarPart) -> list[Any]:
+    return [part.endpoint, part.part, part.tokens]
+
+
+def _far_part(fields: Any) -> FarPart:
+    endpoint, part, tokens = fields[:3]
+    return FarPart(_point(endpoint), PartId(_text(part)), _whole(tokens))
+
+
+def _point(value: Any) -> EndpointPoint:
+    return EndpointPoint(_whole(value))
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise TypeError("a text is needed")
+    return value
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise ValueError("a whole number is needed")
+    return value
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -1,25 +1,27 @@
-"""What is made of the reports and notes of other gateways."""
+"""What is made of what other gateways tell."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from primroseferry_policy.prompt import last_shared_part
+from primroseferry_policy.far_parts import PartReading
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
-    from primroseferry_policy.far_parts import PartReading
+    from primroseferry_core.ids import EndpointId
+    from primroseferry_policy.endpoint_loads import OpenWork
 
     from ..control.peer_sync import PeerSync
     from ..endpoints.catalog import EndpointCatalog
     from ..endpoints.catalog import EndpointRun
+    from ..endpoints.endpoint_point import EndpointPoint
     from ..relay_policy import RelayPolicy
     from ..routes.route_table import RouteTable
-    from .peer_report import Blame
-    from .peer_report import PeerReport
-    from .peer_report import PlacementNote
-    from .peer_table import PeerTable
+    from .datagrams import Blame
+    from .datagrams import Digest
+    from .datagrams import HeldParts
 
 
 class PeerFeed:
@@ -27,38 +29,43 @@
 
     def __init__(
         self,
-        peers: PeerTable,
         catalog: EndpointCatalog,
         policy: RelayPolicy,
         sync: PeerSync,
         tables: Callable[[], RouteTable | None],
     ) -> None:
-        self._peers = peers
         self._catalog = catalog
         self._policy = policy
         self._sync = sync
         self._tables = tables
 
-    def hear(self, report: PeerReport) -> None:
-        """Take in the loads of a gateway of this region."""
-        if report.region != self._peers.own_region:
-            return
-        self._policy.loads.hear_peer(report.instance, report.loads)
+    def hear_digest(self, digest: Digest, own_loads: Mapping[EndpointPoint, OpenWork]) -> None:
+        """Take in the region's loads; ``own_loads`` are this gateway's share of them."""
+        named = [(self._catalog.at_point(load.endpoint), load) for load in digest.loads]
+        known = [(name, load) for name, load in named if name is not None]
+        own = {
+            name: work
+            for point, work in own_loads.items()
+            if (name := self._catalog.at_point(point)) is not None
+        }
+        self._policy.loads.hear_region(
+            {name: load.work for name, load in known}, own, digest.is_full
+        )
+        self._policy.loads.unseen_placements = digest.unseen_placements
+        self._policy.reading.hear_region(
+            {name: load.reading_tokens_per_s for name, load in known}, digest.is_full
+        )
+        for held in digest.parts:
+            self._note_parts(held)
+        for part in digest.far_parts:
+            endpoint = self._catalog.at_point(part.endpoint)
+            if endpoint is not None:
+                self._policy.far_parts.note(PartReading(endpoint, part.part, part.tokens))
 
-    def hear_note(self, note: PlacementNote) -> None:
-        """Take in a request that a gateway of this region gave to an endpoint."""
-        placed = note.placed
-        self._policy.loads.hear_begin(note.instance, placed.endpoint, placed.work)
-        table = self._tables()
-        endpoint = self._catalog.find(placed.endpoint)
-        service = table.services.get(endpoint.service) if table and endpoint else None
-        if service is not None and service.engine is not None:
-            tokens = service.engine.cache_tokens
-            self._policy.parts.note_read(placed.endpoint, placed.parts, tokens)
-            shared = last_shared_part(placed.parts)
-            if shared is not None:
-                self._policy.told_parts.note(shared.part)
-            self._policy.reading.note(placed.endpoint, placed.work.unread_tokens)
+    def lose_digests(self) -> None:
+        """Forget the loads that others told, because they are too old."""
+        self._policy.loads.hear_region({}, {}, is_full=True)
+        self._policy.reading.hear_region({}, is_full=True)
 
     def hear_blame(self, blame: Blame) -> None:
         """Take in a request that an endpoint died of."""
@@ -68,12 +75,18 @@
         """Take in an endpoint that said to another gateway that it leaves."""
         self._catalog.note_leaving(run)
 
-    def hear_reading(self, reading: PartReading) -> None:
-        """Take in which engine of another region was given shared parts."""
-        self._policy.far_parts.note(reading)
-
     def tick(self) -> None:
-        """Drop what gateways told that are gone, and look whether a peer knows more."""
-        for instance in self._peers.expire():
-            self._policy.loads.forget_peer(instance)
+        """Look whether a peer knows more of the store's items."""
         self._sync.tick()
+
+    def _note_parts(self, held: HeldParts) -> None:
+        name = self._catalog.at_point(held.endpoint)
+        tokens = self._cache_tokens(name) if name is not None else None
+        if name is not None and tokens is not None:
+            self._policy.parts.note_read(name, held.parts, tokens)
+
+    def _cache_tokens(self, name: EndpointId) -> int | None:
+        table = self._tables()
+        endpoint = self._catalog.find(name)
+        service = table.services.get(endpoint.service) if table and endpoint else None
+        return service.engine.cache_tokens if service and service.engine else None
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -1,16 +1,20 @@
-"""The gateways that live, by the reports that were heard of them."""
+"""The gateways that live, region by region, by the rosters of their collectors."""
 
 from __future__ import annotations
 
 import threading
 import time
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
-from .peer_report import GatewayState
+from .datagrams import Roster
+from .datagrams import RosterVersion
+from .peer import ControlFacts
+from .peer import GatewayState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,42 +23,40 @@
 
     from primroseferry_core.ids import InstanceId
     from primroseferry_core.ids import RegionId
+    from primroseferry_core.ids import ServiceId
 
-    from .peer_report import PeerReport
-    from .peer_report import PlacementNote
+    from .datagrams import RegionSummary
+    from .peer import Peer
+    from .peer import ServiceSummary
 
-# A gateway that is silent for so long is not named to callers.
-LIVE_S = 2.0
-# In a large fleet reports come in turns; a gateway is silent when it missed so many turns.
-LIVE_TURNS = 3
-FAR_LIVE_TURNS = 2
-# A gateway that is silent for so long is forgotten; the store or a peer may name it again.
-FORGET_S = 30.0
-# How long a view of the live gateways is used: each request asks for it several times, and who
-# lives changes after seconds of silence.
-VIEW_S = 0.05
+# A roster that was not confirmed for so long says nothing of who lives. Collectors confirm several
+# times a second within a region, and twice a second between regions.
+NEAR_CONFIRMED_S = 2.0
+FAR_CONFIRMED_S = 3.0
+# Names of peers in one log line; a fleet that starts must not write a line for each pair.
+MAX_LOGGED_NAMES = 5
+UNKNOWN_ROSTER = RosterVersion(0)
 
 
 @dataclass(slots=True)
-class _Heard:
-    report: PeerReport
-    reported_s: float
-    heard_s: float
-    is_live: bool = True
+class _Region:
+    """What is known of one region; peers are kept by name, and those ready in their order."""
 
-
-@dataclass(frozen=True, slots=True)
-class _View:
-    """The gateways that live, and those of each region that take requests."""
-
-    made_s: float
-    live: tuple[_Heard, ...]
-    ready: Mapping[RegionId, tuple[_Heard, ...]]
-    regions: frozenset[RegionId]
+    roster: Roster
+    confirmed_s: float
+    ready: tuple[Peer, ...] = ()
+    by_name: Mapping[InstanceId, Peer] = field(default_factory=dict)
+    summary: RegionSummary | None = None
+    control: ControlFacts = ControlFacts(0, float("inf"))
+    told_s: float = float("-inf")
+    is_silent: bool = False
 
 
 class PeerTable:
-    """What was heard of each other gateway, and when."""
+    """The other gateways, with what their regions tell of themselves.
+
+    A roster holds every gateway of a region that lives, this one included where it is its own.
+    """
 
     def __init__(
         self,
@@ -66,149 +68,173 @@
         self.own_region = own_region
         self.own_state = GatewayState.STARTING
         self._clock_s = clock_s
-        self._heard: dict[InstanceId, _Heard] = {}
+        self._regions: dict[RegionId, _Region] = {}
         self._candidates: set[str] = set()
-        self._near_live_s = LIVE_S
-        self._far_live_s = LIVE_S
-        self._view: _View | None = None
         self._lock = threading.Lock()
 
     def add_candidates(self, addresses: Iterable[str]) -> None:
-        """Note addresses at which a gateway may listen for reports."""
+        """Note addresses at which a gateway may listen for datagrams."""
         with self._lock:
             self._candidates.update(addresses)
 
-    def set_turns(self, near_turn_s: float, far_turn_s: float) -> None:
-        """Set how often gateways of this region, and those of others, are heard."""
-        self._near_live_s = max(LIVE_S, LIVE_TURNS * near_turn_s)
-        self._far_live_s = max(LIVE_S, FAR_LIVE_TURNS * far_turn_s)
+    def candidates(self) -> list[str]:
+        """Return the addresses at which a gateway may listen, whether it lives or not."""
+        with self._lock:
+            return sorted(self._candidates)
 
-    def hear_note(self, note: PlacementNote) -> bool:
-        """Take in a sign of life; ``False`` where a report that is as new includes the note."""
+    def put_roster(self, roster: Roster) -> None:
+        """Take in who lives in a region."""
+        now_s = self._clock_s()
+        others = {
+            peer.instance: peer for peer in roster.peers if peer.instance != self.own_instance
+        }
         with self._lock:
-            held = self._heard.get(note.instance)
-            if held is None or held.report.incarnation != note.incarnation:
+            held = self._regions.get(roster.region)
+            before = held.by_name if held is not None and not held.is_silent else {}
+            kept = held or _Region(roster, now_s)
+            kept.roster, kept.confirmed_s, kept.by_name = roster, now_s, others
+            kept.ready = tuple(peer for peer in others.values() if peer.state is GatewayState.READY)
+            kept.is_silent = False
+            self._regions[roster.region] = kept
+        _log_names(Event.PEER_JOINED, roster.region, others.keys() - before.keys())
+        _log_names(Event.PEER_LOST, roster.region, before.keys() - others.keys())
+
+    def confirm(self, region: RegionId, version: RosterVersion, control: ControlFacts) -> bool:
+        """Note that a region's collector still sees a roster; ``False`` where it is another."""
+        with self._lock:
+            held = self._regions.get(region)
+            if held is None:
+                return False
+            held.control, held.told_s = control, self._clock_s()
+            if held.roster.version != version:
                 return False
-            held.heard_s = self._clock_s()
-            return note.sequence >= held.report.sequence
+            held.confirmed_s = held.told_s
+            return True
 
-    def hear(self, report: PeerReport) -> bool:
-        """Take in a report; ``False`` where a newer one of the same incarnation is known."""
-        if report.instance == self.own_instance:
-            return False
+    def put_summary(self, summary: RegionSummary) -> bool:
+        """Take in how another region stands; ``False`` where its roster is not known."""
+        is_known = self.confirm(summary.region, summary.roster, summary.control)
         with self._lock:
-            now_s = self._clock_s()
-            held = self._heard.get(report.instance)
-            was_live = False
-            if held is not None and held.report.incarnation == report.incarnation:
-                if report.sequence <= held.report.sequence:
-                    return False
-                was_live = held.is_live
-                if held.report.state is not report.state or not was_live:
-                    self._view = None
-                held.report, held.reported_s, held.heard_s = report, now_s, now_s
-                held.is_live = True
-            else:
-                self._heard[report.instance] = _Heard(report, now_s, now_s)
-                self._view = None
-            self._candidates.add(report.address.report)
-            self._candidates.update(report.known)
-        if not was_live:
-            log_event(Event.PEER_JOINED, peer=report.instance, peer_state=report.state.value)
-        return True
-
-    def expire(self) -> list[InstanceId]:
-        """Return the gateways that fell silent since the last call; forget those long gone."""
+            held = self._regions.get(summary.region)
+            if held is not None:
+                held.summary = summary
+        return is_known
+
+    def roster(self, region: RegionId) -> Roster | None:
+        """Return the last roster of a region, however old."""
+        held = self._regions.get(region)
+        return held.roster if held is not None else None
+
+    def expire(self) -> list[RegionId]:
+        """Return the regions that fell silent since the last call."""
         now_s = self._clock_s()
-        lost = []
         with self._lock:
-            for instance, heard in list(self._heard.items()):
-                silent_s = now_s - heard.heard_s
-                if heard.is_live and silent_s > self._live_s(heard.report):
-                    heard.is_live = False
-                    lost.append(instance)
-                if silent_s > FORGET_S:
-                    self._candidates.discard(heard.report.address.report)
-                    del self._heard[instance]
-        for instance in lost:
-            log_event(Event.PEER_LOST, peer=instance)
+            lost = [
+                region
+                for region, held in self._regions.items()
+                if not held.is_silent and not self._is_confirmed(region, held, now_s)
+            ]
+            for region in lost:
+                self._regions[region].is_silent = True
+        for region in lost:
+            log_event(Event.PEER_LOST, region=region, peers="all: the region fell silent")
         return lost
 
-    def live(self) -> list[PeerReport]:
-        """Return the last report of each gateway that lives, without this one."""
-        return [heard.report for heard in self._current().live]
-
-    def newest_ready(self, region: RegionId) -> PeerReport | None:
-        """Return the report that was heard last of a region's ready gateways."""
-        heard = self._current().ready.get(region)
-        return max(heard, key=lambda one: one.reported_s).report if heard else None
-
-    def _current(self) -> _View:
-        now_s = self._clock_s()
-        view = self._view
-        if view is not None and 0 <= now_s - view.made_s < VIEW_S:
-            return view
-        with self._lock:
-            self._view = view = self._make_view(now_s)
-        return view
-
-    def _make_view(self, now_s: float) -> _View:
-        live = tuple(
-            heard
-            for heard in self._heard.values()
-            if now_s - heard.heard_s <= self._live_s(heard.report)
-        )
-        ready: dict[RegionId, list[_Heard]] = {}
-        for heard in live:
-            if heard.report.state is GatewayState.READY:
-                ready.setdefault(heard.report.region, []).append(heard)
-        return _View(
-            now_s,
-            live,
-            {region: tuple(members) for region, members in ready.items()},
-            frozenset(heard.report.region for heard in live) - {self.own_region},
-        )
+    def live(self) -> list[Peer]:
+        """Return each other gateway that lives."""
+        return [peer for held in self._confirmed().values() for peer in held.by_name.values()]
 
-    def _live_s(self, report: PeerReport) -> float:
-        return self._near_live_s if report.region == self.own_region else self._far_live_s
+    def live_in(self, region: RegionId) -> list[Peer]:
+        """Return the other gateways of a region that live."""
+        held = self._confirmed().get(region)
+        return list(held.by_name.values()) if held is not None else []
 
     def live_count(self) -> int:
         """Return how many gateways live, with this one."""
-        return len(self._current().live) + 1
+        return sum(len(held.by_name) for held in self._confirmed().values()) + 1
 
-    def ready_peers(self, region: RegionId) -> list[PeerReport]:
+    def ready_peers(self, region: RegionId) -> list[Peer]:
         """Return the other gateways of a region that take requests."""
-        return [heard.report for heard in self._current().ready.get(region, ())]
+        held = self._confirmed().get(region)
+        return list(held.ready) if held is not None else []
 
     def ready_in(self, region: RegionId) -> list[InstanceId]:
         """Return the gateways of a region that take requests, with this one where it does."""
-        names = [report.instance for report in self.ready_peers(region)]
+        names = [peer.instance for peer in self.ready_peers(region)]
         if region == self.own_region and self.own_state is GatewayState.READY:
             names.append(self.own_instance)
         return names
 
+    def summary(self, region: RegionId, service: ServiceId) -> ServiceSummary | None:
+        """Return how another region's service stands."""
+        held = self._confirmed().get(region)
+        if held is None or held.summary is None:
+            return None
+        return held.summary.services.get(service)
+
     def was_heard(self, region: RegionId, within_s: float) -> bool:
         """Whether any gateway of a region was heard lately; this one counts for its own."""
-        now_s = self._clock_s()
-        with self._lock:
-            return region == self.own_region or any(
-                heard.report.region == region and now_s - heard.heard_s <= within_s
-                for heard in self._heard.values()
-            )
+        held = self._regions.get(region)
+        if region == self.own_region:
+            return True
+        return held is not None and self._clock_s() - held.confirmed_s <= within_s
 
     def draining_fronts(self, region: RegionId) -> list[str]:
         """Return where the other gateways of a region that are stopping are reached."""
         return sorted(
-            report.address.front
-            for report in self.live()
-            if report.region == region and report.state is GatewayState.DRAINING
+            peer.address.front
+            for peer in self.live_in(region)
+            if peer.state is GatewayState.DRAINING
         )
 
     def regions(self) -> frozenset[RegionId]:
         """Return the other regions of which a gateway lives."""
-        return self._current().regions
+        return frozenset(
+            region
+            for region, held in self._confirmed().items()
+            if region != self.own_region and held.by_name
+        )
+
+    def ahead_of(self, revision: int) -> list[str]:
+        """Return where gateways are asked that hold newer control items, nearest region first."""
+        own = self._regions.get(self.own_region)
+        if own is not None and own.control.revision > revision:
+            return list(own.control.holders)
+        return [
+            holder
+            for held in self._confirmed().values()
+            if held.control.revision > revision
+            for holder in held.control.holders
+        ]
+
+    def store_age_ms(self) -> float:
+        """Return how long ago the store answered any gateway of this region, as told."""
+        held = self._regions.get(self.own_region)
+        if held is None:
+            return float("inf")
+        return held.control.store_age_ms + (self._clock_s() - held.told_s) * 1000
 
     def report_addresses(self) -> list[str]:
-        """Return every address at which a gateway may listen for reports."""
+        """Return where every gateway that lives listens for datagrams, without this one."""
+        return sorted(peer.address.report for peer in self.live())
+
+    def _confirmed(self) -> dict[RegionId, _Region]:
+        now_s = self._clock_s()
         with self._lock:
-            return sorted(self._candidates)
+            return {
+                region: held
+                for region, held in self._regions.items()
+                if self._is_confirmed(region, held, now_s)
+            }
+
+    def _is_confirmed(self, region: RegionId, held: _Region, now_s: float) -> bool:
+        limit_s = NEAR_CONFIRMED_S if region == self.own_region else FAR_CONFIRMED_S
+        return now_s - held.confirmed_s <= limit_s
+
+
+def _log_names(event: Event, region: RegionId, names: Iterable[InstanceId]) -> None:
+    """Write one line for any number of gateways."""
+    changed = sorted(names)
+    if changed:
+        shown = ",".join(changed[:MAX_LOGGED_NAMES])
+        log_event(event, region=region, count=len(changed), peers=shown)
--- a/packages/primroseferry-relay/src/primroseferry_relay/region_choice.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/region_choice.py
@@ -9,7 +9,7 @@
     from primroseferry_core.ids import RegionId
     from primroseferry_policy.placement import Choice
 
-    from .membership.peer_report import PeerReport
+    from .membership.peer import Peer
 
 # The way there and back between regions.
 ROUND_TRIP_MS = 110.0
@@ -25,7 +25,7 @@
     """A gateway of another region, with the expected time to the first byte and the score."""
 
     region: RegionId
-    peer: PeerReport
+    peer: Peer
     first_ms: float
     score: float
     is_saturated: bool
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
@@ -10,13 +10,13 @@
 from primroseferry_policy.endpoint_loads import EndpointLoads
 from primroseferry_policy.endpoint_rests import EndpointRests
 from primroseferry_policy.far_parts import FarParts
-from primroseferry_policy.far_parts import ToldParts
 from primroseferry_policy.pace import Pace
 from primroseferry_policy.part_cache import PartCache
 from primroseferry_policy.quarantine import Quarantine
 from primroseferry_policy.reading_load import ReadingLoad
 from primroseferry_policy.shared_budget import ColdGate
 from primroseferry_policy.shared_budget import SharedRetryBudget
+from primroseferry_policy.slot_time import SlotTimes
 
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
@@ -43,10 +43,10 @@
     breakers: Breakers = field(default_factory=Breakers)
     parts: PartCache = field(default_factory=PartCache)
     far_parts: FarParts = field(default_factory=FarParts)
-    told_parts: ToldParts = field(default_factory=ToldParts)
     cold_gate: ColdGate = field(default_factory=ColdGate)
     quarantine: Quarantine = field(default_factory=Quarantine)
     reading: ReadingLoad = field(default_factory=ReadingLoad)
+    slot_times: SlotTimes = field(default_factory=SlotTimes)
     rests: EndpointRests = field(default_factory=EndpointRests)
 
     def forget(self, endpoint: EndpointId) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -128,6 +128,7 @@
             min(MAX_PRIORITY, BASE_PRIORITY + route.priority),
             facts.last_event_id,
             may_be_repeated=False,
+            target_ms=route.latency_target_ms,
         )
 
     @property
--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_tests/fleet_play.py
@@ -0,0 +1,253 @@
+"""Hundreds of gateways' exchanges in one process: a virtual clock and a network that loses."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import FailureDomainId
+from primroseferry_core.ids import IncarnationId
+from primroseferry_core.ids import InstanceId
+from primroseferry_core.ids import RegionId
+from primroseferry_policy.endpoint_loads import NO_WORK
+from primroseferry_policy.endpoint_loads import OpenWork
+from primroseferry_relay.endpoints.endpoint_point import endpoint_point
+from primroseferry_relay.membership.exchange import Exchange
+from primroseferry_relay.membership.exchange import OwnFacts
+from primroseferry_relay.membership.peer import ControlFacts
+from primroseferry_relay.membership.peer import GatewayState
+from primroseferry_relay.membership.peer import Peer
+from primroseferry_relay.membership.peer import PeerAddress
+from primroseferry_relay.membership.peer_table import PeerTable
+from primroseferry_relay.relay_policy import Placed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from primroseferry_policy.prompt import PromptPart
+    from primroseferry_relay.endpoints.catalog import EndpointRun
+    from primroseferry_relay.endpoints.endpoint_point import EndpointPoint
+    from primroseferry_relay.membership.datagrams import Blame
+    from primroseferry_relay.membership.datagrams import Digest
+
+NEAR_S = 0.0005
+FAR_S = 0.055
+
+
+class Clock:
+    """Time that a test moves."""
+
+    def __init__(self) -> None:
+        self.now_s = 1_000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@dataclass
+class PlayedGateway:
+    """One gateway's exchange with what it was told."""
+
+    name: str
+    region: RegionId
+    address: str
+    exchange: Exchange
+    peers: PeerTable
+    feed: PlayedFeed
+    open: dict[EndpointId, OpenWork] = field(default_factory=dict)
+    revision: int = 0
+    is_running: bool = True
+    is_frozen: bool = False
+    next_tick_s: float = 0.0
+
+    def others_work(self, endpoint: EndpointId) -> OpenWork:
+        """Return the work of an endpoint that this gateway believes the others to have open."""
+        point = endpoint_point(endpoint)
+        told = self.feed.loads.get(point, NO_WORK)
+        return told.without(self.feed.own.get(point, NO_WORK))
+
+
+class PlayedFeed:
+    """Keeps what an exchange makes of digests."""
+
+    def __init__(self) -> None:
+        self.loads: dict[EndpointPoint, OpenWork] = {}
+        self.own: Mapping[EndpointPoint, OpenWork] = {}
+        self.parts: list[tuple[EndpointPoint, tuple[PromptPart, ...]]] = []
+        self.far_parts: list[object] = []
+        self.blames: list[Blame] = []
+        self.leaving: list[EndpointRun] = []
+        self.lost = 0
+
+    def hear_digest(self, digest: Digest, own_loads: Mapping[EndpointPoint, OpenWork]) -> None:
+        if digest.is_full:
+            self.loads.clear()
+        self.loads.update({load.endpoint: load.work for load in digest.loads})
+        self.own = own_loads
+        self.parts += [(held.endpoint, held.parts) for held in digest.parts]
+        self.far_parts += digest.far_parts
+
+    def lose_digests(self) -> None:
+        self.loads.clear()
+        self.own = {}
+        self.lost += 1
+
+    def hear_blame(self, blame: Blame) -> None:
+        self.blames.append(blame)
+
+    def hear_leaving(self, run: EndpointRun) -> None:
+        self.leaving.append(run)
+
+    def tick(self) -> None:
+        """Nothing is due."""
+
+
+class FleetPlay:
+    """Gateways in regions on a network with delays, losses and cuts."""
+
+    def __init__(self, seed: int = 1, loss: float = 0.002) -> None:
+        self.clock = Clock()
+        self.gateways: dict[str, PlayedGateway] = {}
+        self.sent: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+        self.kinds: Counter[int] = Counter()
+        self.kind_bytes: Counter[int] = Counter()
+        self.is_cut: Callable[[str, str], bool] = lambda _sender, _receiver: False
+        self._loss = loss
+        self._random = random.Random(seed)
+        self._events: list[tuple[float, int, str, bytes]] = []
+        self._number = itertools.count()
+
+    def start(
+        self, name: str, region: str, seeds: Iterable[str], incarnation: str = "one"
+    ) -> PlayedGateway:
+        """Start a gateway, or start it again as a new incarnation."""
+        address = f"{name}:82"
+        peers = PeerTable(InstanceId(name), RegionId(region), self.clock)
+        peers.own_state = GatewayState.READY
+        peers.add_candidates(seeds)
+        feed = PlayedFeed()
+        base = Peer(
+            InstanceId(name),
+            IncarnationId(incarnation),
+            RegionId(region),
+            FailureDomainId(f"{region}-a"),
+            PeerAddress(f"{name}:80", f"{name}:81", address),
+            GatewayState.READY,
+        )
+
+        def facts() -> OwnFacts:
+            held = self.gateways.get(name)
+            return OwnFacts(
+                replace(base, state=peers.own_state),
+                ControlFacts(held.revision if held else 0, 100.0),
+                dict(held.open) if held else {},
+            )
+
+        exchange = Exchange(
+            peers,
+            facts,
+            dict,
+            feed,
+            lambda receiver, data: self._send(address, receiver, data),
+            self.clock,
+            seed=len(self.gateways),
+        )
+        gateway = PlayedGateway(name, RegionId(region), address, exchange, peers, feed)
+        gateway.next_tick_s = self.clock.now_s + self._random.uniform(0, 0.3)
+        self.gateways[name] = gateway
+        return gateway
+
+    def start_regions(self, regions: Mapping[str, int]) -> None:
+        """Start so many gateways in each region, the first of each as a seed."""
+        seeds = [f"{region}-0:82" for region in regions]
+        for region, count in regions.items():
+            for number in range(count):
+                self.start(f"{region}-{number}", region, seeds)
+
+    def region(self, region: str) -> list[PlayedGateway]:
+        """Return the gateways of a region that run."""
+        return [one for one in self.gateways.values() if one.region == region and one.is_running]
+
+    def stop(self, name: str) -> None:
+        """Let a gateway vanish without a word."""
+        self.gateways[name].is_running = False
+
+    def place(
+        self, gateway: PlayedGateway, endpoint: str, parts: tuple[PromptPart, ...] = ()
+    ) -> None:
+        """Let a gateway give a request to an engine."""
+        name = EndpointId(endpoint)
+        work = OpenWork(1, 1_024, 2_048)
+        gateway.open[name] = gateway.open.get(name, NO_WORK) + work
+        gateway.exchange.tell_placed(Placed(name, work, parts))
+
+    def finish(self, gateway: PlayedGateway, endpoint: str) -> None:
+        """Let a request end."""
+        name = EndpointId(endpoint)
+        left = gateway.open[name].without(OpenWork(1, 1_024, 2_048))
+        if left == NO_WORK:
+            del gateway.open[name]
+        else:
+            gateway.open[name] = left
+
+    def run(self, seconds: float, each: Callable[[], None] | None = None) -> None:
+        """Play so long; ``each`` is called every 10 ms."""
+        until_s = self.clock.now_s + seconds
+        while self.clock.now_s < until_s:
+            step_until_s = min(until_s, self.clock.now_s + 0.01)
+            self._run_until(step_until_s)
+            if each is not None:
+                each()
+
+    def _run_until(self, until_s: float) -> None:
+        while True:
+            running = [
+                one for one in self.gateways.values() if one.is_running and not one.is_frozen
+            ]
+            tick = min((one.next_tick_s for one in running), default=until_s)
+            arrival = self._events[0][0] if self._events else until_s
+            now_s = min(tick, arrival, until_s)
+            self.clock.now_s = max(self.clock.now_s, now_s)
+            if now_s >= until_s:
+                return
+            if arrival <= tick:
+                _, _, receiver, data = heapq.heappop(self._events)
+                held = self.gateways.get(receiver.partition(":")[0])
+                if held is not None and held.is_running:
+                    if held.is_frozen:
+                        continue
+                    self.received[held.name] += 1
+                    held.exchange.receive(data)
+                    held.next_tick_s = min(
+                        held.next_tick_s, self.clock.now_s + held.exchange.due_in_s()
+                    )
+                continue
+            for one in running:
+                if one.next_tick_s <= now_s:
+                    one.exchange.tick()
+                    one.next_tick_s = self.clock.now_s + max(0.001, one.exchange.due_in_s())
+
+    def _send(self, sender: str, receiver: str, data: bytes) -> None:
+        name = sender.partition(":")[0]
+        self.sent[name] += 1
+        self.sent_bytes[name] += len(data)
+        self.kinds[data[2]] += 1
+        self.kind_bytes[data[2]] += len(data)
+        if self._random.random() < self._loss or self.is_cut(sender, receiver):
+            return
+        near = sender.partition("-")[0] == receiver.partition("-")[0]
+        delay_s = (NEAR_S if near else FAR_S) * self._random.uniform(1.0, 1.3)
+        heapq.heappush(
+            self._events, (self.clock.now_s + delay_s, next(self._number), receiver, data)
+        )
--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_tests/test_codec.py
@@ -0,0 +1,155 @@
+"""Datagrams as bytes: what is sent is read, and nothing else changes anything."""
+
+from __future__ import annotations
+
+import zlib
+
+import msgpack
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import Fingerprint
+from primroseferry_core.ids import IncarnationId
+from primroseferry_core.ids import InstanceId
+from primroseferry_core.ids import ServiceId
+from primroseferry_policy.endpoint_loads import OpenWork
+from primroseferry_policy.prompt import PartId
+from primroseferry_policy.prompt import PromptPart
+from primroseferry_relay.endpoints.catalog import EndpointRun
+from primroseferry_relay.endpoints.endpoint_point import endpoint_point
+from primroseferry_relay.membership import codec
+from primroseferry_relay.membership.codec import MAX_DATAGRAM_BYTES
+from primroseferry_relay.membership.codec import decode
+from primroseferry_relay.membership.codec import encode
+from primroseferry_relay.membership.datagrams import Blame
+from primroseferry_relay.membership.datagrams import Datagram
+from primroseferry_relay.membership.datagrams import Digest
+from primroseferry_relay.membership.datagrams import EndpointLoad
+from primroseferry_relay.membership.datagrams import FarPart
+from primroseferry_relay.membership.datagrams import FarParts
+from primroseferry_relay.membership.datagrams import HeldParts
+from primroseferry_relay.membership.datagrams import LeavingNote
+from primroseferry_relay.membership.datagrams import MemberUpdate
+from primroseferry_relay.membership.datagrams import Placement
+from primroseferry_relay.membership.datagrams import Referral
+from primroseferry_relay.membership.datagrams import RegionSummary
+from primroseferry_relay.membership.datagrams import RosterVersion
+from primroseferry_relay.membership.datagrams import RosterWanted
+from primroseferry_relay.membership.peer import ControlFacts
+from primroseferry_relay.membership.peer import ServiceSummary
+
+from .fleet_play import FleetPlay
+from .peer_samples import NORTH
+from .peer_samples import PEER
+from .peer_samples import SOUTH
+from .peer_samples import peer_of
+from .peer_samples import roster_of
+
+POINT = endpoint_point(EndpointId("e-1"))
+CONTROL = ControlFacts(77, 120.0, ("10.0.0.2:81",))
+SUMMARY = RegionSummary(
+    SOUTH,
+    "10.0.0.9:82",
+    RosterVersion(9),
+    CONTROL,
+    {ServiceId("model"): ServiceSummary(2, 64, OpenWork(1, 2, 3), 1.5, 9_000)},
+)
+PARTS = (PromptPart(PartId("ab12"), 40), PromptPart(PartId("cd"), 7))
+SAMPLES: list[Datagram] = [
+    MemberUpdate(
+        PEER,
+        5,
+        True,
+        False,
+        CONTROL,
+        {POINT: OpenWork(2, 320, 960)},
+        (Placement(3, POINT, 900, PARTS),),
+    ),
+    Digest(
+        InstanceId("g-2"),
+        IncarnationId("one"),
+        "10.0.0.2:82",
+        12,
+        False,
+        True,
+        RosterVersion(2**62 + 5),
+        CONTROL,
+        (EndpointLoad(POINT, OpenWork(9, 100_000, 240_000), 45_056),),
+        (HeldParts(POINT, PARTS),),
+        (FarPart(POINT, PartId("ab12"), 6_300),),
+        (SUMMARY,),
+        2.5,
+        acked=77,
+    ),
+    SUMMARY,
+    roster_of(NORTH, PEER, peer_of("g-3", NORTH)),
+    RosterWanted("10.0.0.2:82", (NORTH, SOUTH)),
+    Referral(("10.0.0.2:82",)),
+    FarParts((FarPart(POINT, PartId("ab12"), 6_300),)),
+    Blame(Fingerprint("f"), "e-1@100"),
+    LeavingNote(EndpointRun(EndpointId("e-1"), 1_700_000_000_000, "10.0.0.7:80")),
+]
+
+
+@pytest.mark.parametrize("datagram", SAMPLES, ids=lambda one: type(one).__name__)
+def test_datagram_survives_its_encoding(datagram: Datagram) -> None:
+    assert decode(encode(datagram)) == datagram
+
+
+@pytest.mark.parametrize("datagram", SAMPLES, ids=lambda one: type(one).__name__)
+def test_truncated_datagram_is_not_read(datagram: Datagram) -> None:
+    data = encode(datagram)
+    for length in range(len(data)):
+        assert decode(data[:length]) is None
+
+
+def test_datagram_of_another_version_or_program_is_not_read() -> None:
+    data = encode(SAMPLES[0])
+    assert decode(data[:1] + bytes([codec.VERSION + 1]) + data[2:]) is None
+    assert decode(b"{}" + data[2:]) is None
+    assert decode(data + b"\0" * MAX_DATAGRAM_BYTES) is None
+
+
+def test_fields_that_a_later_release_appends_are_ignored() -> None:
+    for datagram in (SAMPLES[0], SAMPLES[2]):
+        data = encode(datagram)
+        fields = msgpack.unpackb(data[7:], strict_map_key=False)
+        assert decode(data[:7] + msgpack.packb([*fields, "later"])) == datagram
+    data = encode(SAMPLES[1])
+    fields = msgpack.unpackb(zlib.decompress(data[7:]), strict_map_key=False)
+    packed = zlib.compress(msgpack.packb([*fields, "later"]))
+    assert decode(data[:7] + packed) == SAMPLES[1]
+
+
+def test_roster_that_unpacks_without_end_is_not_read() -> None:
+    bomb = zlib.compress(b"\x90" * 50_000_000)[: MAX_DATAGRAM_BYTES - 100]
+    data = bytes([codec.MAGIC, codec.VERSION, 4, 0, 0, 0, 0])
+    assert decode(data + msgpack.packb(["north", 1, bomb, "g-2"])) is None
+
+
+@settings(max_examples=300, deadline=None)
+@given(strategies.binary(max_size=300), strategies.integers(0, 12))
+def test_foreign_bytes_are_read_as_nothing_or_as_a_datagram(data: bytes, kind: int) -> None:
+    head = bytes([codec.MAGIC, codec.VERSION, kind, 0, 0, 0, 0])
+    decoded = decode(head + data)
+    assert decoded is None or decode(encode(decoded)) is not None
+
+
+@settings(max_examples=300, deadline=None)
+@given(
+    strategies.sampled_from(SAMPLES),
+    strategies.lists(strategies.tuples(strategies.integers(0, 400), strategies.integers(0, 255))),
+)
+def test_damaged_bytes_do_not_stop_a_gateway(
+    datagram: Datagram, damages: list[tuple[int, int]]
+) -> None:
+    data = bytearray(encode(datagram))
+    for at, value in damages:
+        data[at % len(data)] = value
+    play = FleetPlay()
+    gateway = play.start("north-0", "north", [])
+    gateway.exchange.receive(bytes(data))
+    play.run(0.3)
+    assert gateway.peers.live_count() >= 1
