Let gateways that start again list the store sooner than on a first start

Change: the wait depends on whether the whole fleet starts for the first time, which the settings file says. Seeds still list at once.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -5,6 +5,7 @@
 import random
 import threading
 import time
+from enum import Enum
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
@@ -28,9 +29,7 @@
 # A gateway that holds nothing yet serves nobody, so it asks again sooner.
 MAX_EMPTY_RETRY_S = 0.5
 # Gateways that start together do not all list the store: the first tell the others.
-MAX_FIRST_WAIT_S = 0.15
-MIN_START_WAIT_S = 0.8
-MAX_START_WAIT_S = 1.6
+# How long each kind waits, a random time in these bounds.
 START_CHECK_S = 0.05
 # How often a gateway that leaves watching to its peers looks whether it is needed.
 DUTY_CHECK_S = 0.5
@@ -38,6 +37,18 @@
 OUTAGE_S = 1.0
 
 
+class StartRole(Enum):
+    """Whom a gateway that starts leaves the first listing to, as the bounds of its wait in seconds.
+
+    Those that the others ask list at once. In a fleet that starts for the first time, callers come
+    later and the others can wait; after a restart each moment without routes is one of an outage.
+    """
+
+    ASKED = (0.0, 0.15)
+    FIRST_START = (0.8, 1.6)
+    RESTART = (0.05, 0.35)
+
+
 class StoreWatch:
     """Lists a prefix, then watches it, for as long as the process runs."""
 
@@ -48,15 +59,14 @@
         prefix: str,
         on_return: Callable[[], None],
         is_on_duty: Callable[[], bool],
-        is_first: bool = True,
+        role: StartRole = StartRole.ASKED,
     ) -> None:
-        """``is_first``: this gateway is one of those that the others ask when they start."""
         self._store = store
         self._state = state
         self._prefix = prefix
         self._on_return = on_return
         self._is_on_duty = is_on_duty
-        self._is_first = is_first
+        self._role = role
         self._random = random.Random()
         self._retry_s = FIRST_RETRY_S
         self._started_s = time.monotonic()
@@ -98,10 +108,7 @@
 
     def _wait_for_others(self) -> None:
         """Give the gateways that start first the time to tell this one what the store holds."""
-        if self._is_first:
-            time.sleep(self._random.uniform(0.0, MAX_FIRST_WAIT_S))
-            return
-        until_s = self._started_s + self._random.uniform(MIN_START_WAIT_S, MAX_START_WAIT_S)
+        until_s = self._started_s + self._random.uniform(*self._role.value)
         while time.monotonic() < until_s and self._state.revision == 0:
             time.sleep(START_CHECK_S)
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -26,6 +26,7 @@
 from ..control.counted_store import CountedStore
 from ..control.peer_sync import PeerSync
 from ..control.registration import Registration
+from ..control.store_watch import StartRole
 from ..control.store_watch import StoreWatch
 from ..control.watch_duty import WatchDuty
 from ..control.watch_duty import oldest_answer_ms
@@ -135,7 +136,7 @@
                 prefix,
                 self._catalog.note_store_returned,
                 self._duty.is_on_duty,
-                is_first=self._reporter.address in settings.seeds,
+                _start_role(settings, self._reporter.address),
             )
             for prefix in control_dialect.prefixes
         ]
@@ -364,6 +365,12 @@
         return self._summaries
 
 
+def _start_role(settings: RelaySettings, report_address: str) -> StartRole:
+    if report_address in settings.seeds:
+        return StartRole.ASKED
+    return StartRole.FIRST_START if settings.is_first_start else StartRole.RESTART
+
+
 def run_relay(gateway: RelayGateway) -> NoReturn:
     """Run a gateway until it is told to stop, and end the process."""
     code = gateway.run()
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/settings.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/settings.py
@@ -27,6 +27,7 @@
     Ports are on ``host``; port 0 takes a free one. ``seeds`` are addresses at which other gateways
     listen for reports. ``stop_timeout_ms`` is the time between a stop signal and the kill.
     ``link_mbps`` is what the instance's link carries, 0 where that is not known.
+    ``is_first_start``: the whole fleet starts for the first time, before any caller comes.
     """
 
     instance: InstanceId
@@ -45,3 +46,4 @@
     max_connections: int
     log_level: str = "info"
     link_mbps: int = 0
+    is_first_start: bool = False
