Repeat a probe that a dying engine drops unanswered

Cause: the kernel takes connections for a process that is just ending and drops them with it. The probe that tells a dead engine from a broken connection took that for a sign of life, so the request was not blamed for the death and could run on a third engine.

Change: a probe that is dropped is asked again, up to five times 50 ms apart, until the endpoint answers or refuses. Two of the five new cases fail on the code before.

--- a/packages/primroseferry-gateway/src/primroseferry_gateway/engine_call.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/engine_call.py
@@ -29,6 +29,9 @@
     from .settings import GatewaySettings
 
 DEATH_PROBE_TIMEOUT_MS = 500
+# How often a probe that is dropped unanswered is repeated, and the pause before each.
+DEATH_PROBES = 5
+DEATH_PROBE_PAUSE_S = 0.05
 DEADLINE_SLACK_S = 0.15
 ENGINE_PRIORITIES = {Urgency.HIGH: 2, Urgency.NORMAL: 1, Urgency.LOW: 0}
 AGED_PRIORITY = 3
@@ -190,7 +193,11 @@
 
 
 def _is_dead(loop: CurlLoop, endpoint: Endpoint) -> bool:
-    """Ask the endpoint's port: an endpoint that crashed refuses the connection."""
+    """Ask the endpoint's port: an endpoint that crashed refuses the connection.
+
+    The kernel still takes connections for a process that is just ending, and drops them unanswered
+    with it. A probe that is dropped is therefore repeated, until the endpoint answers or refuses.
+    """
     probe = HttpCall(
         "GET",
         f"http://{endpoint.address}/v1/load",
@@ -198,8 +205,12 @@
         timeout_ms=DEATH_PROBE_TIMEOUT_MS,
         is_repeatable=False,
     )
-    match loop.call(probe):
-        case Err(failure):
-            return failure.stage is FailureStage.NOT_SENT
-        case _:
-            return False
+    for _ in range(DEATH_PROBES):
+        match loop.call(probe):
+            case Err(failure) if failure.stage is FailureStage.CONNECTION_LOST:
+                time.sleep(DEATH_PROBE_PAUSE_S)
+            case Err(failure):
+                return failure.stage is FailureStage.NOT_SENT
+            case _:
+                return False
+    return False
--- /dev/null
+++ b/packages/primroseferry-gateway/tests/test_engine_death.py
@@ -0,0 +1,68 @@
+"""Telling an engine that died from one that only broke a connection."""
+
+from __future__ import annotations
+
+import socket
+import threading
+from typing import TYPE_CHECKING
+
+import pytest
+from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import RegionId
+from primroseferry_gateway import engine_call
+from primroseferry_gateway.fleet import Endpoint
+from primroseferry_transport.curl_loop import CurlLoop
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+DROP, ANSWER = "drop", "answer"
+REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+
+@pytest.fixture
+def loop() -> Iterator[CurlLoop]:
+    made = CurlLoop("test")
+    yield made
+    made.close()
+
+
+class _Engine:
+    """An engine that takes one connection after the other as told, and then is gone."""
+
+    def __init__(self, behaviour: list[str]) -> None:
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._behaviour = behaviour
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        for number, action in enumerate(self._behaviour):
+            connection, _ = self._listener.accept()
+            if number == len(self._behaviour) - 1:
+                self._listener.close()
+            with connection:
+                connection.recv(4_096)
+                if action == ANSWER:
+                    connection.sendall(REPLY)
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "is_dead"),
+    [
+        ([DROP], True),
+        ([DROP, DROP], True),
+        ([ANSWER], False),
+        ([DROP, ANSWER], False),
+        ([DROP] * 20, False),
+    ],
+)
+def test_engine_whose_process_is_just_ending_counts_as_dead(
+    loop: CurlLoop, behaviour: list[str], is_dead: bool
+) -> None:
+    endpoint = _endpoint(_Engine(behaviour).address)
+    assert engine_call._is_dead(loop, endpoint) is is_dead
+
+
+def _endpoint(address: str) -> Endpoint:
+    return Endpoint(EndpointId("e-1"), RegionId("north"), address, "small", is_engine=True)
