--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,4 +1,4 @@
-"""Measures what control costs a gateway, fits slopes and writes ``docs/CAPACITY.md``."""
+"""Measures what control costs a gateway and writes ``docs/design/capacity-of-exchanges.md``."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
     from primroseferry_standins.deployment import Deployment
 
-PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+PAGE = Path(__file__).parent.parent / "docs" / "design" / "capacity-of-exchanges.md"
 WINDOW_S = 12.0
 SETTLE_S = 6.0
 GATEWAYS = (2, 4, 8, 16)
