Tell all parts of prompts, other regions five times a second, and the whole region to a stray

A gateway that came back from a cut avoided the collectors that it had not heard, and followed one that knew only the two of them for 5 s (test_gateway_that_was_cut_off_comes_back failed once the pace of summaries had changed).

Ruled out: letting only collectors that follow themselves tell rosters (tried, a fleet that starts does not find itself then; five tests failed).

--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -198,7 +198,7 @@
                 placed.number,
                 placed.endpoint,
                 placed.unread_tokens,
-                _part_fields(placed.shared_parts),
+                _part_fields(placed.parts),
             ]
             for placed in update.placements
         ],
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/collector.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/collector.py
@@ -144,7 +144,7 @@
             if placed.number > last_placement:
                 last_placement = placed.number
                 self._note_placed(placed.endpoint, placed.unread_tokens, now_s)
-                self._note_parts(update, HeldParts(placed.endpoint, placed.shared_parts), now_s)
+                self._note_parts(update, HeldParts(placed.endpoint, placed.parts), now_s)
         self._members[name] = _Member(update, now_s, last_placement, needs_full)
         if not is_same:
             self._roster = None
@@ -160,6 +160,7 @@
     def hear_summary(self, summary: RegionSummary) -> None:
         """Take in how another region stands, to be told in the next digest."""
         self._summaries[summary.region] = summary
+        self._is_dirty = True
 
     def expire(self) -> None:
         """Drop members that fell silent."""
@@ -244,8 +245,11 @@
                 member.needs_full = False
         return chosen
 
-    def next_digest(self) -> tuple[Digest, Digest]:
-        """Return what changed since the last digest, and all, with the same number."""
+    def next_digest(self, roster: RosterVersion) -> tuple[Digest, Digest]:
+        """Return what changed since the last digest, and all, with the same number.
+
+        ``roster`` is the one that the receivers are to know.
+        """
         now_s = self._clock_s()
         self._digest_s = now_s
         self._is_dirty = False
@@ -267,7 +271,7 @@
             self._sequence,
             False,
             self.is_warm(),
-            self.roster().version,
+            roster,
             self.control(),
             (*changed, *ended),
             tuple(parts),
@@ -307,16 +311,20 @@
     def _note_parts(self, update: MemberUpdate, held: HeldParts, now_s: float) -> None:
         if not held.parts:
             return
-        last = held.parts[-1].part
-        key = (held.endpoint, last)
+        key = (held.endpoint, held.parts[-1].part)
         told_s = self._told_parts.get(key)
         if told_s is None or now_s - told_s >= PARTS_PAUSE_S:
             self._told_parts.put(key, now_s)
             self._parts.append(held)
-        tokens = sum(part.tokens for part in held.parts)
-        # Both collectors of a member hear of the part; the one that it takes digests from tells.
-        if update.wants_digest and tokens >= MIN_COPY_TOKENS and self._far_told.note(last):
-            self._far_out.append(FarPart(held.endpoint, last, tokens))
+        # Both collectors of a member hear of the parts; the one that it takes digests from tells.
+        shared = held.parts[:-1]
+        tokens = sum(part.tokens for part in shared)
+        if (
+            update.wants_digest
+            and tokens >= MIN_COPY_TOKENS
+            and self._far_told.note(shared[-1].part)
+        ):
+            self._far_out.append(FarPart(held.endpoint, shared[-1].part, tokens))
 
     def _unseen_placements(self, now_s: float) -> float:
         """Return how many placements are on their way here or wait for the next digest."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
@@ -37,13 +37,13 @@
 class Placement:
     """A request that a member gave to an engine, numbered by the member.
 
-    ``shared_parts`` are the parts of its prompt that other prompts may have too.
+    ``parts`` are all of its prompt: also those that no other prompt has take the engine's memory.
     """
 
     number: int
     endpoint: EndpointPoint
     unread_tokens: int
-    shared_parts: tuple[PromptPart, ...]
+    parts: tuple[PromptPart, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -17,7 +17,6 @@
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
-from primroseferry_policy.prompt import last_shared_part
 
 from ..endpoints.endpoint_point import endpoint_point
 from .codec import decode
@@ -69,7 +68,7 @@
 REPEAT_S = 0.3
 MAX_REPEATED = 20
 # How often regions tell each other how they stand.
-SUMMARY_S = 0.5
+SUMMARY_S = 0.2
 # A roster is asked for again after this time, and strange gateways of the region are remembered.
 ROSTER_PAUSE_S = 0.3
 STRANGER_S = 5.0
@@ -211,7 +210,6 @@
         with self._lock:
             now_s = self._clock_s()
             self._placed += 1
-            shared = placed.parts[:-1] if last_shared_part(placed.parts) is not None else ()
             self._placements.append(
                 (
                     now_s,
@@ -219,7 +217,7 @@
                         self._placed,
                         endpoint_point(placed.endpoint),
                         placed.work.unread_tokens,
-                        shared,
+                        placed.parts,
                     ),
                 )
             )
@@ -435,7 +433,7 @@
 
     def _send_digests(self) -> None:
         receivers = self._collector.receivers()
-        news, whole = self._collector.next_digest()
+        news, whole = self._collector.next_digest(self._region_roster().version)
         news_body = encode_digest_body(news)
         whole_body = b""
         own_address = self._own.address.report
@@ -452,7 +450,7 @@
         self._send_far_parts()
 
     def _push_changed_roster(self) -> None:
-        roster = self._collector.roster()
+        roster = self._region_roster()
         if self._sent_roster.get(roster.region) == roster.version:
             return
         self._sent_roster[roster.region] = roster.version
@@ -566,9 +564,24 @@
 
     def _known_roster(self, region: RegionId) -> Roster | None:
         if region == self._own.region and self._collector.serves():
-            return self._collector.roster()
+            return self._region_roster()
         return self._peers.roster(region)
 
+    def _region_roster(self) -> Roster:
+        """Return who lives in this region, as this gateway tells it.
+
+        A gateway that follows another collector and only collects for a few strays knows the
+        region by that one.
+        """
+        collected = self._collector.roster()
+        if self._follower.primary in (None, self._own.instance):
+            return collected
+        followed = self._peers.roster(self._own.region)
+        is_live = bool(self._peers.live_in(self._own.region))
+        if followed is None or not is_live or len(followed.peers) <= len(collected.peers):
+            return collected
+        return followed
+
 
 def _by_point(loads: Mapping[EndpointId, OpenWork]) -> dict[EndpointPoint, OpenWork]:
     """Return loads as datagrams name and round them, so that they cancel out exactly."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/follower.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/follower.py
@@ -85,6 +85,9 @@
         }
         by_name = {str(peer.instance): peer for peer in members}
         self._is_alone = by_name.keys() == {str(self._own_instance)}
+        if self._is_alone:
+            # Nobody is heard: the fault is this gateway's own, and not that of those it avoids.
+            self._avoided_until_s.clear()
         self._doubt_silent(now_s, by_name)
         order = [
             by_name[name]
--- a/packages/primroseferry-relay/tests/relay_tests/test_exchange.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_exchange.py
@@ -15,6 +15,7 @@
 from primroseferry_relay.endpoints.catalog import EndpointRun
 from primroseferry_relay.endpoints.endpoint_point import endpoint_point
 from primroseferry_relay.membership.datagrams import Blame
+from primroseferry_relay.membership.datagrams import FarPart
 from primroseferry_relay.membership.peer import GatewayState
 
 from .fleet_play import FleetPlay
@@ -220,7 +221,7 @@
         assert "north-7" not in one.peers.ready_in(RegionId("north"))
 
 
-def test_shared_parts_reach_the_region_at_once_and_others_once_a_pause() -> None:
+def test_parts_reach_the_region_at_once_and_shared_ones_others_once_a_pause() -> None:
     play = settled()
     parts = (PromptPart(PartId("ab"), 3_000), PromptPart(PartId("cd"), 10))
     for _ in range(5):
@@ -228,10 +229,10 @@
         play.run(0.1)
     point = endpoint_point(ENGINE)
     for one in play.region("north"):
-        assert (point, parts[:1]) in one.feed.parts
+        assert (point, parts) in one.feed.parts
     play.run(0.5)
     for one in (*play.region("south"), *play.region("east")):
-        assert len(one.feed.far_parts) == 1
+        assert one.feed.far_parts == [FarPart(point, PartId("ab"), 3_000)]
 
 
 def test_blames_and_leaving_endpoints_are_told_at_once() -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
@@ -95,7 +95,7 @@
     north[0].reporter.tell_placed(placed)
     near = north[1:]
     wait_until(lambda: all(one.feed.loads.get(point) == placed.work for one in near))
-    assert all((point, (SHARED,)) in one.feed.parts for one in near)
+    assert all((point, placed.parts) in one.feed.parts for one in near)
     wait_until(lambda: all(one.feed.far_parts for one in south))
 
 
