Bring gateways together in code of its own; send to regions in one order

A refactoring: the played exchanges send the same datagrams as before, byte for byte, once regions are told in the order of their names (before, that order changed with each process).

--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -37,6 +37,7 @@
 from .datagrams import RosterWanted
 from .follower import MAX_VIEW_AGE_S
 from .follower import Follower
+from .introductions import Introductions
 from .peer import GatewayState
 
 if TYPE_CHECKING:
@@ -69,13 +70,11 @@
 MAX_REPEATED = 20
 # How often regions tell each other how they stand.
 SUMMARY_S = 0.2
-# A roster is asked for again after this time, and strange gateways of the region are remembered.
+# A roster is asked for again after this time.
 ROSTER_PAUSE_S = 0.3
-STRANGER_S = 5.0
 # A gateway that no collector answers asks its seeds and some other addresses so often.
 SEARCH_S = 0.3
 SEARCH_SAMPLE = 4
-MAX_REFERRED = 8
 # How often a collector looks for gateways of its region that follow others.
 MERGE_S = 3.0
 # Updates of one's own that are remembered, to take them out of what a digest adds up.
@@ -154,8 +153,7 @@
         self._asked_roster_s: dict[RegionId, float] = {}
         self._sent_roster: dict[RegionId, int] = {}
         self._far_collectors: dict[RegionId, str] = {}
-        self._strangers: dict[str, tuple[Peer, float]] = {}
-        self._guests: dict[str, tuple[RegionId, float]] = {}
+        self._introductions = Introductions()
         self._is_view_lost = True
         self._primary_address = ""
         self._targets: list[Target] = []
@@ -309,9 +307,7 @@
             self._peers.put_roster(roster)
             return
         # Another collector's view: those of its members that are not known may collect too.
-        now_s = self._clock_s()
-        for peer in roster.peers:
-            self._strangers[peer.instance] = (peer, now_s + STRANGER_S)
+        self._introductions.note_strangers(roster.peers, self._clock_s())
 
     def _take_summary(self, summary: RegionSummary) -> None:
         if summary.region == self._own.region:
@@ -417,10 +413,8 @@
             for peer in self._peers.live_in(self._own.region)
             if peer.state is not GatewayState.DRAINING
         }
-        for name, (peer, until_s) in list(self._strangers.items()):
-            if until_s < now_s:
-                del self._strangers[name]
-            elif peer.instance != self._own.instance:
+        for peer in self._introductions.strangers(now_s):
+            if peer.instance != self._own.instance:
                 members.setdefault(peer.instance, peer)
         if self._own.state is not GatewayState.DRAINING:
             members[self._own.instance] = self._own
@@ -496,7 +490,7 @@
     def _far_addresses(self) -> list[str]:
         """Return one address in each other region, and some to find regions that are not known."""
         found = []
-        for region in self._peers.regions():
+        for region in sorted(self._peers.regions()):
             collector = self._far_collectors.get(region)
             live = {peer.address.report for peer in self._peers.live_in(region)}
             if collector in live:
@@ -524,28 +518,20 @@
         if not parts:
             return
         data = encode(FarParts(tuple(parts)))
-        for region in self._peers.regions():
+        for region in sorted(self._peers.regions()):
             address = self._far_collectors.get(region)
             if address is not None:
                 self._send(address, data)
 
     def _refer(self, peer: Peer) -> None:
         """Name to a gateway of another region others of its region."""
-        now_s = self._clock_s()
         roster = self._peers.roster(peer.region)
         known = [one.address.report for one in self._peers.live_in(peer.region)]
         if roster is not None and known:
             self._send(peer.address.report, encode(self._as_sender(roster)))
-        self._guests = {
-            address: (region, until_s)
-            for address, (region, until_s) in self._guests.items()
-            if until_s > now_s
-        }
-        self._guests[peer.address.report] = (peer.region, now_s + STRANGER_S)
-        guests = [address for address, (region, _) in self._guests.items() if region == peer.region]
-        named = sorted({*known, *guests} - {peer.address.report})[:MAX_REFERRED]
+        named = self._introductions.refer(peer, known, self._clock_s())
         if named:
-            self._send(peer.address.report, encode(Referral(tuple(named))))
+            self._send(peer.address.report, encode(Referral(named)))
 
     def _ask_roster(self, region: RegionId, address: str) -> None:
         now_s = self._clock_s()
