Let a gateway that nobody follows believe whoever answers it

Cause: in a fleet that starts anew, a gateway that had heard of a few others followed itself until the region's collector was warm, 1.2 s, with half of the region unknown.

Ruled out: losing the update to the seed (it arrives; its digest was not believed).

Change: who follows itself without followers takes any other gateway's whole digest.

--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -194,6 +194,7 @@
                 self._peers.expire()
                 self._collector.expire()
                 asked = [(one.peer.instance, one.wants_digest) for one in self._targets]
+                self._follower.is_followed = self._collector.is_acting()
                 self._targets = self._follower.choose(self._known_members(now_s))
                 if asked != [(one.peer.instance, one.wants_digest) for one in self._targets]:
                     self._send_update(now_s)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/follower.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/follower.py
@@ -62,7 +62,8 @@
         self._believed_s = float("-inf")
         self._last_sequence = 0
         self._incarnation: IncarnationId | None = None
-        self._is_alone = True
+        # Whether other members take their digests from this gateway.
+        self.is_followed = False
         self._deaf: InstanceId | None = None
         self._sent_s: deque[tuple[float, int]] = deque()
         self.wants_full = True
@@ -84,8 +85,7 @@
             name: until_s for name, until_s in self._avoided_until_s.items() if until_s > now_s
         }
         by_name = {str(peer.instance): peer for peer in members}
-        self._is_alone = by_name.keys() == {str(self._own_instance)}
-        if self._is_alone:
+        if by_name.keys() == {str(self._own_instance)}:
             # Nobody is heard: the fault is this gateway's own, and not that of those it avoids.
             self._avoided_until_s.clear()
         self._doubt_silent(now_s, by_name)
@@ -128,8 +128,10 @@
             self._deaf = digest.collector
             return False
         is_primary = digest.collector == self._primary and digest.incarnation == self._incarnation
-        is_stranger = self._is_alone and digest.collector != self._own_instance
-        is_stale = is_stranger or now_s - self._believed_s > MAX_VIEW_AGE_S
+        # Who follows itself, with nobody else doing so, knows less than whoever answers it.
+        knows_little = self._primary in (None, self._own_instance) and not self.is_followed
+        is_better = knows_little and digest.collector != self._own_instance
+        is_stale = is_better or now_s - self._believed_s > MAX_VIEW_AGE_S
         takes_over = digest.collector == self._preferred and digest.is_warm
         if not is_primary and not takes_over and not is_stale:
             return False
