Merge what the exchange wrote again; do once what it did twice

- An endpoint's run was compared in Endpoint.is_same_run and named anew in the catalog: Endpoint.run serves both.
- The collector had its own pause for told parts beside ToldParts, and its own sliding second beside ReadingLoad: ToldParts takes a key and a pause, RecentSum holds the second for both.
- The kinds of datagrams had names for writing and bare numbers for reading: one enumeration.
- A request looked up what each engine holds twice when engines are sampled; a tick read the gateway's own state twice when it told it.
- Dead: StoreWatch.is_listed.
Stale: comments on the pace of updates and on the first listing.

--- a/conftest.py
+++ b/conftest.py
@@ -1,10 +1,15 @@
-"""Lets the run pass over the failures that ``KNOWN-RED.txt`` lists, and prints them."""
+"""Lets the run pass over the failures that ``KNOWN-RED.txt`` lists; a fixture that many tests use."""
 
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import pytest
+from primroseferry_transport.curl_loop import CurlLoop
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 KNOWN_RED = Path(__file__).parent / "KNOWN-RED.txt"
 TEST_FIELD = "test:"
@@ -28,3 +33,11 @@
     """Print what the run passed over."""
     for node_id in known_red_tests():
         terminalreporter.write_line(f"KNOWN RED: {node_id}")
+
+
+@pytest.fixture
+def loop() -> Iterator[CurlLoop]:
+    """Return a loop for outgoing calls that ends with the test."""
+    running = CurlLoop("tests")
+    yield running
+    running.close()
--- a/packages/primroseferry-gateway/tests/test_engine_death.py
+++ b/packages/primroseferry-gateway/tests/test_engine_death.py
@@ -11,22 +11,14 @@
 from primroseferry_core.ids import RegionId
 from primroseferry_gateway import engine_call
 from primroseferry_gateway.fleet import Endpoint
-from primroseferry_transport.curl_loop import CurlLoop
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from primroseferry_transport.curl_loop import CurlLoop
 
 DROP, ANSWER = "drop", "answer"
 REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
-@pytest.fixture
-def loop() -> Iterator[CurlLoop]:
-    made = CurlLoop("test")
-    yield made
-    made.close()
-
-
 class _Engine:
     """An engine that takes one connection after the other as told, and then is gone."""
 
--- a/packages/primroseferry-policy/src/primroseferry_policy/far_parts.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/far_parts.py
@@ -10,6 +10,8 @@
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
 
 from primroseferry_core.recent_map import RecentMap
 
@@ -24,6 +26,8 @@
     from .prompt import PartId
     from .prompt import PromptPart
 
+K = TypeVar("K")
+
 # A region tells a part that is in use again after this time; what it told is believed twice as
 # long. At the load of a peak an engine reads its whole memory anew in 5 to 10 s.
 TELL_PAUSE_S = 8.0
@@ -47,26 +51,25 @@
     told_s: float
 
 
-class ToldParts:
-    """When the parts that this region's engines use were last told to other regions.
-
-    Every gateway of the region hears of each request that is given to an engine, so the gateway
-    that gives a part to an engine first, or first after the pause, tells it, and the others know.
-    """
+class ToldParts(Generic[K]):
+    """When parts, by themselves or with their engine, were last told: once in a pause is enough."""
 
-    def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, clock_s: Callable[[], float] = time.monotonic, pause_s: float = TELL_PAUSE_S
+    ) -> None:
         self._clock_s = clock_s
-        self._noted_s: RecentMap[PartId, float] = RecentMap(MAX_PARTS)
+        self._pause_s = pause_s
+        self._noted_s: RecentMap[K, float] = RecentMap(MAX_PARTS)
         self._lock = threading.Lock()
 
-    def note(self, part: PartId) -> bool:
-        """Note that an engine gets a part; ``True`` where other regions are to be told."""
+    def note(self, key: K) -> bool:
+        """Note that an engine gets a part; ``True`` where that is to be told now."""
         now_s = self._clock_s()
         with self._lock:
-            noted_s = self._noted_s.get(part)
-            if noted_s is not None and now_s - noted_s < TELL_PAUSE_S:
+            noted_s = self._noted_s.get(key)
+            if noted_s is not None and now_s - noted_s < self._pause_s:
                 return False
-            self._noted_s.put(part, now_s)
+            self._noted_s.put(key, now_s)
             return True
 
 
--- a/packages/primroseferry-policy/src/primroseferry_policy/reading_load.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/reading_load.py
@@ -9,16 +9,17 @@
 
 import threading
 import time
-from collections import deque
 from typing import TYPE_CHECKING
 
+from .recent_sum import WINDOW_S
+from .recent_sum import RecentSum
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
 
     from primroseferry_core.ids import EndpointId
 
-WINDOW_S = 1.0
 # What was given so shortly before the region's last word is not in it yet.
 TOLD_LAG_S = 0.05
 
@@ -28,15 +29,14 @@
 
     def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
         self._clock_s = clock_s
-        self._given: dict[EndpointId, deque[tuple[float, int]]] = {}
+        self._given: dict[EndpointId, RecentSum] = {}
         self._told: dict[EndpointId, tuple[float, int]] = {}
         self._lock = threading.Lock()
 
     def note(self, endpoint: EndpointId, unread_tokens: int) -> None:
         """Note tokens that the engine was given to read."""
         with self._lock:
-            given = self._given.setdefault(endpoint, deque())
-            given.append((self._clock_s(), unread_tokens))
+            self._given.setdefault(endpoint, RecentSum(self._clock_s)).add(unread_tokens)
 
     def hear_region(self, told: Mapping[EndpointId, int], is_full: bool) -> None:
         """Take in the tokens a second that all gateways of the region gave to engines."""
@@ -52,17 +52,13 @@
 
         What the region told includes this gateway's own up to shortly before; later ones are added.
         """
-        start_s = self._clock_s() - WINDOW_S
         with self._lock:
-            given = self._given.get(endpoint, deque())
-            while given and given[0][0] < start_s:
-                given.popleft()
-            own = sum(tokens for _, tokens in given)
-            told_s, told = self._told.get(endpoint, (0.0, 0))
-            if told_s < start_s:
+            given = self._given.get(endpoint) or RecentSum(self._clock_s)
+            own = given.total()
+            told_s, told = self._told.get(endpoint, (float("-inf"), 0))
+            if told_s < self._clock_s() - WINDOW_S:
                 return own
-            newer = sum(tokens for at_s, tokens in given if at_s > told_s - TOLD_LAG_S)
-            return max(own, told + newer)
+            return max(own, told + given.total(told_s - TOLD_LAG_S))
 
     def forget(self, endpoint: EndpointId) -> None:
         """Drop what is known of an engine, because its process is new."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -59,7 +59,7 @@
                 self._put_table(table, item)
             case EndpointChanged(endpoint):
                 held = self._catalog.find(endpoint.endpoint)
-                if held is not None and not held.is_same_run(endpoint):
+                if held is not None and held.run != endpoint.run:
                     self._policy.forget(endpoint.endpoint)
                 self._catalog.put(endpoint)
             case EndpointRemoved(endpoint, _reason):
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -28,8 +28,7 @@
 MAX_RETRY_S = 1.5
 # A gateway that holds nothing yet serves nobody, so it asks again sooner.
 MAX_EMPTY_RETRY_S = 0.5
-# Gateways that start together do not all list the store: the first tell the others.
-# How long each kind waits, a random time in these bounds.
+# How often a gateway that waits at its start looks whether another one told it what is there.
 START_CHECK_S = 0.05
 # How often a gateway that leaves watching to its peers looks whether it is needed.
 DUTY_CHECK_S = 0.5
@@ -38,10 +37,11 @@
 
 
 class StartRole(Enum):
-    """Whom a gateway that starts leaves the first listing to, as the bounds of its wait in seconds.
+    """How long a gateway that starts leaves the first listing to others, as bounds in seconds.
 
-    Those that the others ask list at once. In a fleet that starts for the first time, callers come
-    later and the others can wait; after a restart each moment without routes is one of an outage.
+    Gateways that start together do not all list the store: the first tell the others. Those that
+    the others ask list at once. In a fleet that starts for the first time, callers come later and
+    the others can wait; after a restart each moment without routes is one of an outage.
     """
 
     ASKED = (0.0, 0.15)
@@ -73,7 +73,6 @@
         self._answered_s: float | None = None
         self._is_lost = False
         self._is_open = True
-        self.is_listed = False
         self._thread = threading.Thread(target=self._run, name=f"watch-{prefix}", daemon=True)
 
     @property
@@ -117,7 +116,6 @@
             case Ok(listing):
                 self._note_answer()
                 self._state.apply_listing(self._prefix, listing.items, listing.as_of)
-                self.is_listed = True
                 return listing.as_of
             case Err(failure):
                 self._note_failure(failure)
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -35,6 +35,7 @@
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
 
+    from .endpoint import EndpointRun
     from .endpoint_point import EndpointPoint
 
 # How long entries may take to come back after an outage of the store, as its operators state.
@@ -50,15 +51,6 @@
     missing_until_s: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointRun:
-    """One run of one endpoint's process."""
-
-    endpoint: EndpointId
-    started_ms: int
-    address: str
-
-
 @dataclass(frozen=True, slots=True)
 class _Place:
     """What requests look endpoints up by."""
@@ -75,7 +67,7 @@
         self._listed: dict[EndpointId, _Listed] = {}
         # Names in the order of their arrival, so that a look-up does not grow with the fleet.
         self._by_place: dict[_Place, dict[EndpointId, None]] = {}
-        self._by_point: dict[int, EndpointId] = {}
+        self._by_point: dict[EndpointPoint, EndpointId] = {}
         self._missing: set[EndpointId] = set()
         self._evacuated: frozenset[FailureDomainId] = frozenset()
         self._returned_s = float("-inf")
@@ -92,7 +84,7 @@
         with self._lock:
             held = self._listed.get(endpoint.endpoint)
             cold_until_s = self._clock_s() + endpoint.cold_left_ms / 1000
-            if held is None or not held.endpoint.is_same_run(endpoint):
+            if held is None or held.endpoint.run != endpoint.run:
                 change = "new"
             else:
                 is_changed = held.endpoint.state is not endpoint.state
@@ -178,7 +170,7 @@
         with self._lock:
             self._expire()
             held = self._listed.get(endpoint.endpoint)
-            if held is None or not held.endpoint.is_same_run(endpoint):
+            if held is None or held.endpoint.run != endpoint.run:
                 return False
             return self._takes_work(held.endpoint)
 
@@ -199,7 +191,7 @@
         return self._evacuated
 
     def _takes_work(self, endpoint: Endpoint) -> bool:
-        if endpoint.state is not EndpointState.READY or run_of(endpoint) in self._leaving:
+        if endpoint.state is not EndpointState.READY or endpoint.run in self._leaving:
             return False
         return endpoint.failure_domain not in self._evacuated
 
@@ -231,10 +223,5 @@
                 self._remove(name, now_s)
 
 
-def run_of(endpoint: Endpoint) -> EndpointRun:
-    """Return the run that an entry tells of."""
-    return EndpointRun(endpoint.endpoint, endpoint.started_ms, endpoint.address)
-
-
 def _place(endpoint: Endpoint) -> _Place:
     return _Place(endpoint.service, endpoint.region)
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint.py
@@ -20,6 +20,15 @@
     DRAINING = "draining"
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointRun:
+    """One run of one endpoint's process."""
+
+    endpoint: EndpointId
+    started_ms: int
+    address: str
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """One endpoint.
@@ -39,10 +48,7 @@
     cold_left_ms: float
     started_ms: int
 
-    def is_same_run(self, other: Endpoint) -> bool:
-        """Whether both entries tell of one run of one process."""
-        return (
-            self.endpoint == other.endpoint
-            and self.started_ms == other.started_ms
-            and self.address == other.address
-        )
+    @property
+    def run(self) -> EndpointRun:
+        """The run of the process that the entry tells of."""
+        return EndpointRun(self.endpoint, self.started_ms, self.address)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -30,7 +30,6 @@
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
 from .dialect import SendOrder
-from .endpoints.catalog import run_of
 from .endpoints.probe import is_listening
 from .endpoints.sample import choose_sample
 from .membership.datagrams import Blame
@@ -40,7 +39,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
-    from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import RegionId
@@ -55,8 +54,8 @@
     from .dialect import EndpointDialect
     from .dialect import ReplyFacts
     from .endpoints.catalog import EndpointCatalog
-    from .endpoints.catalog import EndpointRun
     from .endpoints.endpoint import Endpoint
+    from .endpoints.endpoint import EndpointRun
     from .membership.peer_table import PeerTable
     from .messages import AnswerHead
     from .messages import RelayRequest
@@ -158,22 +157,24 @@
             and self._policy.rests.left_s(endpoint.endpoint) <= 0
             and self._may_send_cold(endpoint, service)
         ]
-        unseen = self._policy.loads.unseen_placements if service.engine is not None else 0.0
-        sample = choose_sample(
-            near,
-            generation,
-            lambda endpoint: self._policy.parts.held_tokens(
-                endpoint.endpoint, generation.parts
-            ).tokens,
-            unseen,
-        )
-        usable = {endpoint.endpoint: endpoint for endpoint in sample}
         if service.engine is not None:
-            engines = self._engine_candidates(usable.values(), service, service.engine, generation)
+            holders = {
+                endpoint.endpoint: self._part_holder(endpoint, generation) for endpoint in near
+            }
+            sample = choose_sample(
+                near,
+                generation,
+                lambda endpoint: holders[endpoint.endpoint].held.tokens,
+                self._policy.loads.unseen_placements,
+            )
+            chosen = [holders[endpoint.endpoint] for endpoint in sample]
+            engines = self._engine_candidates(chosen, service, service.engine, generation)
             choices = rank_engines(engines, generation, is_urgent)
         else:
-            calls = [self._call_candidate(endpoint) for endpoint in usable.values()]
+            sample = choose_sample(near, generation)
+            calls = [self._call_candidate(endpoint) for endpoint in sample]
             choices = rank_calls(calls, self._policy.pace.call_ms(service.name))
+        usable = {endpoint.endpoint: endpoint for endpoint in sample}
         return [LocalOption(usable[choice.endpoint], choice) for choice in choices]
 
     def run(
@@ -265,20 +266,12 @@
 
     def _engine_candidates(
         self,
-        endpoints: Iterable[Endpoint],
+        holders: Sequence[PartHolder],
         service: Service,
         engine: EngineSize,
         generation: Generation,
     ) -> list[Candidate]:
         policy = self._policy
-        holders = [
-            PartHolder(
-                endpoint.endpoint,
-                endpoint.failure_domain,
-                policy.parts.held_tokens(endpoint.endpoint, generation.parts),
-            )
-            for endpoint in endpoints
-        ]
         far_holders = self._far_holders(service, generation)
         sources = CopySources([*holders, *far_holders], engine.copy_tokens_per_ms)
         return [
@@ -297,6 +290,10 @@
             for holder in holders
         ]
 
+    def _part_holder(self, endpoint: Endpoint, generation: Generation) -> PartHolder:
+        held = self._policy.parts.held_tokens(endpoint.endpoint, generation.parts)
+        return PartHolder(endpoint.endpoint, endpoint.failure_domain, held)
+
     def _call_candidate(self, endpoint: Endpoint) -> Candidate:
         policy = self._policy
         name = endpoint.endpoint
@@ -343,8 +340,8 @@
     def _note_reply(self, endpoint: Endpoint, status: int, facts: ReplyFacts) -> None:
         if facts.cold_ms is not None:
             self._catalog.set_cold(endpoint.endpoint, facts.cold_ms)
-        if facts.is_leaving and self._catalog.note_leaving(run_of(endpoint)):
-            self._teller.tell_leaving(run_of(endpoint))
+        if facts.is_leaving and self._catalog.note_leaving(endpoint.run):
+            self._teller.tell_leaving(endpoint.run)
         if status == OVERLOADED_STATUS and facts.rest_s is not None:
             self._policy.rests.note(endpoint.endpoint, facts.rest_s)
             log_event(Event.ENDPOINT_RESTS, endpoint=endpoint.endpoint, rest_s=facts.rest_s)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -8,6 +8,7 @@
 
 import struct
 import zlib
+from enum import IntEnum
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -23,7 +24,7 @@
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
 
-from ..endpoints.catalog import EndpointRun
+from ..endpoints.endpoint import EndpointRun
 from ..endpoints.endpoint_point import EndpointPoint
 from .datagrams import Blame
 from .datagrams import Digest
@@ -65,36 +66,48 @@
 READING_STEP = 512
 _STATES = (GatewayState.STARTING, GatewayState.READY, GatewayState.DRAINING)
 
-_UPDATE, _DIGEST, _SUMMARY, _ROSTER, _WANTED, _REFERRAL, _FAR_PARTS, _BLAME, _LEAVING = range(1, 10)
+
+class _Kind(IntEnum):
+    """What a datagram is, on the wire."""
+
+    UPDATE = 1
+    DIGEST = 2
+    SUMMARY = 3
+    ROSTER = 4
+    ROSTER_WANTED = 5
+    REFERRAL = 6
+    FAR_PARTS = 7
+    BLAME = 8
+    LEAVING = 9
 
 
 def encode(datagram: Datagram) -> bytes:
     """Return the bytes of a datagram."""
     match datagram:
         case MemberUpdate():
-            return _packed(_UPDATE, _update_fields(datagram))
+            return _packed(_Kind.UPDATE, _update_fields(datagram))
         case Digest(acked=acked):
             return digest_head(acked) + encode_digest_body(datagram)
         case RegionSummary():
-            return _packed(_SUMMARY, _summary_fields(datagram))
+            return _packed(_Kind.SUMMARY, _summary_fields(datagram))
         case Roster(region, version, peers, sender):
             packed = msgpack.packb([_peer_fields(peer) for peer in peers])
-            return _packed(_ROSTER, [region, version, zlib.compress(packed, level=1), sender])
+            return _packed(_Kind.ROSTER, [region, version, zlib.compress(packed, level=1), sender])
         case RosterWanted(reply_to, regions):
-            return _packed(_WANTED, [reply_to, list(regions)])
+            return _packed(_Kind.ROSTER_WANTED, [reply_to, list(regions)])
         case Referral(addresses):
-            return _packed(_REFERRAL, list(addresses))
+            return _packed(_Kind.REFERRAL, list(addresses))
         case FarParts(parts):
-            return _packed(_FAR_PARTS, [_far_part_fields(part) for part in parts])
+            return _packed(_Kind.FAR_PARTS, [_far_part_fields(part) for part in parts])
         case Blame(fingerprint, death):
-            return _packed(_BLAME, [fingerprint, death])
+            return _packed(_Kind.BLAME, [fingerprint, death])
         case LeavingNote(run):
-            return _packed(_LEAVING, [run.endpoint, run.started_ms, run.address])
+            return _packed(_Kind.LEAVING, [run.endpoint, run.started_ms, run.address])
 
 
 def digest_head(acked: int) -> bytes:
     """Return what of a digest differs between its receivers."""
-    return _HEAD.pack(MAGIC, VERSION, _DIGEST, acked & 0xFFFFFFFF)
+    return _HEAD.pack(MAGIC, VERSION, _Kind.DIGEST, acked & 0xFFFFFFFF)
 
 
 def encode_digest_body(digest: Digest) -> bytes:
@@ -126,7 +139,7 @@
         return None
     try:
         packed = data[_HEAD.size :]
-        if kind == _DIGEST:
+        if kind == _Kind.DIGEST:
             packed = _inflated(packed)
         fields = msgpack.unpackb(packed, strict_map_key=False)
         return _decoded(kind, fields, acked)
@@ -153,29 +166,29 @@
     )
 
 
-def _packed(kind: int, fields: Sequence[Any]) -> bytes:
+def _packed(kind: _Kind, fields: Sequence[Any]) -> bytes:
     return _HEAD.pack(MAGIC, VERSION, kind, 0) + bytes(msgpack.packb(fields))
 
 
 def _decoded(kind: int, fields: Any, acked: int) -> Datagram | None:
     match kind:
-        case 1:
+        case _Kind.UPDATE:
             return _update(fields)
-        case 2:
+        case _Kind.DIGEST:
             return _digest(fields, acked)
-        case 3:
+        case _Kind.SUMMARY:
             return _summary(fields)
-        case 4:
+        case _Kind.ROSTER:
             return _roster(fields)
-        case 5:
+        case _Kind.ROSTER_WANTED:
             return RosterWanted(_text(fields[0]), tuple(RegionId(_text(one)) for one in fields[1]))
-        case 6:
+        case _Kind.REFERRAL:
             return Referral(tuple(map(_text, fields)))
-        case 7:
+        case _Kind.FAR_PARTS:
             return FarParts(tuple(map(_far_part, fields)))
-        case 8:
+        case _Kind.BLAME:
             return Blame(Fingerprint(_text(fields[0])), _text(fields[1]))
-        case 9:
+        case _Kind.LEAVING:
             endpoint, started_ms, address = fields[:3]
             return LeavingNote(
                 EndpointRun(EndpointId(_text(endpoint)), _whole(started_ms), _text(address))
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/collector.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/collector.py
@@ -15,10 +15,11 @@
 
 import msgpack
 import xxhash
-from primroseferry_core.recent_map import RecentMap
 from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_policy.far_parts import ToldParts
 from primroseferry_policy.part_copy import MIN_COPY_TOKENS
+from primroseferry_policy.recent_sum import WINDOW_S
+from primroseferry_policy.recent_sum import RecentSum
 
 from .datagrams import Digest
 from .datagrams import EndpointLoad
@@ -31,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Iterator
     from collections.abc import Mapping
 
     from primroseferry_core.ids import IncarnationId
@@ -44,7 +46,7 @@
     from .datagrams import RegionSummary
     from .peer import Peer
 
-# A member that is silent for so long is gone: it sends at least twice a second.
+# A member that is silent for so long is gone: it sends four times a second or more.
 MEMBER_LIVE_S = 2.0
 # After the first update every member has the time to send its own.
 WARM_S = 1.2
@@ -57,9 +59,6 @@
 IDLE_DIGEST_S = 0.2
 # Parts that stay in use on an engine are told again after this time.
 PARTS_PAUSE_S = 2.0
-MAX_TOLD_PARTS = 4_096
-# Prompt tokens that an engine was given are counted over the last second.
-READING_WINDOW_S = 1.0
 MAX_HOLDERS = 4
 # The way of an update to the collector and of a digest to a member, with their handling.
 UPDATE_WAY_S = 0.015
@@ -102,17 +101,19 @@
         self._clock_s = clock_s
         self._members: dict[InstanceId, _Member] = {}
         self._totals: dict[EndpointPoint, OpenWork] = {}
-        self._reading: dict[EndpointPoint, deque[tuple[float, int]]] = {}
+        self._reading: dict[EndpointPoint, RecentSum] = {}
         self._told: dict[EndpointPoint, EndpointLoad] = {}
         self._parts: deque[HeldParts] = deque()
-        self._told_parts: RecentMap[tuple[EndpointPoint, PartId], float] = RecentMap(MAX_TOLD_PARTS)
-        self._far_told = ToldParts(clock_s)
+        self._told_parts: ToldParts[tuple[EndpointPoint, PartId]] = ToldParts(
+            clock_s, PARTS_PAUSE_S
+        )
+        self._far_told: ToldParts[PartId] = ToldParts(clock_s)
         self._far_parts: deque[FarPart] = deque()
         self._far_out: list[FarPart] = []
         self._summaries: dict[RegionId, RegionSummary] = {}
         self._collecting_since_s: float | None = None
         self._sequence = 0
-        self._placed_s: deque[float] = deque()
+        self._placed = RecentSum(clock_s)
         self._digest_s = float("-inf")
         self._is_dirty = False
         self._roster: Roster | None = None
@@ -143,8 +144,8 @@
         for placed in update.placements:
             if placed.number > last_placement:
                 last_placement = placed.number
-                self._note_placed(placed.endpoint, placed.unread_tokens, now_s)
-                self._note_parts(update, HeldParts(placed.endpoint, placed.parts), now_s)
+                self._note_placed(placed.endpoint, placed.unread_tokens)
+                self._note_parts(update, HeldParts(placed.endpoint, placed.parts))
         self._members[name] = _Member(update, now_s, last_placement, needs_full)
         if not is_same:
             self._roster = None
@@ -187,9 +188,7 @@
     def is_acting(self) -> bool:
         """Whether any other member asks this gateway for digests."""
         return any(
-            member.update.wants_digest
-            for name, member in self._members.items()
-            if name != self._own_instance
+            member.update.peer.instance != self._own_instance for member in self._subscribed()
         )
 
     def is_warm(self) -> bool:
@@ -199,7 +198,7 @@
 
     def serves(self) -> bool:
         """Whether any member, this gateway included, takes its digests from here."""
-        return any(member.update.wants_digest for member in self._members.values())
+        return any(True for _ in self._subscribed())
 
     def control(self) -> ControlFacts:
         """Return how far the region is with the items of the store."""
@@ -227,22 +226,15 @@
 
     def subscribers(self) -> list[str]:
         """Return where the members listen that ask for digests."""
-        return [
-            member.update.peer.address.report
-            for member in self._members.values()
-            if member.update.wants_digest
-        ]
+        return [member.update.peer.address.report for member in self._subscribed()]
 
     def receivers(self) -> list[Receiver]:
         """Return whom the next digest goes to; full ones are then counted as sent."""
         chosen = []
-        for member in self._members.values():
+        for member in self._subscribed():
             update = member.update
-            if update.wants_digest:
-                chosen.append(
-                    Receiver(update.peer.address.report, update.sequence, member.needs_full)
-                )
-                member.needs_full = False
+            chosen.append(Receiver(update.peer.address.report, update.sequence, member.needs_full))
+            member.needs_full = False
         return chosen
 
     def next_digest(self, roster: RosterVersion) -> tuple[Digest, Digest]:
@@ -254,7 +246,7 @@
         self._digest_s = now_s
         self._is_dirty = False
         self._sequence += 1
-        loads = {load.endpoint: load for load in self._current_loads(now_s)}
+        loads = {load.endpoint: load for load in self._current_loads()}
         changed = [load for point, load in loads.items() if self._told.get(point) != load]
         ended = [EndpointLoad(point, NO_WORK, 0) for point in self._told.keys() - loads.keys()]
         self._told = loads
@@ -277,7 +269,7 @@
             tuple(parts),
             tuple(far),
             summaries,
-            self._unseen_placements(now_s),
+            self._unseen_placements(),
         )
         whole = replace(news, is_full=True, loads=tuple(loads.values()))
         return news, whole
@@ -287,6 +279,9 @@
         taken, self._far_out = self._far_out, []
         return taken
 
+    def _subscribed(self) -> Iterator[_Member]:
+        return (member for member in self._members.values() if member.update.wants_digest)
+
     def _replace_loads(
         self,
         before: Mapping[EndpointPoint, OpenWork],
@@ -303,18 +298,15 @@
             else:
                 self._totals[point] = total
 
-    def _note_placed(self, endpoint: EndpointPoint, unread_tokens: int, now_s: float) -> None:
-        self._reading.setdefault(endpoint, deque()).append((now_s, unread_tokens))
-        self._placed_s.append(now_s)
+    def _note_placed(self, endpoint: EndpointPoint, unread_tokens: int) -> None:
+        self._reading.setdefault(endpoint, RecentSum(self._clock_s)).add(unread_tokens)
+        self._placed.add(1)
         self._is_dirty = True
 
-    def _note_parts(self, update: MemberUpdate, held: HeldParts, now_s: float) -> None:
+    def _note_parts(self, update: MemberUpdate, held: HeldParts) -> None:
         if not held.parts:
             return
-        key = (held.endpoint, held.parts[-1].part)
-        told_s = self._told_parts.get(key)
-        if told_s is None or now_s - told_s >= PARTS_PAUSE_S:
-            self._told_parts.put(key, now_s)
+        if self._told_parts.note((held.endpoint, held.parts[-1].part)):
             self._parts.append(held)
         # Both collectors of a member hear of the parts; the one that it takes digests from tells.
         shared = held.parts[:-1]
@@ -326,26 +318,21 @@
         ):
             self._far_out.append(FarPart(held.endpoint, shared[-1].part, tokens))
 
-    def _unseen_placements(self, now_s: float) -> float:
+    def _unseen_placements(self) -> float:
         """Return how many placements are on their way here or wait for the next digest."""
-        while self._placed_s and self._placed_s[0] < now_s - READING_WINDOW_S:
-            self._placed_s.popleft()
         mean_age_s = UPDATE_WAY_S + self._pause_s() / 2
-        return len(self._placed_s) / READING_WINDOW_S * mean_age_s
+        return self._placed.total() / WINDOW_S * mean_age_s
 
     def _pause_s(self) -> float:
         return min(MAX_DIGEST_S, max(MIN_DIGEST_S, self.size * DIGEST_S_PER_MEMBER))
 
-    def _current_loads(self, now_s: float) -> list[EndpointLoad]:
-        start_s = now_s - READING_WINDOW_S
+    def _current_loads(self) -> list[EndpointLoad]:
         loads = []
         for point in list(self._totals.keys() | self._reading.keys()):
             given = self._reading.get(point)
-            while given and given[0][0] < start_s:
-                given.popleft()
-            if given is not None and not given:
+            reading = given.total() if given is not None else 0
+            if given is not None and given.is_empty:
                 del self._reading[point]
-            reading = sum(tokens for _, tokens in given) if given else 0
             work = self._totals.get(point, NO_WORK)
             if reading or work != NO_WORK:
                 loads.append(EndpointLoad(point, work, reading))
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
@@ -24,7 +24,7 @@
     from primroseferry_policy.prompt import PartId
     from primroseferry_policy.prompt import PromptPart
 
-    from ..endpoints.catalog import EndpointRun
+    from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointPoint
     from .peer import ControlFacts
     from .peer import Peer
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -42,6 +42,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Mapping
 
     from primroseferry_core.ids import EndpointId
@@ -50,7 +51,7 @@
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.endpoint_loads import OpenWork
 
-    from ..endpoints.catalog import EndpointRun
+    from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointPoint
     from ..relay_policy import Placed
     from .datagrams import Datagram
@@ -75,6 +76,8 @@
 # A gateway that no collector answers asks its seeds and some other addresses so often.
 SEARCH_S = 0.3
 SEARCH_SAMPLE = 4
+# Addresses of gateways that are not known to live, told each time how the region stands.
+UNKNOWN_SAMPLE = 2
 # How often a collector looks for gateways of its region that follow others.
 MERGE_S = 3.0
 # Updates of one's own that are remembered, to take them out of what a digest adds up.
@@ -316,9 +319,7 @@
         if not self._collector.serves():
             self._pass_on(summary)
         self._far_collectors[summary.region] = summary.collector
-        self._peers.add_candidates(
-            one for one in (summary.collector, *summary.others) if one != self._own.address.report
-        )
+        self._peers.add_candidates((summary.collector, *summary.others))
         if not self._peers.put_summary(summary):
             self._ask_roster(summary.region, summary.collector)
         self._collector.hear_summary(summary)
@@ -345,10 +346,10 @@
             or facts.peer.state is not self._own.state
         )
         if is_news or now_s - self._update_s >= HEARTBEAT_S:
-            self._send_update(now_s)
+            self._send_update(now_s, facts)
 
-    def _send_update(self, now_s: float) -> None:
-        update = self._next_update(now_s)
+    def _send_update(self, now_s: float, facts: OwnFacts | None = None) -> None:
+        update = self._next_update(now_s, facts or self._own_facts())
         others = [one for one in self._targets if one.peer.instance != self._own.instance]
         follows_itself = any(
             one.wants_digest for one in self._targets if one.peer.instance == self._own.instance
@@ -369,8 +370,7 @@
         if not others or self._is_view_lost or (follows_nobody and not is_followed):
             self._search(update, now_s)
 
-    def _next_update(self, now_s: float) -> MemberUpdate:
-        facts = self._own_facts()
+    def _next_update(self, now_s: float, facts: OwnFacts) -> MemberUpdate:
         self._own = facts.peer
         self._sequence += 1
         self._update_s = now_s
@@ -393,7 +393,7 @@
 
     def _send_update_to(self, address: str) -> None:
         if address != self._own.address.report:
-            update = self._next_update(self._clock_s())
+            update = self._next_update(self._clock_s(), self._own_facts())
             self._send(address, encode(replace(update, wants_digest=True)))
 
     def _search(self, update: MemberUpdate, now_s: float) -> None:
@@ -401,10 +401,8 @@
         if now_s - self._search_s < SEARCH_S:
             return
         self._search_s = now_s
-        known = [one for one in self._peers.candidates() if one != self._own.address.report]
-        chosen = self._random.sample(known, min(SEARCH_SAMPLE, len(known)))
         data = encode(replace(update, wants_digest=True))
-        for address in chosen:
+        for address in self._draw_candidates(SEARCH_SAMPLE, besides=()):
             self._send(address, data)
 
     def _known_members(self, now_s: float) -> list[Peer]:
@@ -499,20 +497,20 @@
             elif live:
                 found.append(self._random.choice(sorted(live)))
         known = {peer.address.report for peer in self._peers.live()}
-        unknown = [
-            one
-            for one in self._peers.candidates()
-            if one not in known and one != self._own.address.report
-        ]
-        return [*found, *self._random.sample(unknown, min(2, len(unknown)))]
+        return [*found, *self._draw_candidates(UNKNOWN_SAMPLE, known)]
 
     def _look_for_strangers(self) -> None:
         """Ask an address that does not follow this collector which gateways it knows."""
         known = {peer.address.report for peer in self._collector.roster().peers}
-        others = [one for one in self._peers.candidates() if one not in known]
-        if others:
-            wanted = RosterWanted(self._own.address.report, (self._own.region,))
-            self._send(self._random.choice(others), encode(wanted))
+        wanted = RosterWanted(self._own.address.report, (self._own.region,))
+        for address in self._draw_candidates(1, known):
+            self._send(address, encode(wanted))
+
+    def _draw_candidates(self, most: int, besides: Collection[str]) -> list[str]:
+        """Return some addresses at which other gateways may listen."""
+        own = self._own.address.report
+        others = [one for one in self._peers.candidates() if one != own and one not in besides]
+        return self._random.sample(others, min(most, len(others)))
 
     def _send_far_parts(self) -> None:
         parts = self._collector.take_far_out()
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -15,7 +15,7 @@
 
     from ..control.peer_sync import PeerSync
     from ..endpoints.catalog import EndpointCatalog
-    from ..endpoints.catalog import EndpointRun
+    from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointPoint
     from ..relay_policy import RelayPolicy
     from ..routes.route_table import RouteTable
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -20,7 +20,7 @@
 
     from primroseferry_core.ids import ServiceId
 
-    from ..endpoints.catalog import EndpointRun
+    from ..endpoints.endpoint import EndpointRun
     from ..relay_policy import Placed
     from .datagrams import Blame
     from .exchange import ExchangeFeed
--- a/packages/primroseferry-relay/tests/relay_tests/fleet_play.py
+++ b/packages/primroseferry-relay/tests/relay_tests/fleet_play.py
@@ -34,7 +34,7 @@
     from collections.abc import Mapping
 
     from primroseferry_policy.prompt import PromptPart
-    from primroseferry_relay.endpoints.catalog import EndpointRun
+    from primroseferry_relay.endpoints.endpoint import EndpointRun
     from primroseferry_relay.endpoints.endpoint_point import EndpointPoint
     from primroseferry_relay.membership.datagrams import Blame
     from primroseferry_relay.membership.datagrams import Digest
--- a/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
@@ -42,7 +42,7 @@
 
     from primroseferry_relay.decision import DecisionRecord
     from primroseferry_relay.dialect import SendOrder
-    from primroseferry_relay.endpoints.catalog import EndpointRun
+    from primroseferry_relay.endpoints.endpoint import EndpointRun
     from primroseferry_relay.membership.datagrams import Blame
     from primroseferry_transport.curl_loop import CurlLoop
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_codec.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_codec.py
@@ -17,7 +17,7 @@
 from primroseferry_policy.endpoint_loads import OpenWork
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
-from primroseferry_relay.endpoints.catalog import EndpointRun
+from primroseferry_relay.endpoints.endpoint import EndpointRun
 from primroseferry_relay.endpoints.endpoint_point import endpoint_point
 from primroseferry_relay.membership import codec
 from primroseferry_relay.membership.codec import MAX_DATAGRAM_BYTES
--- a/packages/primroseferry-relay/tests/relay_tests/test_exchange.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_exchange.py
@@ -12,7 +12,7 @@
 from primroseferry_policy.endpoint_loads import OpenWork
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
-from primroseferry_relay.endpoints.catalog import EndpointRun
+from primroseferry_relay.endpoints.endpoint import EndpointRun
 from primroseferry_relay.endpoints.endpoint_point import endpoint_point
 from primroseferry_relay.membership.datagrams import Blame
 from primroseferry_relay.membership.datagrams import FarPart
--- a/packages/primroseferry-transport/tests/test_curl_loop.py
+++ b/packages/primroseferry-transport/tests/test_curl_loop.py
@@ -4,7 +4,6 @@
 import threading
 from typing import TYPE_CHECKING
 
-import pytest
 from primroseferry_transport.calls import FailureStage
 from primroseferry_transport.calls import HttpCall
 from primroseferry_transport.curl_loop import CurlLoop
@@ -14,18 +13,10 @@
 from werkzeug.wrappers import Response
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
 
     from primroseferry_transport.serving import Exchange
 
 
-@pytest.fixture
-def loop() -> Iterator[CurlLoop]:
-    running = CurlLoop("test")
-    yield running
-    running.close()
-
-
 class RawServer:
     """Answers the first request of each connection and drops the connection at the second."""
 
