--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -29,7 +29,9 @@
 # A gateway that holds nothing yet serves nobody, so it asks again sooner.
 MAX_EMPTY_RETRY_S = 0.5
 # How often a gateway that waits at its start looks whether another one told it what is there.
-START_CHECK_S = 0.05
+START_CHECK_S = 0.02
+# How long the help of a peer is waited for: a fetch from another region, and a second one.
+MAX_HELPED_S = 1.0
 # How often a gateway that leaves watching to its peers looks whether it is needed.
 DUTY_CHECK_S = 0.5
 # An outage shorter than this cannot have let entries lapse.
@@ -37,16 +39,14 @@
 
 
 class StartRole(Enum):
-    """How long a gateway that starts leaves the first listing to others, as bounds in seconds.
+    """How long a gateway waits before its first listing, as bounds in seconds of a random time.
 
-    Gateways that start together do not all list the store: the first tell the others. Those that
-    the others ask list at once. In a fleet that starts for the first time, callers come later and
-    the others can wait; after a restart each moment without routes is one of an outage.
+    In a fleet that starts for the first time, callers come later, and those that the others ask
+    list for all. After a restart each moment without routes is one of an outage.
     """
 
-    ASKED = (0.0, 0.15)
+    AT_ONCE = (0.0, 0.15)
     FIRST_START = (0.8, 1.6)
-    RESTART = (0.05, 0.35)
 
 
 class StoreWatch:
@@ -59,14 +59,17 @@
         prefix: str,
         on_return: Callable[[], None],
         is_on_duty: Callable[[], bool],
-        role: StartRole = StartRole.ASKED,
+        role: StartRole = StartRole.AT_ONCE,
+        is_helped: Callable[[], bool] = lambda: False,
     ) -> None:
+        """``is_helped``: a peer is known that holds items, so that they are fetched from it."""
         self._store = store
         self._state = state
         self._prefix = prefix
         self._on_return = on_return
         self._is_on_duty = is_on_duty
         self._role = role
+        self._is_helped = is_helped
         self._random = random.Random()
         self._retry_s = FIRST_RETRY_S
         self._started_s = time.monotonic()
@@ -106,9 +109,13 @@
                 time.sleep(MAX_EMPTY_RETRY_S)
 
     def _wait_for_others(self) -> None:
-        """Give the gateways that start first the time to tell this one what the store holds."""
+        """Leave the first listing to others, where there are some."""
         until_s = self._started_s + self._random.uniform(*self._role.value)
-        while time.monotonic() < until_s and self._state.revision == 0:
+        helped_until_s = self._started_s + MAX_HELPED_S
+        while self._state.revision == 0:
+            limit_s = max(until_s, helped_until_s) if self._is_helped() else until_s
+            if time.monotonic() >= limit_s:
+                return
             time.sleep(START_CHECK_S)
 
     def _list(self) -> int | None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -137,6 +137,7 @@
                 self._catalog.note_store_returned,
                 self._duty.is_on_duty,
                 _start_role(settings, self._reporter.address),
+                lambda: bool(self._peers.ahead_of(0)),
             )
             for prefix in control_dialect.prefixes
         ]
@@ -366,9 +367,8 @@
 
 
 def _start_role(settings: RelaySettings, report_address: str) -> StartRole:
-    if report_address in settings.seeds:
-        return StartRole.ASKED
-    return StartRole.FIRST_START if settings.is_first_start else StartRole.RESTART
+    leaves_it_to_seeds = settings.is_first_start and report_address not in settings.seeds
+    return StartRole.FIRST_START if leaves_it_to_seeds else StartRole.AT_ONCE
 
 
 def run_relay(gateway: RelayGateway) -> NoReturn:
--- a/packages/primroseferry-relay/tests/relay_tests/test_store_watch.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_store_watch.py
@@ -10,6 +10,7 @@
 from primroseferry_relay.control.counted_store import CountedStore
 from primroseferry_relay.control.counted_store import StoreCallLabels
 from primroseferry_relay.control.metadata_store import StoredItem
+from primroseferry_relay.control.store_watch import MAX_HELPED_S
 from primroseferry_relay.control.store_watch import StartRole
 from primroseferry_relay.control.store_watch import StoreWatch
 
@@ -29,9 +30,13 @@
         return super().list_items(prefix)
 
 
-def _start(store: RecordingStore, role: StartRole, is_on_duty: bool = True) -> StoreWatch:
+def _start(
+    store: RecordingStore, role: StartRole, is_on_duty: bool = True, is_helped: bool = False
+) -> StoreWatch:
     state = ControlState(lambda _item: None)
-    watch = StoreWatch(CountedStore(store), state, "x/", lambda: None, lambda: is_on_duty, role)
+    watch = StoreWatch(
+        CountedStore(store), state, "x/", lambda: None, lambda: is_on_duty, role, lambda: is_helped
+    )
     watch.start()
     return watch
 
@@ -56,9 +61,27 @@
     watch.stop()
 
 
+def test_restarted_gateway_leaves_the_listing_to_a_peer_that_holds_items_for_a_while() -> None:
+    store = RecordingStore()
+    watch = _start(store, StartRole.AT_ONCE, is_helped=True)
+    assert not store.listed.wait(MAX_HELPED_S * 0.7)
+    assert store.listed.wait(MAX_HELPED_S * 0.3 + 5)
+    watch.stop()
+
+
+def test_restarted_gateway_that_nobody_helps_lists_at_once() -> None:
+    """After a power loss of the whole fleet each moment without routes is an outage."""
+    store = RecordingStore()
+    started_s = time.monotonic()
+    watch = _start(store, StartRole.AT_ONCE)
+    assert store.listed.wait(5)
+    assert time.monotonic() - started_s < MAX_HELPED_S * 0.7
+    watch.stop()
+
+
 def test_gateway_off_duty_never_asks_the_store() -> None:
     store = RecordingStore()
-    watch = _start(store, StartRole.RESTART, is_on_duty=False)
+    watch = _start(store, StartRole.AT_ONCE, is_on_duty=False)
     assert not store.listed.wait(1.0)
     assert watch.age_ms == float("inf")
     watch.stop()
