--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -60,8 +60,9 @@
     def clear(self, fingerprint: Fingerprint) -> None:
         """Note that an endpoint answered the request whole."""
         with self._lock:
-            if fingerprint in self._blamed:
+            if fingerprint in self._blamed and fingerprint not in self._cleared:
                 self._cleared.add(fingerprint)
+                log_event(Event.FINGERPRINT_CLEARED, fingerprint=fingerprint)
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Whether no further endpoint is given the request."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/decision.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -31,6 +31,7 @@
     status: int = 0
     attempts: list[str] = field(default_factory=list)
     options: str = ""
+    fingerprint: str = ""
 
     def note_options(self, local: LocalOption | None, remote: RegionOption | None) -> None:
         """Note the best options of a choice with their expected times."""
@@ -61,6 +62,7 @@
     def log(self) -> None:
         """Write the record."""
         is_good = self.outcome in ("answered", "caller-left")
+        extra = {} if is_good else {"fingerprint": self.fingerprint}
         log_event(
             Event.REQUEST_DONE if is_good else Event.REQUEST_REFUSED,
             request_id=self.request_id,
@@ -72,6 +74,7 @@
             reason=self.reason,
             attempts=" | ".join(self.attempts),
             duration_ms=self.elapsed_ms,
+            **extra,
         )
 
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -315,6 +315,8 @@
             dropped_lines(),
             self._reporter.collected,
             self._store.counts(),
+            self._local.crashes.verdicts(),
+            len(self._policy.quarantine.quarantined()),
         )
 
     def _dump(self) -> dict[str, object]:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
@@ -19,6 +19,7 @@
     from aioprometheus.collectors import Registry
 
     from ..control.counted_store import StoreCallLabels
+    from ..crash_judge import Verdict
     from ..decision import DecisionRecord
 
 DURATION_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 4.0, 8.0, 16.0]
@@ -47,6 +48,8 @@
     log_lines_dropped: int
     collected_members: int
     store_calls: Mapping[StoreCallLabels, int]
+    crash_verdicts: Mapping[Verdict, int]
+    quarantined: int
 
 
 class RelayMetrics:
@@ -100,6 +103,10 @@
         store_calls = CounterCollector("primroseferry_store_calls_total", "Calls on the store.")
         for call, count in gauges.store_calls.items():
             store_calls.set({"call": call.call, "outcome": call.outcome}, count)
+        verdicts = CounterCollector("primroseferry_lost_attempts_total", "Losses by verdict.")
+        for verdict, count in gauges.crash_verdicts.items():
+            verdicts.set({"verdict": verdict.value}, count)
+        registry.register(verdicts)
         registry.register(requests)
         registry.register(attempts)
         registry.register(store_calls)
@@ -110,6 +117,7 @@
             ("live_gateways", "Gateways that live, with this one.", gauges.live_gateways),
             ("store_age_seconds", "Since the store last answered.", gauges.store_age_ms / 1000),
             ("collected_members", "Gateways that tell this one.", gauges.collected_members),
+            ("quarantined_requests", "Requests that are given no endpoint.", gauges.quarantined),
             ("log_lines_dropped", "Log lines dropped lately.", gauges.log_lines_dropped),
         ):
             gauge = Gauge(f"primroseferry_{name}", text)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -8,9 +8,7 @@
 from typing import Protocol
 
 from primroseferry_core.events import Event
-from primroseferry_core.hashing import fingerprint_of
 from primroseferry_core.hashing import rendezvous_order
-from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
 from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_policy.endpoint_loads import OpenWork
@@ -29,10 +27,10 @@
 from .attempts.outcome import NotRun
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
+from .crash_judge import BlameTeller
+from .crash_judge import CrashJudge
 from .dialect import SendOrder
-from .endpoints.probe import is_listening
 from .endpoints.sample import choose_sample
-from .membership.datagrams import Blame
 from .membership.peer import ServiceSummary
 from .relay_policy import Placed
 
@@ -107,15 +105,12 @@
         return max(0.0, (self.deadline_s - time.monotonic()) * 1000)
 
 
-class PeerTeller(Protocol):
+class PeerTeller(BlameTeller, Protocol):
     """Tells the other gateways what attempts bring about."""
 
     def tell_placed(self, placed: Placed) -> None:
         """Tell the region's gateways of a request that an endpoint was just given."""
 
-    def tell_blame(self, blame: Blame) -> None:
-        """Tell every gateway of a request that an endpoint died of."""
-
     def tell_leaving(self, run: EndpointRun) -> None:
         """Tell the region's gateways of an endpoint that says that it leaves."""
 
@@ -140,6 +135,7 @@
         self._peers = peers
         self._policy = policy
         self._teller = teller
+        self.crashes = CrashJudge(policy.quarantine, teller)
 
     def rank(
         self,
@@ -241,7 +237,7 @@
         finally:
             policy.loads.end(opened)
         self._learn(option, service, call, opened, outcome)
-        self._judge(endpoint, plan.request, outcome)
+        self.crashes.judge(endpoint, plan.request, plan.request_id, outcome)
         return outcome
 
     def rest_left_s(self, service: Service) -> float:
@@ -378,28 +374,6 @@
             case _:
                 policy.breakers.release(name)
 
-    def _judge(self, endpoint: Endpoint, request: RelayRequest, outcome: AttemptOutcome) -> None:
-        """Blame a request for its endpoint's death, if that is dead and not only the connection.
-
-        Requests without a body look all alike and are not told apart by a fingerprint.
-        """
-        quarantine = self._policy.quarantine
-        match outcome:
-            case Lost(is_death=True) | StreamBroken(is_death=True) if request.body:
-                if is_listening(endpoint.address):
-                    return
-                fingerprint = fingerprint_of_request(request)
-                death = f"{endpoint.endpoint}/{endpoint.started_ms}@{int(time.time())}"
-                quarantine.blame(fingerprint, [death])
-                self._teller.tell_blame(Blame(fingerprint, death))
-            case Answered(is_failure=False) | StreamEnded():
-                quarantine.clear(fingerprint_of_request(request))
-
-
-def fingerprint_of_request(request: RelayRequest) -> Fingerprint:
-    """Return what a request is known by when it comes again; it tells nothing of the content."""
-    return Fingerprint(fingerprint_of("", request.target, request.body))
-
 
 class _CountingSink:
     """Passes a stream on and notes its first event."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
 from primroseferry_policy.far_parts import PartReading
 
 if TYPE_CHECKING:
@@ -69,6 +71,7 @@
 
     def hear_blame(self, blame: Blame) -> None:
         """Take in a request that an endpoint died of."""
+        log_event(Event.BLAME_HEARD, fingerprint=blame.fingerprint, death=blame.death)
         self._policy.quarantine.blame(blame.fingerprint, [blame.death])
 
     def hear_leaving(self, run: EndpointRun) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -19,11 +19,11 @@
 from .attempts.outcome import NotRun
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
+from .crash_judge import fingerprint_of_request
 from .ingress.answer_channel import ChannelState
 from .ingress.channel_sink import ChannelSink
 from .local_attempts import AttemptPlan
 from .local_attempts import LocalOption
-from .local_attempts import fingerprint_of_request
 from .messages import problem_answer
 from .region_choice import RegionOption
 from .region_choice import prefers_region
@@ -119,6 +119,7 @@
         if facts.deadline_ms is not None:
             limit_ms = min(limit_ms, facts.deadline_ms)
         self._fingerprint = fingerprint_of_request(request)
+        record.fingerprint = self._fingerprint
         self._plan = AttemptPlan(
             request,
             facts.request_id,
