--- a/packages/primroseferry-policy/tests/test_shared_limits.py
+++ b/packages/primroseferry-policy/tests/test_shared_limits.py
@@ -169,3 +169,37 @@
     assert reading.tokens_per_s(ENDPOINT) == 10_000
     clock.now_s += 0.6
     assert reading.tokens_per_s(ENDPOINT) == 1_000
+
+
+def repeats_of_fleet_that_fails(
+    budgets: list[SharedRetryBudget], clock: Clock, seconds: float, seen: list[int]
+) -> list[float]:
+    """Let each request fail and each gateway believe ``seen`` gateways to live."""
+    source = random.Random(3)
+    repeats = []
+    until_s = clock.now_s + seconds
+    while clock.now_s < until_s:
+        clock.now_s += source.expovariate(16.0)
+        number = source.randrange(len(budgets))
+        budgets[number].note_request(SERVICE)
+        repeats += [clock.now_s for _ in range(3) if budgets[number].spend(SERVICE, seen[number])]
+    return repeats
+
+
+def test_gateways_that_cannot_see_each_other_stay_within_the_shared_budget() -> None:
+    clock = Clock()
+    budgets = [SharedRetryBudget(10.0, 0.2, 52.0, clock) for _ in range(6)]
+    repeats_of_fleet_that_fails(budgets, clock, 15.0, [6] * 6)
+    clock.now_s += 20.0
+    repeats = repeats_of_fleet_that_fails(budgets, clock, 10.0, [1] * 6)
+    assert len(repeats) <= 0.2 * 160 + 52
+
+
+def test_fleet_that_restarts_stays_within_the_shared_budget() -> None:
+    clock = Clock()
+    repeats = []
+    for _ in range(3):
+        budgets = [SharedRetryBudget(10.0, 0.2, 52.0, clock) for _ in range(6)]
+        repeats += repeats_of_fleet_that_fails(budgets, clock, 1.0, [1] * 6)
+        repeats += repeats_of_fleet_that_fails(budgets, clock, 2.0, [6] * 6)
+    assert len(repeats) <= 0.2 * 16 * 9 + 52
--- a/packages/primroseferry-relay/tests/relay_tests/fleet_play.py
+++ b/packages/primroseferry-relay/tests/relay_tests/fleet_play.py
@@ -18,7 +18,9 @@
 from primroseferry_core.ids import RegionId
 from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_policy.endpoint_loads import OpenWork
+from primroseferry_policy.quarantine import Quarantine
 from primroseferry_relay.endpoints.endpoint_point import endpoint_point
+from primroseferry_relay.membership.datagrams import Blame
 from primroseferry_relay.membership.exchange import Exchange
 from primroseferry_relay.membership.exchange import OwnFacts
 from primroseferry_relay.membership.peer import ControlFacts
@@ -33,10 +35,10 @@
     from collections.abc import Iterable
     from collections.abc import Mapping
 
+    from primroseferry_core.ids import Fingerprint
     from primroseferry_policy.prompt import PromptPart
     from primroseferry_relay.endpoints.endpoint import EndpointRun
     from primroseferry_relay.endpoints.endpoint_point import EndpointPoint
-    from primroseferry_relay.membership.datagrams import Blame
     from primroseferry_relay.membership.datagrams import Digest
 
 NEAR_S = 0.0005
@@ -79,12 +81,13 @@
 class PlayedFeed:
     """Keeps what an exchange makes of digests."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Callable[[], float]) -> None:
         self.loads: dict[EndpointPoint, OpenWork] = {}
         self.own: Mapping[EndpointPoint, OpenWork] = {}
         self.parts: list[tuple[EndpointPoint, tuple[PromptPart, ...]]] = []
         self.far_parts: list[object] = []
         self.blames: list[Blame] = []
+        self.quarantine = Quarantine(clock)
         self.leaving: list[EndpointRun] = []
         self.lost = 0
 
@@ -103,6 +106,7 @@
 
     def hear_blame(self, blame: Blame) -> None:
         self.blames.append(blame)
+        self.quarantine.blame(blame.fingerprint, [blame.death])
 
     def hear_leaving(self, run: EndpointRun) -> None:
         self.leaving.append(run)
@@ -136,7 +140,7 @@
         peers = PeerTable(InstanceId(name), RegionId(region), self.clock)
         peers.own_state = GatewayState.READY
         peers.add_candidates(seeds)
-        feed = PlayedFeed()
+        feed = PlayedFeed(self.clock)
         base = Peer(
             InstanceId(name),
             IncarnationId(incarnation),
@@ -192,6 +196,11 @@
         gateway.open[name] = gateway.open.get(name, NO_WORK) + work
         gateway.exchange.tell_placed(Placed(name, work, parts))
 
+    def blame(self, gateway: PlayedGateway, fingerprint: Fingerprint, death: str) -> None:
+        """Let a gateway see an endpoint die of a request."""
+        gateway.feed.quarantine.blame(fingerprint, [death])
+        gateway.exchange.tell_blame(Blame(fingerprint, death))
+
     def finish(self, gateway: PlayedGateway, endpoint: str) -> None:
         """Let a request end."""
         name = EndpointId(endpoint)
--- a/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
@@ -105,8 +105,14 @@
     """The relay and a way to call it byte by byte."""
 
     def __init__(
-        self, loop: CurlLoop, endpoints: Sequence[ScriptedEndpoint], has_table: bool = True
+        self,
+        loop: CurlLoop,
+        endpoints: Sequence[ScriptedEndpoint],
+        has_table: bool = True,
+        prefix: str = "e",
+        policy: RelayPolicy | None = None,
     ) -> None:
+        """Endpoints are named by ``prefix`` and their number; ``policy`` may be another relay's."""
         self.records: list[DecisionRecord] = []
         self.placed: list[Placed] = []
         self.blames: list[Blame] = []
@@ -115,7 +121,7 @@
         for number, endpoint in enumerate(endpoints):
             self.catalog.put(
                 Endpoint(
-                    EndpointId(f"e-{number}"),
+                    EndpointId(f"{prefix}-{number}"),
                     SERVICE.name,
                     endpoint.address,
                     FailureDomainId("north-a"),
@@ -131,7 +137,7 @@
             self.table = build_route_table(4, ROUTES, [SERVICE], LIMITS)
         self.peers = peers = PeerTable(InstanceId("g-1"), NORTH)
         peers.own_state = GatewayState.READY
-        self.policy = RelayPolicy(SharedRetryBudget(10, 0.2, 50))
+        self.policy = policy or RelayPolicy(SharedRetryBudget(10, 0.2, 50))
         dialect = TestDialect()
         self.local = local = LocalAttempts(
             NORTH,
--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
@@ -0,0 +1,180 @@
+"""Requests that end the endpoints that run them are not sent on, and others do not pay for it."""
+
+from __future__ import annotations
+
+import socket
+import time
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import pytest
+from primroseferry_core.ids import EndpointId
+from primroseferry_relay.routes.route_table import build_route_table
+
+from .relay_bench import LIMITS
+from .relay_bench import ROUTES
+from .relay_bench import RelayBench
+from .relay_bench import read_all
+from .relay_bench import request_bytes
+from .scripted_endpoint import Received
+from .scripted_endpoint import ScriptedEndpoint
+from .scripted_endpoint import answer
+from .scripted_endpoint import reset
+from .test_route_table import SERVICE
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from primroseferry_transport.curl_loop import CurlLoop
+
+DEADLY = b"deadly"
+
+
+def endpoint_that(
+    end: Callable[[ScriptedEndpoint, socket.socket, Received], None],
+) -> ScriptedEndpoint:
+    """Return an endpoint that ends so under a deadly request and serves all others."""
+
+    def script(connection: socket.socket, request: Received) -> None:
+        if request.body == DEADLY or "/deadly" in request.head:
+            end(endpoint, connection, request)
+        else:
+            connection.sendall(answer(request))
+
+    endpoint = ScriptedEndpoint(script)
+    return endpoint
+
+
+def die(endpoint: ScriptedEndpoint, connection: socket.socket, _request: Received) -> None:
+    endpoint.close()
+    reset(connection)
+
+
+def mortals(count: int) -> list[ScriptedEndpoint]:
+    return [endpoint_that(die) for _ in range(count)]
+
+
+def sends(endpoints: list[ScriptedEndpoint]) -> int:
+    return sum(
+        request.body == DEADLY or "/deadly" in request.head
+        for endpoint in endpoints
+        for request in endpoint.requests
+    )
+
+
+def status_of(data: bytes) -> int:
+    return int(data.split()[1])
+
+
+@pytest.mark.parametrize("path", ["/safe/deadly", "/once/deadly", "/stream/deadly"])
+def test_request_without_body_that_kills_two_endpoints_is_given_no_third(
+    loop: CurlLoop, path: str
+) -> None:
+    endpoints = mortals(6)
+    bench = RelayBench(loop, endpoints)
+    for _ in range(4):
+        bench.call(path)
+    assert sends(endpoints) == 2
+
+
+def test_request_that_kills_two_endpoints_in_one_run_is_given_no_third(loop: CurlLoop) -> None:
+    endpoints = mortals(6)
+    bench = RelayBench(loop, endpoints)
+    patient = [replace(route, max_attempts=5) for route in ROUTES]
+    bench.table = build_route_table(5, patient, [SERVICE], LIMITS)
+    assert status_of(bench.call("/safe/", "POST", body=DEADLY)) == 502
+    assert sends(endpoints) == 2
+
+
+def test_refusal_of_another_endpoint_does_not_clear_a_deadly_request(loop: CurlLoop) -> None:
+    def refuse(_endpoint: ScriptedEndpoint, connection: socket.socket, request: Received) -> None:
+        connection.sendall(answer(request, "400 Bad Request"))
+
+    first = RelayBench(loop, mortals(1), prefix="first")
+    first.call("/once/", "POST", body=DEADLY)
+    second = RelayBench(loop, [endpoint_that(refuse)], prefix="second", policy=first.policy)
+    second.call("/once/", "POST", body=DEADLY)
+    endpoints = mortals(4)
+    third = RelayBench(loop, endpoints, prefix="third", policy=first.policy)
+    for _ in range(4):
+        third.call("/once/", "POST", body=DEADLY)
+    assert sends(endpoints) == 1
+
+
+def test_request_that_breaks_four_connections_of_living_endpoints_is_given_no_fifth(
+    loop: CurlLoop,
+) -> None:
+    endpoints = [endpoint_that(lambda _endpoint, one, _request: reset(one)) for _ in range(8)]
+    bench = RelayBench(loop, endpoints)
+    for _ in range(8):
+        bench.call("/once/", "POST", body=DEADLY)
+    assert sends(endpoints) == 4
+
+
+def test_endpoint_that_ended_in_silence_counts_as_dead(loop: CurlLoop) -> None:
+    def fall_silent(
+        endpoint: ScriptedEndpoint, _connection: socket.socket, _request: Received
+    ) -> None:
+        endpoint.close()
+        time.sleep(1.0)
+
+    endpoints = [endpoint_that(fall_silent) for _ in range(5)]
+    bench = RelayBench(loop, endpoints)
+    for _ in range(5):
+        before = [bool(endpoint.requests) for endpoint in endpoints]
+        bench.call("/short/", "POST", body=DEADLY)
+        for number, endpoint in enumerate(endpoints):
+            if endpoint.requests and not before[number]:
+                bench.catalog.remove(EndpointId(f"e-{number}"))
+    assert sends(endpoints) == 2
+
+
+def test_endpoint_replaced_while_its_caller_had_left_counts_as_dead(loop: CurlLoop) -> None:
+    def hang(_endpoint: ScriptedEndpoint, _connection: socket.socket, _request: Received) -> None:
+        time.sleep(1.0)
+
+    endpoints = [endpoint_that(hang) for _ in range(5)]
+    bench = RelayBench(loop, endpoints)
+    for _ in range(5):
+        before = sum(len(endpoint.requests) for endpoint in endpoints)
+        with bench.connect() as connection:
+            connection.sendall(request_bytes("/once/", "POST", body=DEADLY))
+            limit_s = time.monotonic() + 0.5
+            while sum(len(endpoint.requests) for endpoint in endpoints) == before:
+                if time.monotonic() > limit_s:
+                    break
+                time.sleep(0.01)
+        time.sleep(0.1)
+        for name, held in list(bench.catalog.entries().items()):
+            number = int(name.removeprefix("e-"))
+            if len(endpoints[number].requests) > held.started_ms - 1:
+                bench.catalog.put(replace(held, started_ms=held.started_ms + 1))
+    assert sends(endpoints) == 2
+
+
+def test_stream_without_length_that_ends_with_its_endpoint_is_no_whole_answer(
+    loop: CurlLoop,
+) -> None:
+    def break_off(endpoint: ScriptedEndpoint, connection: socket.socket, request: Received) -> None:
+        head = f"HTTP/1.1 200 OK\r\nX-Id: {request.header('x-id')}\r\nX-Signed: yes\r\n\r\n"
+        connection.sendall(head.encode() + b"id: 1\ndata: a\n\nid: 2\nda")
+        endpoint.close()
+
+    endpoints = [endpoint_that(break_off) for _ in range(5)]
+    bench = RelayBench(loop, endpoints)
+    for _ in range(5):
+        bench.call("/stream/", "POST", body=DEADLY)
+    assert sends(endpoints) == 2
+
+
+def test_same_request_of_another_caller_is_not_refused(loop: CurlLoop) -> None:
+    endpoints = mortals(3)
+    bench = RelayBench(loop, endpoints)
+    for _ in range(3):
+        bench.call("/safe/deadly")
+    assert sends(endpoints) == 2
+    address = ("127.0.0.1", bench.listener.port)
+    with socket.create_connection(address, source_address=("127.9.9.9", 0)) as connection:
+        connection.sendall(request_bytes("/safe/deadly", headers="Connection: close\r\n"))
+        read_all(connection)
+    assert sends(endpoints) == 3
--- a/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
@@ -26,6 +26,7 @@
 from .scripted_endpoint import Received
 from .scripted_endpoint import ScriptedEndpoint
 from .scripted_endpoint import answer
+from .scripted_endpoint import reset
 from .test_route_table import SERVICE
 
 if TYPE_CHECKING:
@@ -56,9 +57,9 @@
     return ScriptedEndpoint(script)
 
 
-def hop_listener(loop: CurlLoop, endpoint: ScriptedEndpoint) -> Listener:
-    """Return a listener of a hop server before one endpoint."""
-    bench = RelayBench(loop, [endpoint])
+def hop_listener(loop: CurlLoop, *endpoints: ScriptedEndpoint) -> Listener:
+    """Return a listener of a hop server before some endpoints."""
+    bench = RelayBench(loop, endpoints)
     sync = PeerSync(loop, bench.peers, ControlState(lambda _item: None), WatchDuty(bench.peers))
     server = HopServer(
         NORTH, INCARNATION, loop, TestDialect(), lambda: bench.table, bench.local, sync
@@ -125,3 +126,20 @@
     listener.start()
     assert b"X-Primroseferry-Outcome: refused" in send(bench, listener, ORDER)
     assert endpoint.requests == []
+
+
+def test_deadly_request_of_another_region_is_given_no_third_endpoint(loop: CurlLoop) -> None:
+    def mortal() -> ScriptedEndpoint:
+        def script(connection: socket.socket, _request: Received) -> None:
+            endpoint.close()
+            reset(connection)
+
+        endpoint = ScriptedEndpoint(script)
+        return endpoint
+
+    endpoints = [mortal() for _ in range(4)]
+    listener = hop_listener(loop, *endpoints)
+    bench = RelayBench(loop, [])
+    for number in range(4):
+        send(bench, listener, replace(ORDER, hop_id=f"h{number}"))
+    assert sum(len(endpoint.requests) for endpoint in endpoints) == 2
