Hold every loss against its request that its endpoint did not survive

Cause: a death counted only where the request had a body, the connection broke, and a probe within 0.3 s met a closed port. A request without a body, an endpoint that fell silent or whose caller had left, a stream without length, a port that listens again, and one 400 in between were no evidence; and all callers that send the same request shared one fingerprint. Class: a belief formed once from one look, in place of what becomes known later.

Change: a suspicion is a joinable record of deaths, broken connections and what a whole answer has dropped. A loss that is not explained at once is remembered and becomes a death when the endpoint's entry lapses or names another run within 10 s, unless it was leaving. Only a whole success drops what came before it. The fingerprint holds the caller (credential, or address) and needs no body. A quarantined request is tried once more after 5 s, 60 s, 10 min, 1 h and 6 h, so that one that was only near two crashes is served again soon; its refusal says when.

Ruled out: counting timeouts as weak evidence (an overloaded engine times out for everybody).

--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -1,80 +1,155 @@
 """Requests that crash the endpoints that run them.
 
-Every request that was running on an endpoint when it died is blamed with that death. A request
-blamed with two deaths is quarantined. An innocent request that was batched with
-a crashing one is blamed once, and is cleared by the first endpoint that answers it whole: a request
-that crashes engines never gets an answer.
+Every request that was running on an endpoint when it died is blamed with that death; one whose
+connection broke on an endpoint that seems to live is suspected less. What was held against a
+request is dropped with its first whole answer: a request that crashes endpoints never gets one.
+
+A request with enough against it is quarantined. Where waits for trials are given, it is sent once
+more after each wait, so that one which was only near the crashes of others is served again soon;
+each further death makes the next wait longer.
 """
 
 from __future__ import annotations
 
+import struct
 import threading
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
+from .suspicion import DEATHS_TO_QUARANTINE
+from .suspicion import Suspicion
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from primroseferry_core.ids import Fingerprint
 
-DEATHS_TO_QUARANTINE = 2
-SAME_DEATH_S = 3
-# A blame is forgotten after this time, so that a quarantine ends.
+# A blame is forgotten after this time, so that a quarantine without trials ends.
 BLAME_TTL_S = 600.0
+# Long enough for every gateway to hear that a request was cleared.
+CLEARED_TTL_S = 60.0
+MAX_SUSPECTS = 1_024
+_POINT = struct.Struct(">Q")
+
+
+@dataclass(frozen=True, slots=True)
+class ToldSuspicion:
+    """A suspicion as gateways tell it, with the age of what was added to it last."""
+
+    suspicion: Suspicion
+    age_s: float
+
+
+@dataclass(slots=True)
+class _Suspect:
+    suspicion: Suspicion
+    point: int
+    seen_s: float
+    next_trial_s: float = float("-inf")
 
 
 class Quarantine:
-    """Which requests are blamed for which deaths, own observations and those heard from peers."""
+    """What is held against which requests, own observations and those heard from peers."""
 
     def __init__(
-        self, clock_s: Callable[[], float] = time.monotonic, ttl_s: float = BLAME_TTL_S
+        self,
+        clock_s: Callable[[], float] = time.monotonic,
+        ttl_s: float = BLAME_TTL_S,
+        trial_waits_s: Sequence[float] = (),
     ) -> None:
+        """``trial_waits_s`` are the waits from the quarantine's first level on, the last for all.
+
+        Without them a quarantine lasts ``ttl_s``.
+        """
         self._clock_s = clock_s
         self._ttl_s = ttl_s
-        self._blamed: dict[Fingerprint, set[str]] = {}
-        self._blamed_s: dict[Fingerprint, float] = {}
-        self._cleared: set[Fingerprint] = set()
+        self._trial_waits_s = tuple(trial_waits_s)
+        self._suspects: dict[Fingerprint, _Suspect] = {}
+        self._version = 0
         self._lock = threading.Lock()
 
     def blame(self, fingerprint: Fingerprint, deaths: Iterable[str]) -> list[str]:
-        """Add deaths to a request's blame and return all of them, sorted.
+        """Add deaths to a request's blame and return those that count, sorted.
 
         A death is written ``endpoint@seconds``; several gateways may see the same one at slightly
         different times.
         """
         with self._lock:
             self._expire()
-            self._blamed_s[fingerprint] = self._clock_s()
-            blamed = self._blamed.setdefault(fingerprint, set())
-            before = count_deaths(blamed)
-            blamed.update(deaths)
-            is_news = before < DEATHS_TO_QUARANTINE <= count_deaths(blamed)
-            if is_news and fingerprint not in self._cleared:
-                log_event(Event.FINGERPRINT_QUARANTINED, fingerprint=fingerprint)
-            return sorted(blamed)
+            added = Suspicion(fingerprint, deaths=frozenset(deaths))
+            return sorted(self._join(added, self._clock_s()).deaths)
+
+    def note_break(self, fingerprint: Fingerprint, observation: str) -> None:
+        """Note that a connection broke on an endpoint that seems to live on."""
+        with self._lock:
+            self._expire()
+            added = Suspicion(fingerprint, breaks=frozenset({observation}))
+            self._join(added, self._clock_s())
+
+    def confirm(self, fingerprint: Fingerprint, observation: str, death: str) -> None:
+        """Note that an endpoint on which a connection broke had died of it."""
+        with self._lock:
+            self._expire()
+            added = Suspicion(
+                fingerprint, frozenset({death}), dropped=frozenset({observation} - {""})
+            )
+            self._join(added, self._clock_s())
 
     def clear(self, fingerprint: Fingerprint) -> None:
-        """Note that an endpoint answered the request whole."""
+        """Note that an endpoint answered the request whole: nothing before that counts."""
         with self._lock:
-            if fingerprint in self._blamed and fingerprint not in self._cleared:
-                self._cleared.add(fingerprint)
-                log_event(Event.FINGERPRINT_CLEARED, fingerprint=fingerprint)
+            held = self._suspects.get(fingerprint)
+            if held is None or held.suspicion.is_empty:
+                return
+            against = held.suspicion.deaths | held.suspicion.breaks
+            self._join(Suspicion(fingerprint, dropped=against), self._clock_s())
+            held.next_trial_s = float("-inf")
+        log_event(Event.FINGERPRINT_CLEARED, fingerprint=fingerprint, observations=len(against))
+
+    def admit(self, fingerprint: Fingerprint) -> float:
+        """Return 0 where the request may be sent now, or for how many seconds it may not.
+
+        A quarantined request that may be sent is on trial; the next one comes after another wait.
+        """
+        with self._lock:
+            self._expire()
+            held = self._suspects.get(fingerprint)
+            if held is None or held.suspicion.level < DEATHS_TO_QUARANTINE:
+                return 0.0
+            now_s = self._clock_s()
+            left_s = self._trial_s(held) - now_s
+            if left_s > 0:
+                return left_s
+            level = held.suspicion.level
+            held.next_trial_s = now_s + self._wait_s(level)
+        log_event(Event.FINGERPRINT_ON_TRIAL, fingerprint=fingerprint, level=level)
+        return 0.0
+
+    def level(self, fingerprint: Fingerprint) -> int:
+        """Return how much is held against a request; see :class:`Suspicion`."""
+        with self._lock:
+            self._expire()
+            held = self._suspects.get(fingerprint)
+            return held.suspicion.level if held is not None else 0
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
-        """Whether no further endpoint is given the request."""
+        """Whether no further endpoint is given the request now."""
         with self._lock:
             self._expire()
-            blamed = self._blamed.get(fingerprint, set())
-            return self._is_condemned(fingerprint, blamed)
+            held = self._suspects.get(fingerprint)
+            return held is not None and self._is_held(held)
 
     def is_suspected(self, fingerprint: Fingerprint) -> bool:
-        """Whether the request was running on an endpoint that died."""
+        """Whether anything is held against the request."""
         with self._lock:
-            return fingerprint in self._blamed and fingerprint not in self._cleared
+            held = self._suspects.get(fingerprint)
+            return held is not None and not held.suspicion.is_empty
 
     def forget(self, fingerprint: Fingerprint) -> None:
         """Drop a blame whose time is over."""
@@ -84,42 +159,122 @@
     def quarantined(self) -> list[Fingerprint]:
         """Return the quarantined requests."""
         with self._lock:
-            return sorted(
-                fingerprint
-                for fingerprint, blamed in self._blamed.items()
-                if self._is_condemned(fingerprint, blamed)
+            return sorted(name for name, held in self._suspects.items() if self._is_held(held))
+
+    @property
+    def version(self) -> int:
+        """A hash of everything that is held, 0 for nothing: equal where two hold the same."""
+        with self._lock:
+            self._expire()
+            return self._version
+
+    def points(self) -> bytes:
+        """Return the hashes of all suspicions, eight bytes each."""
+        with self._lock:
+            self._expire()
+            return b"".join(_POINT.pack(held.point) for held in self._suspects.values())
+
+    def unknown_to(self, points: bytes) -> list[ToldSuspicion]:
+        """Return the suspicions that a gateway with these hashes does not hold."""
+        known = _unpacked(points)
+        with self._lock:
+            self._expire()
+            now_s = self._clock_s()
+            return [
+                ToldSuspicion(held.suspicion, now_s - held.seen_s)
+                for held in self._suspects.values()
+                if held.point not in known
+            ]
+
+    def lacks_any(self, points: bytes) -> bool:
+        """Whether a gateway with these hashes holds something that this one does not."""
+        with self._lock:
+            own = {held.point for held in self._suspects.values()}
+        return not _unpacked(points) <= own
+
+    def hear(self, told: Iterable[ToldSuspicion]) -> None:
+        """Take in what another gateway holds."""
+        with self._lock:
+            self._expire()
+            now_s = self._clock_s()
+            for one in told:
+                seen_s = now_s - one.age_s
+                if not self._is_over(one.suspicion, seen_s, now_s):
+                    self._join(one.suspicion, seen_s)
+
+    def find(self, fingerprint: Fingerprint) -> ToldSuspicion | None:
+        """Return what is held against a request."""
+        with self._lock:
+            held = self._suspects.get(fingerprint)
+            if held is None:
+                return None
+            return ToldSuspicion(held.suspicion, self._clock_s() - held.seen_s)
+
+    def _join(self, added: Suspicion, seen_s: float) -> Suspicion:
+        held = self._suspects.get(added.fingerprint)
+        before = held.suspicion if held is not None else Suspicion(added.fingerprint)
+        after = before.joined(added)
+        if after == before:
+            return after
+        if held is None:
+            held = self._suspects[added.fingerprint] = _Suspect(after, 0, seen_s)
+        held.suspicion = after
+        held.seen_s = max(held.seen_s, seen_s)
+        self._version ^= held.point
+        held.point = after.point
+        self._version ^= held.point
+        if before.level < after.level and after.level >= DEATHS_TO_QUARANTINE:
+            log_event(
+                Event.FINGERPRINT_QUARANTINED,
+                fingerprint=added.fingerprint,
+                level=after.level,
+                deaths=len(after.deaths),
+                breaks=len(after.breaks),
+                wait_s=self._wait_s(after.level),
             )
+        if len(self._suspects) > MAX_SUSPECTS:
+            weakest = min(
+                self._suspects.values(), key=lambda one: (one.suspicion.level, one.seen_s)
+            )
+            self._forget(weakest.suspicion.fingerprint)
+        return after
 
     def _forget(self, fingerprint: Fingerprint) -> None:
-        self._blamed.pop(fingerprint, None)
-        self._blamed_s.pop(fingerprint, None)
-        self._cleared.discard(fingerprint)
+        held = self._suspects.pop(fingerprint, None)
+        if held is not None:
+            self._version ^= held.point
 
     def _expire(self) -> None:
-        start_s = self._clock_s() - self._ttl_s
-        for fingerprint in [name for name, at in self._blamed_s.items() if at < start_s]:
-            self._forget(fingerprint)
+        now_s = self._clock_s()
+        over = [
+            name
+            for name, held in self._suspects.items()
+            if self._is_over(held.suspicion, held.seen_s, now_s)
+        ]
+        for name in over:
+            self._forget(name)
 
-    def _is_condemned(self, fingerprint: Fingerprint, blamed: set[str]) -> bool:
-        return count_deaths(blamed) >= DEATHS_TO_QUARANTINE and fingerprint not in self._cleared
+    def _is_over(self, suspicion: Suspicion, seen_s: float, now_s: float) -> bool:
+        ttl_s = self._ttl_s
+        if suspicion.is_empty:
+            ttl_s = min(CLEARED_TTL_S, ttl_s)
+        elif suspicion.level >= DEATHS_TO_QUARANTINE:
+            ttl_s = max(ttl_s, *self._trial_waits_s, 0.0)
+        return now_s - seen_s > ttl_s
 
+    def _wait_s(self, level: int) -> float:
+        if not self._trial_waits_s:
+            return self._ttl_s
+        step = min(level - DEATHS_TO_QUARANTINE, len(self._trial_waits_s) - 1)
+        return self._trial_waits_s[step]
 
-def count_deaths(deaths: Iterable[str]) -> int:
-    """Count deaths; those of one endpoint within a few seconds are one death seen twice.
+    def _trial_s(self, held: _Suspect) -> float:
+        return max(held.next_trial_s, held.seen_s + self._wait_s(held.suspicion.level))
 
-    >>> count_deaths(["engine-1@100", "engine-1@101", "engine-1@130", "engine-2@100"])
-    3
-    """
-    count = 0
-    last_endpoint, last_s = "", 0
-    for death in sorted(deaths, key=_endpoint_and_second):
-        endpoint, at_s = _endpoint_and_second(death)
-        if endpoint != last_endpoint or at_s - last_s > SAME_DEATH_S:
-            count += 1
-        last_endpoint, last_s = endpoint, at_s
-    return count
+    def _is_held(self, held: _Suspect) -> bool:
+        is_condemned = held.suspicion.level >= DEATHS_TO_QUARANTINE
+        return is_condemned and self._clock_s() < self._trial_s(held)
 
 
-def _endpoint_and_second(death: str) -> tuple[str, int]:
-    endpoint, _, second = death.rpartition("@")
-    return endpoint, int(second) if second.isdecimal() else 0
+def _unpacked(points: bytes) -> set[int]:
+    return {point for (point,) in _POINT.iter_unpack(points[: len(points) // 8 * 8])}
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -128,7 +128,7 @@
         rest = self._splitter.rest
         is_framed = "content-length" in reply.headers or "transfer-encoding" in reply.headers
         if rest and not is_framed:
-            return self._broken("the stream ended within an event")
+            return self._broken("the stream ended within an event", is_death=True)
         if rest and not self._pass_on(rest, 0, ""):
             return CallerLeft()
         if not self._has_begun:
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
@@ -1,10 +1,17 @@
-"""Whether a request is to blame for what became of the endpoint that ran it."""
+"""Whether a request is to blame for what became of the endpoint that ran it.
+
+A refused connection right after a loss proves that the endpoint ended. Where nothing proves it at
+once, the loss is remembered: the endpoint's entry lapses, or names another run, some seconds later.
+"""
 
 from __future__ import annotations
 
+import secrets
 import threading
 import time
 from collections import Counter
+from collections import deque
+from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -13,12 +20,15 @@
 from primroseferry_core.hashing import fingerprint_of
 from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
+from primroseferry_core.recent_map import RecentMap
 
 from .attempts.outcome import Answered
+from .attempts.outcome import CallerLeft
 from .attempts.outcome import Lost
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
-from .endpoints.probe import is_listening
+from .endpoints.probe import PortState
+from .endpoints.probe import probe_port
 from .membership.datagrams import Blame
 
 if TYPE_CHECKING:
@@ -27,17 +37,26 @@
     from primroseferry_policy.quarantine import Quarantine
 
     from .attempts.outcome import AttemptOutcome
+    from .endpoints.catalog import EndpointCatalog
     from .endpoints.endpoint import Endpoint
+    from .endpoints.endpoint import EndpointRun
     from .messages import RelayRequest
 
+# The entry of an endpoint that ended lapses within this time of the loss.
+LAPSE_S = 10.0
+MAX_UNEXPLAINED = 4_096
+MAX_ENDED_RUNS = 1_024
+_CREDENTIAL_HEADER = "authorization"
+
 
 class Verdict(Enum):
     """What a loss says of the request that was lost; a label of metrics and log lines."""
 
     DEATH = "endpoint-died"
-    ALIVE = "endpoint-takes-connections"
-    NOT_BROKEN = "connection-did-not-break"
-    NO_BODY = "request-without-body"
+    DEATH_FOUND_LATER = "endpoint-died-found-later"
+    BREAK = "connection-broke-on-living-endpoint"
+    UNEXPLAINED = "unexplained"
+    LEAVING = "endpoint-was-leaving"
 
 
 class BlameTeller(Protocol):
@@ -47,14 +66,32 @@
         """Tell every gateway of a request that an endpoint died of."""
 
 
+@dataclass(frozen=True, slots=True)
+class _UnexplainedLoss:
+    """``observation`` is the break that a death found later replaces, empty for none."""
+
+    at_s: float
+    run: EndpointRun
+    fingerprint: Fingerprint
+    request_id: str
+    observation: str
+
+
 class CrashJudge:
     """Judges each attempt's outcome and keeps count of the verdicts."""
 
-    def __init__(self, quarantine: Quarantine, teller: BlameTeller) -> None:
+    def __init__(
+        self, quarantine: Quarantine, catalog: EndpointCatalog, teller: BlameTeller
+    ) -> None:
         self._quarantine = quarantine
+        self._catalog = catalog
         self._teller = teller
         self._verdicts: Counter[Verdict] = Counter()
+        self._unexplained: deque[_UnexplainedLoss] = deque(maxlen=MAX_UNEXPLAINED)
+        # Whether each run that ended lately had said that it leaves.
+        self._ended: RecentMap[EndpointRun, bool] = RecentMap(MAX_ENDED_RUNS)
         self._lock = threading.Lock()
+        catalog.on_run_ended = self.note_run_ended
 
     def verdicts(self) -> Mapping[Verdict, int]:
         """Return how often each verdict was given."""
@@ -62,51 +99,117 @@
             return dict(self._verdicts)
 
     def judge(
-        self, endpoint: Endpoint, request: RelayRequest, request_id: str, outcome: AttemptOutcome
+        self, endpoint: Endpoint, fingerprint: Fingerprint, request_id: str, outcome: AttemptOutcome
     ) -> None:
-        """Learn from one attempt on an endpoint.
-
-        Requests without a body look all alike and are not told apart by a fingerprint.
-        """
+        """Learn from one attempt on an endpoint."""
         match outcome:
-            case Lost() | StreamBroken():
-                verdict = self._verdict(endpoint, request, outcome.is_death)
-                self._note(verdict, endpoint, request, request_id, outcome.reason)
-            case Answered(is_failure=False) | StreamEnded():
-                self._quarantine.clear(fingerprint_of_request(request))
-
-    def _verdict(self, endpoint: Endpoint, request: RelayRequest, is_broken: bool) -> Verdict:
+            case Lost(reason) | StreamBroken(reason):
+                verdict = self._verdict(endpoint, outcome.is_death)
+                self._hold(verdict, endpoint, fingerprint, request_id, reason)
+            case CallerLeft():
+                self._remember(endpoint.run, fingerprint, request_id, "")
+            case Answered(answer) if 200 <= answer.head.status < 300:
+                self._quarantine.clear(fingerprint)
+            case StreamEnded():
+                self._quarantine.clear(fingerprint)
+
+    def wait_s(self, fingerprint: Fingerprint) -> float:
+        """Return for how long the request is given no endpoint, 0 where it may be sent now."""
+        return self._quarantine.admit(fingerprint)
+
+    def note_run_ended(self, endpoint: Endpoint, was_leaving: bool) -> None:
+        """Take in that a run of an endpoint is no longer listed."""
+        run = endpoint.run
+        now_s = time.monotonic()
+        with self._lock:
+            self._ended.put(run, was_leaving)
+            lost = [one for one in self._unexplained if one.run == run]
+            self._unexplained = deque(
+                (one for one in self._unexplained if one.run != run), MAX_UNEXPLAINED
+            )
+        if was_leaving:
+            return
+        for one in lost:
+            if now_s - one.at_s <= LAPSE_S:
+                self._quarantine.confirm(one.fingerprint, one.observation, _death_of(run))
+                self._log(
+                    Verdict.DEATH_FOUND_LATER, run, one.fingerprint, one.request_id, "entry lapsed"
+                )
+
+    def _verdict(self, endpoint: Endpoint, is_broken: bool) -> Verdict:
+        run = endpoint.run
+        with self._lock:
+            was_leaving = self._ended.get(run)
+        if was_leaving or self._catalog.is_leaving(run):
+            return Verdict.LEAVING
+        if was_leaving is False:
+            return Verdict.DEATH
         if not is_broken:
-            return Verdict.NOT_BROKEN
-        if not request.body:
-            return Verdict.NO_BODY
-        return Verdict.ALIVE if is_listening(endpoint.address) else Verdict.DEATH
+            return Verdict.UNEXPLAINED
+        is_gone = probe_port(endpoint.address) is PortState.REFUSED
+        return Verdict.DEATH if is_gone else Verdict.BREAK
 
-    def _note(
+    def _hold(
         self,
         verdict: Verdict,
         endpoint: Endpoint,
-        request: RelayRequest,
+        fingerprint: Fingerprint,
+        request_id: str,
+        reason: str,
+    ) -> None:
+        run = endpoint.run
+        self._log(verdict, run, fingerprint, request_id, reason)
+        match verdict:
+            case Verdict.DEATH:
+                death = _death_of(run)
+                self._quarantine.blame(fingerprint, [death])
+                self._teller.tell_blame(Blame(fingerprint, death))
+            case Verdict.BREAK:
+                observation = f"{secrets.token_hex(4)}@{int(time.time())}"
+                self._quarantine.note_break(fingerprint, observation)
+                self._remember(run, fingerprint, request_id, observation)
+            case Verdict.UNEXPLAINED:
+                self._remember(run, fingerprint, request_id, "")
+
+    def _remember(
+        self, run: EndpointRun, fingerprint: Fingerprint, request_id: str, observation: str
+    ) -> None:
+        loss = _UnexplainedLoss(time.monotonic(), run, fingerprint, request_id, observation)
+        with self._lock:
+            self._unexplained.append(loss)
+
+    def _log(
+        self,
+        verdict: Verdict,
+        run: EndpointRun,
+        fingerprint: Fingerprint,
         request_id: str,
         reason: str,
     ) -> None:
         with self._lock:
             self._verdicts[verdict] += 1
-        fingerprint = fingerprint_of_request(request)
+        is_death = verdict in (Verdict.DEATH, Verdict.DEATH_FOUND_LATER)
         log_event(
-            Event.FINGERPRINT_BLAMED if verdict is Verdict.DEATH else Event.LOSS_NOT_BLAMED,
+            Event.FINGERPRINT_BLAMED if is_death else Event.LOSS_NOT_BLAMED,
             request_id=request_id,
             fingerprint=fingerprint,
-            endpoint=endpoint.endpoint,
+            endpoint=run.endpoint,
             verdict=verdict.value,
             reason=reason,
         )
-        if verdict is Verdict.DEATH:
-            death = f"{endpoint.endpoint}/{endpoint.started_ms}@{int(time.time())}"
-            self._quarantine.blame(fingerprint, [death])
-            self._teller.tell_blame(Blame(fingerprint, death))
 
 
 def fingerprint_of_request(request: RelayRequest) -> Fingerprint:
-    """Return what a request is known by when it comes again; it tells nothing of the content."""
-    return Fingerprint(fingerprint_of("", request.target, request.body))
+    """Return what a request is known by when its caller sends it again.
+
+    It tells nothing of the content. A caller is known by its credential, or else by its address.
+    """
+    caller = request.caller
+    for header in request.headers:
+        if header.name.lower() == _CREDENTIAL_HEADER:
+            caller = header.value
+    return Fingerprint(fingerprint_of(caller, request.target, request.body))
+
+
+def _death_of(run: EndpointRun) -> str:
+    return f"{run.endpoint}/{run.started_ms}@{int(time.time())}"
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -73,6 +73,8 @@
         self._returned_s = float("-inf")
         self._leaving: RecentMap[EndpointRun, None] = RecentMap(MAX_LEAVING)
         self._lock = threading.Lock()
+        # Gets a run that is no longer listed, and whether it had said that it leaves.
+        self.on_run_ended: Callable[[Endpoint, bool], None] = lambda _endpoint, _was_leaving: None
 
     def note_store_returned(self) -> None:
         """Note that the store answers again after an outage."""
@@ -86,6 +88,8 @@
             cold_until_s = self._clock_s() + endpoint.cold_left_ms / 1000
             if held is None or held.endpoint.run != endpoint.run:
                 change = "new"
+                if held is not None:
+                    self._tell_run_ended(held.endpoint)
             else:
                 is_changed = held.endpoint.state is not endpoint.state
                 change = endpoint.state.value if is_changed else ""
@@ -136,6 +140,16 @@
         log_event(Event.ENDPOINT_LEAVING, endpoint=run.endpoint, started_ms=run.started_ms)
         return True
 
+    def is_leaving(self, run: EndpointRun) -> bool:
+        """Whether a run of an endpoint says itself, or in its entry, that it leaves."""
+        with self._lock:
+            held = self._listed.get(run.endpoint)
+            is_listed = held is not None and held.endpoint.run == run
+            is_draining = (
+                is_listed and held is not None and held.endpoint.state is not EndpointState.READY
+            )
+            return is_draining or run in self._leaving
+
     def set_evacuated(self, domains: frozenset[FailureDomainId]) -> None:
         """Close exactly these failure domains for work."""
         with self._lock:
@@ -206,8 +220,13 @@
         if held.missing_until_s is not None and now_s < held.missing_until_s:
             return
         self._forget(endpoint)
+        self._tell_run_ended(held.endpoint)
         log_event(Event.ENDPOINT_GONE, endpoint=endpoint)
 
+    def _tell_run_ended(self, endpoint: Endpoint) -> None:
+        is_draining = endpoint.state is not EndpointState.READY
+        self.on_run_ended(endpoint, is_draining or endpoint.run in self._leaving)
+
     def _forget(self, endpoint: EndpointId) -> None:
         held = self._listed.pop(endpoint, None)
         self._missing.discard(endpoint)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import Fingerprint
 from primroseferry_core.ids import IncarnationId
 from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import RequestId
@@ -38,7 +39,7 @@
 
     ``hop_id`` is new for each attempt: a copy of it that arrives later is not run. A gateway that
     restarted does not know which it has seen, so an order holds for one incarnation only.
-    ``deadline_ms`` is what is left when it is sent.
+    ``deadline_ms`` is what is left when it is sent, ``fingerprint`` what the request is known by.
     """
 
     hop_id: str
@@ -52,6 +53,7 @@
     is_repeatable: bool
     last_event_id: str
     excluded: tuple[EndpointId, ...]
+    fingerprint: Fingerprint = Fingerprint("")
 
     def encode(self) -> str:
         """Return the value of the header."""
@@ -74,6 +76,7 @@
             is_repeatable=bool(data["is_repeatable"]),
             last_event_id=str(data["last_event_id"]),
             excluded=_names(data["excluded"]),
+            fingerprint=Fingerprint(str(data.get("fingerprint", ""))),
         )
     except (ValueError, KeyError, TypeError):
         return None
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -23,6 +23,7 @@
 from ..attempts.outcome import StreamBroken
 from ..attempts.outcome import StreamEnded
 from ..control.peer_sync import CONTROL_PATH
+from ..crash_judge import fingerprint_of_request
 from ..ingress.channel_sink import ChannelSink
 from ..local_attempts import AttemptPlan
 from ..messages import AnswerHead
@@ -126,6 +127,7 @@
             headers,
             request.body,
             request.received_s,
+            request.caller,
         )
         self._watch = CallerWatch()
 
@@ -147,9 +149,11 @@
         order = self._order
         service = table.services[order.service]
         facts = self._server._dialect.read_request(self._request.headers)
+        fingerprint = order.fingerprint or fingerprint_of_request(self._request)
         plan = AttemptPlan(
             self._request,
             order.request_id,
+            fingerprint,
             order.service,
             facts.generation,
             self._request.received_s + order.deadline_ms / 1000,
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -101,6 +101,7 @@
             plan.may_be_repeated,
             plan.last_event_id,
             excluded,
+            plan.fingerprint,
         )
         call = HopCall(self._loop, option.peer.address.hop, plan.request, order, sink)
         circuit = _circuit(option.peer)
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
@@ -48,11 +48,13 @@
         self._has_unread_body = False
         self._must_yield = False
         self._has_served = False
+        self._caller = ""
 
     def serve(self) -> None:
         """Serve requests until the connection ends."""
         try:
             self._connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._caller = str(self._connection.getpeername()[0])
             while self._serve_one():
                 continue
         except _ConnectionEnded:
@@ -127,7 +129,8 @@
         target = head.target.decode("latin-1")
         host = _first_value(headers, "host")
         closes = _wants_close(headers) or head.http_version == b"1.0"
-        return RelayRequest(method, target, host, headers, body, received_s), closes
+        request = RelayRequest(method, target, host, headers, body, received_s, self._caller)
+        return request, closes
 
     def _read_head(self, limits: CallerLimits) -> h11.Request:
         idle_until_s = time.monotonic() + limits.idle_timeout_ms / 1000
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -40,6 +40,7 @@
     from collections.abc import Sequence
 
     from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import Fingerprint
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.endpoint_loads import OpenRequest
@@ -91,6 +92,7 @@
 
     request: RelayRequest
     request_id: str
+    fingerprint: Fingerprint
     service: ServiceId
     generation: Generation
     deadline_s: float
@@ -135,7 +137,7 @@
         self._peers = peers
         self._policy = policy
         self._teller = teller
-        self.crashes = CrashJudge(policy.quarantine, teller)
+        self.crashes = CrashJudge(policy.quarantine, catalog, teller)
 
     def rank(
         self,
@@ -237,7 +239,7 @@
         finally:
             policy.loads.end(opened)
         self._learn(option, service, call, opened, outcome)
-        self.crashes.judge(endpoint, plan.request, plan.request_id, outcome)
+        self.crashes.judge(endpoint, plan.fingerprint, plan.request_id, outcome)
         return outcome
 
     def rest_left_s(self, service: Service) -> float:
--- a/packages/primroseferry-relay/src/primroseferry_relay/messages.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/messages.py
@@ -36,7 +36,7 @@
     """One request as its caller sent it, whole.
 
     ``target`` is the path and query exactly as they came; ``received_s`` is the monotonic time at
-    which the head was read.
+    which the head was read; ``caller`` the address that it came from, without the port.
     """
 
     method: str
@@ -45,6 +45,7 @@
     headers: tuple[Header, ...]
     body: bytes
     received_s: float
+    caller: str = ""
 
     @property
     def path(self) -> str:
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
@@ -23,6 +23,10 @@
     from primroseferry_policy.endpoint_loads import OpenWork
     from primroseferry_policy.prompt import PromptPart
 
+# How long a request that crashed endpoints waits for its next trial, after the second death and
+# each further one.
+TRIAL_WAITS_S = (5.0, 60.0, 600.0, 3_600.0, 21_600.0)
+
 
 @dataclass(frozen=True, slots=True)
 class Placed:
@@ -44,7 +48,7 @@
     parts: PartCache = field(default_factory=PartCache)
     far_parts: FarParts = field(default_factory=FarParts)
     cold_gate: ColdGate = field(default_factory=ColdGate)
-    quarantine: Quarantine = field(default_factory=Quarantine)
+    quarantine: Quarantine = field(default_factory=lambda: Quarantine(trial_waits_s=TRIAL_WAITS_S))
     reading: ReadingLoad = field(default_factory=ReadingLoad)
     slot_times: SlotTimes = field(default_factory=SlotTimes)
     rests: EndpointRests = field(default_factory=EndpointRests)
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -62,6 +62,7 @@
 # The endpoints' order of urgency, 0 first; a route's own priority is added to this.
 BASE_PRIORITY = 3
 MAX_PRIORITY = 9
+CRASHED_DETAIL = "endpoints that ran this request crashed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +124,7 @@
         self._plan = AttemptPlan(
             request,
             facts.request_id,
+            self._fingerprint,
             service.name,
             facts.generation,
             request.received_s + limit_ms / 1000,
@@ -142,9 +144,9 @@
 
     def run(self) -> None:
         """Make attempts until the request is answered."""
-        if self._policy.quarantine.is_quarantined(self._fingerprint):
-            kind = ErrorKind.ENDPOINT_FAILED
-            self._give_up(Problem(kind, "endpoints that ran this request crashed"), None)
+        wait_s = self._policy.quarantine.admit(self._fingerprint)
+        if wait_s > 0:
+            self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, CRASHED_DETAIL), wait_s)
             return
         connection = self._channel.connection
         with watch_hang_up(self._parts.loop, connection, self._watch.note_left):
@@ -254,8 +256,6 @@
                 outcome = self._parts.regions.run(
                     option, plan, self._route, tuple(self._excluded), sink, self._watch.note_start
                 )
-                if isinstance(outcome, Answered | StreamEnded):
-                    self._policy.quarantine.clear(self._fingerprint)
         self._record.note_outcome(outcome)
         return outcome
 
