Ask the quarantine before each attempt, and in the region that makes it

Cause: the quarantine was asked once, before the first attempt, and not at all by the gateway that makes attempts for another region. Change: a run stops once more is held against its request than when it was admitted; the far gateway refuses with 'not run'.

--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -163,6 +163,8 @@
             target_ms,
         )
         excluded = set(order.excluded)
+        if self._server._local.crashes.wait_s(fingerprint) > 0:
+            return NotRun("endpoints that ran this request crashed", is_sent=False)
         outcome: AttemptOutcome = NotRun("no endpoint is available here", is_sent=False)
         for _ in range(MAX_TRIES):
             options = self._server._local.rank(service, facts.generation, excluded)
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -10,6 +10,7 @@
 
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import Problem
+from primroseferry_policy.suspicion import DEATHS_TO_QUARANTINE
 from primroseferry_transport.hang_up import watch_hang_up
 
 from .attempts.caller_watch import CallerWatch
@@ -120,6 +121,7 @@
         if facts.deadline_ms is not None:
             limit_ms = min(limit_ms, facts.deadline_ms)
         self._fingerprint = fingerprint_of_request(request)
+        self._admitted_level = 0
         record.fingerprint = self._fingerprint
         self._plan = AttemptPlan(
             request,
@@ -148,6 +150,7 @@
         if wait_s > 0:
             self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, CRASHED_DETAIL), wait_s)
             return
+        self._admitted_level = self._policy.quarantine.level(self._fingerprint)
         connection = self._channel.connection
         with watch_hang_up(self._parts.loop, connection, self._watch.note_left):
             while not self._watch.has_left:
@@ -164,6 +167,9 @@
                     if not self._wait_for_room():
                         return
                     continue
+                if self._is_quarantined_since():
+                    self._give_up_after_failure(CRASHED_DETAIL)
+                    return
                 if not self._may_send_again():
                     self._give_up_after_failure("no further attempt is allowed")
                     return
@@ -223,6 +229,11 @@
         self._give_up(problem, _return_s())
         return False
 
+    def _is_quarantined_since(self) -> bool:
+        """Whether so much came to be held against the request that it is sent no further."""
+        level = self._policy.quarantine.level(self._fingerprint)
+        return level >= DEATHS_TO_QUARANTINE and level > self._admitted_level
+
     def _may_send_again(self) -> bool:
         progress = self._progress
         if progress.sends == 0:
