Bring what gateways hold against requests together by versions, whatever was lost

Cause: a blame was told twice by datagram to the gateways that lived at that moment, and by nothing else. Class: an event that is told once, in place of state that is compared.

Change: digests and region summaries carry the version of what their sender holds (eight bytes). An earlier release tells no version and is not asked. The fast datagram stays.

--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -35,6 +35,7 @@
 # Long enough for every gateway to hear that a request was cleared.
 CLEARED_TTL_S = 60.0
 MAX_SUSPECTS = 1_024
+EXPIRY_PAUSE_S = 1.0
 _POINT = struct.Struct(">Q")
 
 
@@ -72,6 +73,7 @@
         self._trial_waits_s = tuple(trial_waits_s)
         self._suspects: dict[Fingerprint, _Suspect] = {}
         self._version = 0
+        self._next_expiry_s = float("-inf")
         self._lock = threading.Lock()
 
     def blame(self, fingerprint: Fingerprint, deaths: Iterable[str]) -> list[str]:
@@ -246,6 +248,9 @@
 
     def _expire(self) -> None:
         now_s = self._clock_s()
+        if now_s < self._next_expiry_s:
+            return
+        self._next_expiry_s = now_s + EXPIRY_PAUSE_S
         over = [
             name
             for name, held in self._suspects.items()
--- /dev/null
+++ b/packages/primroseferry-policy/tests/test_suspicion.py
@@ -0,0 +1,107 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+from primroseferry_core.ids import Fingerprint
+from primroseferry_policy.quarantine import Quarantine
+from primroseferry_policy.suspicion import Suspicion
+
+CULPRIT = Fingerprint("culprit")
+NAMES = st.frozensets(
+    st.builds(lambda name, second: f"e-{name}@{second}", st.integers(0, 5), st.integers(0, 90)),
+    max_size=24,
+)
+SUSPICIONS = st.builds(
+    lambda *sets: Suspicion(CULPRIT).joined(Suspicion(CULPRIT, *sets)), NAMES, NAMES, NAMES
+)
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now_s = 1_000.0
+
+    def __call__(self) -> float:
+        return self.now_s
+
+
+@settings(derandomize=True, deadline=None)
+@given(SUSPICIONS, SUSPICIONS)
+def test_joining_is_commutative_and_idempotent(one: Suspicion, other: Suspicion) -> None:
+    assert one.joined(other) == other.joined(one)
+    assert one.joined(one) == one
+    assert one.joined(other).joined(other) == one.joined(other)
+
+
+def test_gateways_that_tell_each_other_what_they_lack_hold_the_same() -> None:
+    one, other = Quarantine(), Quarantine()
+    for number in range(20):
+        one.blame(Fingerprint(f"a{number}"), ["e-1@100"])
+        other.blame(Fingerprint(f"b{number}"), ["e-2@100"])
+    one.blame(CULPRIT, ["e-1@100"])
+    other.blame(CULPRIT, ["e-2@100"])
+    assert one.lacks_any(other.points())
+    one.hear(other.unknown_to(one.points()))
+    other.hear(one.unknown_to(other.points()))
+    assert one.version == other.version != 0
+    assert one.is_quarantined(CULPRIT)
+    assert other.is_quarantined(CULPRIT)
+    assert not one.unknown_to(other.points())
+
+
+def test_what_was_dropped_does_not_come_back_from_a_gateway_that_did_not_hear() -> None:
+    one, other = Quarantine(), Quarantine()
+    for quarantine in (one, other):
+        quarantine.blame(CULPRIT, ["e-1@100"])
+    one.clear(CULPRIT)
+    one.hear(other.unknown_to(one.points()))
+    assert not one.is_suspected(CULPRIT)
+    other.hear(one.unknown_to(other.points()))
+    assert not other.is_suspected(CULPRIT)
+
+
+def test_told_suspicions_do_not_keep_each_other_alive() -> None:
+    clock = Clock()
+    one, other = Quarantine(clock, ttl_s=60.0), Quarantine(clock, ttl_s=60.0)
+    one.blame(CULPRIT, ["e-1@100"])
+    for _ in range(10):
+        clock.now_s += 10.0
+        other.hear(one.unknown_to(other.points()))
+        one.hear(other.unknown_to(one.points()))
+    assert one.version == other.version == 0
+
+
+def test_request_on_trial_waits_longer_after_each_death_and_is_free_after_an_answer() -> None:
+    clock = Clock()
+    quarantine = Quarantine(clock, trial_waits_s=(5.0, 60.0))
+    quarantine.blame(CULPRIT, ["e-1@100", "e-2@100"])
+    assert quarantine.admit(CULPRIT) == 5.0
+    clock.now_s += 5.0
+    assert quarantine.admit(CULPRIT) == 0.0
+    assert quarantine.admit(CULPRIT) == 5.0
+    quarantine.blame(CULPRIT, ["e-3@106"])
+    assert quarantine.admit(CULPRIT) == 60.0
+    clock.now_s += 60.0
+    assert quarantine.admit(CULPRIT) == 0.0
+    quarantine.clear(CULPRIT)
+    assert quarantine.admit(CULPRIT) == 0.0
+    assert quarantine.admit(CULPRIT) == 0.0
+
+
+def test_first_death_after_an_answer_is_no_quarantine() -> None:
+    quarantine = Quarantine()
+    quarantine.blame(CULPRIT, ["e-1@100"])
+    quarantine.clear(CULPRIT)
+    quarantine.blame(CULPRIT, ["e-2@200"])
+    assert not quarantine.is_quarantined(CULPRIT)
+    quarantine.blame(CULPRIT, ["e-3@300"])
+    assert quarantine.is_quarantined(CULPRIT)
+
+
+def test_memory_is_bounded_and_keeps_what_is_quarantined() -> None:
+    quarantine = Quarantine()
+    quarantine.blame(CULPRIT, ["e-1@100", "e-2@100"])
+    for number in range(3_000):
+        quarantine.blame(Fingerprint(f"f{number}"), ["e-1@100"])
+    assert quarantine.is_quarantined(CULPRIT)
+    assert len(quarantine.points()) <= 8 * 1_024
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -128,6 +128,7 @@
             self._own_facts,
             self._current_summaries,
             peer_feed,
+            self._policy.quarantine,
         )
         self._watches = [
             StoreWatch(
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -23,6 +23,8 @@
 from primroseferry_policy.endpoint_loads import OpenWork
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
+from primroseferry_policy.quarantine import ToldSuspicion
+from primroseferry_policy.suspicion import Suspicion
 
 from ..endpoints.endpoint import EndpointRun
 from ..endpoints.endpoint_point import EndpointPoint
@@ -40,6 +42,8 @@
 from .datagrams import Roster
 from .datagrams import RosterVersion
 from .datagrams import RosterWanted
+from .datagrams import Suspicions
+from .datagrams import SuspicionsKnown
 from .peer import ControlFacts
 from .peer import GatewayState
 from .peer import Peer
@@ -79,6 +83,8 @@
     FAR_PARTS = 7
     BLAME = 8
     LEAVING = 9
+    SUSPICIONS_KNOWN = 10
+    SUSPICIONS = 11
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -103,6 +109,10 @@
             return _packed(_Kind.BLAME, [fingerprint, death])
         case LeavingNote(run):
             return _packed(_Kind.LEAVING, [run.endpoint, run.started_ms, run.address])
+        case SuspicionsKnown(reply_to, points):
+            return _packed(_Kind.SUSPICIONS_KNOWN, [reply_to, points])
+        case Suspicions(told):
+            return _packed(_Kind.SUSPICIONS, [told_fields(one) for one in told])
 
 
 def digest_head(acked: int) -> bytes:
@@ -126,6 +136,7 @@
         [_far_part_fields(part) for part in digest.far_parts],
         [_summary_fields(summary) for summary in digest.far_regions],
         round(digest.unseen_placements, 1),
+        digest.suspicions,
     ]
     return zlib.compress(msgpack.packb(fields), level=1)
 
@@ -193,6 +204,11 @@
             return LeavingNote(
                 EndpointRun(EndpointId(_text(endpoint)), _whole(started_ms), _text(address))
             )
+        case _Kind.SUSPICIONS_KNOWN:
+            reply_to, points = fields[:2]
+            return SuspicionsKnown(_text(reply_to), bytes(memoryview(points)))
+        case _Kind.SUSPICIONS:
+            return Suspicions(tuple(map(told_suspicion, fields)))
     return None
 
 
@@ -251,6 +267,7 @@
         tuple(map(_far_part, far_parts)),
         tuple(map(_summary, far_regions)),
         float(unseen),
+        _appended_whole(fields, 13),
         acked,
     )
 
@@ -273,6 +290,7 @@
             for name, one in summary.services.items()
         ],
         list(summary.others),
+        summary.suspicions,
     ]
 
 
@@ -294,6 +312,7 @@
             for name, endpoints, slots, work, pace, reading in services
         },
         tuple(map(_text, others)),
+        _appended_whole(fields, 6),
     )
 
 
@@ -381,6 +400,34 @@
     ]
 
 
+def told_fields(told: ToldSuspicion) -> list[Any]:
+    """Return a suspicion as it goes on the wire and into the store."""
+    held = told.suspicion
+    return [
+        held.fingerprint,
+        sorted(held.deaths),
+        sorted(held.breaks),
+        sorted(held.dropped),
+        round(max(0.0, told.age_s), 1),
+    ]
+
+
+def told_suspicion(fields: Any) -> ToldSuspicion:
+    """Return the suspicion that ``told_fields`` made; raises ``ValueError`` or ``TypeError``."""
+    fingerprint, deaths, breaks, dropped, age_s = fields[:5]
+    if not 0 <= age_s < float("inf"):
+        raise ValueError("an age is needed")
+    return ToldSuspicion(
+        Suspicion(
+            Fingerprint(_text(fingerprint)),
+            frozenset(map(_text, deaths)),
+            frozenset(map(_text, breaks)),
+            frozenset(map(_text, dropped)),
+        ),
+        float(age_s),
+    )
+
+
 def _part_fields(parts: Sequence[PromptPart]) -> list[list[Any]]:
     return [[part.part, part.tokens] for part in parts]
 
@@ -408,6 +455,12 @@
     return value
 
 
+def _appended_whole(fields: Any, index: int) -> int | None:
+    """Return a number that an earlier release does not send."""
+    value = fields[index] if len(fields) > index else None
+    return _whole(value) if value is not None else None
+
+
 def _whole(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise ValueError("a whole number is needed")
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/collector.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/collector.py
@@ -237,10 +237,13 @@
             member.needs_full = False
         return chosen
 
-    def next_digest(self, roster: RosterVersion) -> tuple[Digest, Digest]:
+    def next_digest(
+        self, roster: RosterVersion, suspicions: int | None = None
+    ) -> tuple[Digest, Digest]:
         """Return what changed since the last digest, and all, with the same number.
 
-        ``roster`` is the one that the receivers are to know.
+        ``roster`` is the one that the receivers are to know, ``suspicions`` the version of what
+        this gateway holds against requests.
         """
         now_s = self._clock_s()
         self._digest_s = now_s
@@ -270,6 +273,7 @@
             tuple(far),
             summaries,
             self._unseen_placements(),
+            suspicions,
         )
         whole = replace(news, is_full=True, loads=tuple(loads.values()))
         return news, whole
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
@@ -23,6 +23,7 @@
     from primroseferry_policy.endpoint_loads import OpenWork
     from primroseferry_policy.prompt import PartId
     from primroseferry_policy.prompt import PromptPart
+    from primroseferry_policy.quarantine import ToldSuspicion
 
     from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointPoint
@@ -94,7 +95,8 @@
     """What a region's collector tells other regions; ``collector`` is where it is reached.
 
     ``others`` are where the collectors of further regions are reached, so that regions find each
-    other that share no seed.
+    other that share no seed. ``suspicions`` is the version of what the collector holds
+    against requests, ``None`` where its release tells none.
     """
 
     region: RegionId
@@ -103,6 +105,7 @@
     control: ControlFacts
     services: Mapping[ServiceId, ServiceSummary]
     others: tuple[str, ...] = ()
+    suspicions: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,7 +115,7 @@
     ``acked`` is the last update of the receiving member that the loads include. A collector is
     warm when every member had the time to tell it its state. ``address`` is where it is reached.
     ``unseen_placements`` are how many requests the region's members place, at the rate of the last
-    second, until the next digest tells of them.
+    second, until the next digest tells of them. ``suspicions`` is as in a summary.
     """
 
     collector: InstanceId
@@ -128,6 +131,7 @@
     far_parts: tuple[FarPart, ...]
     far_regions: tuple[RegionSummary, ...]
     unseen_placements: float
+    suspicions: int | None = None
     acked: int = 0
 
 
@@ -182,6 +186,24 @@
     run: EndpointRun
 
 
+@dataclass(frozen=True, slots=True)
+class SuspicionsKnown:
+    """Hashes of all suspicions that the sender holds, eight bytes each.
+
+    The receiver tells ``reply_to`` those that are not among them.
+    """
+
+    reply_to: str
+    points: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicions:
+    """Some of what the sender holds against requests."""
+
+    told: tuple[ToldSuspicion, ...]
+
+
 Datagram = (
     MemberUpdate
     | Digest
@@ -192,4 +214,6 @@
     | FarParts
     | Blame
     | LeavingNote
+    | SuspicionsKnown
+    | Suspicions
 )
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -35,10 +35,13 @@
 from .datagrams import RegionSummary
 from .datagrams import Roster
 from .datagrams import RosterWanted
+from .datagrams import Suspicions
+from .datagrams import SuspicionsKnown
 from .follower import MAX_VIEW_AGE_S
 from .follower import Follower
 from .introductions import Introductions
 from .peer import GatewayState
+from .suspicion_sync import SuspicionSync
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -50,6 +53,7 @@
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.endpoint_loads import OpenWork
+    from primroseferry_policy.quarantine import Quarantine
 
     from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointPoint
@@ -122,6 +126,7 @@
         summaries: Callable[[], Mapping[ServiceId, ServiceSummary]],
         feed: ExchangeFeed,
         send: Callable[[str, bytes], None],
+        quarantine: Quarantine,
         clock_s: Callable[[], float] = time.monotonic,
         seed: int | None = None,
     ) -> None:
@@ -157,6 +162,9 @@
         self._sent_roster: dict[RegionId, int] = {}
         self._far_collectors: dict[RegionId, str] = {}
         self._introductions = Introductions()
+        self._suspicions = SuspicionSync(
+            quarantine, lambda: self._own.address.report, send, clock_s
+        )
         self._is_view_lost = True
         self._primary_address = ""
         self._targets: list[Target] = []
@@ -271,6 +279,10 @@
                 self._feed.hear_blame(blame)
             case LeavingNote(run):
                 self._feed.hear_leaving(run)
+            case SuspicionsKnown():
+                self._suspicions.answer(datagram)
+            case Suspicions():
+                self._suspicions.hear(datagram)
 
     def _take_update(self, update: MemberUpdate) -> None:
         peer = update.peer
@@ -296,6 +308,7 @@
                 self._ask_roster(summary.region, digest.address)
         own = self._sent_loads.get(digest.acked, {})
         self._feed.hear_digest(digest, own)
+        self._suspicions.compare(digest.suspicions, digest.address)
 
     def _take_roster(self, roster: Roster) -> None:
         region = self._own.region
@@ -323,6 +336,7 @@
         if not self._peers.put_summary(summary):
             self._ask_roster(summary.region, summary.collector)
         self._collector.hear_summary(summary)
+        self._suspicions.compare(summary.suspicions, summary.collector)
 
     def _take_far_parts(self, parts: tuple[FarPart, ...]) -> None:
         if self._collector.serves():
@@ -426,7 +440,8 @@
 
     def _send_digests(self) -> None:
         receivers = self._collector.receivers()
-        news, whole = self._collector.next_digest(self._region_roster().version)
+        roster = self._region_roster().version
+        news, whole = self._collector.next_digest(roster, self._suspicions.version)
         news_body = encode_digest_body(news)
         whole_body = b""
         own_address = self._own.address.report
@@ -478,6 +493,7 @@
                 self._collector.control(),
                 self._summaries(),
                 tuple(self._far_collectors.values()),
+                self._suspicions.version,
             )
             data = encode(summary)
             for address in self._far_addresses():
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -19,6 +19,7 @@
     from collections.abc import Mapping
 
     from primroseferry_core.ids import ServiceId
+    from primroseferry_policy.quarantine import Quarantine
 
     from ..endpoints.endpoint import EndpointRun
     from ..relay_policy import Placed
@@ -49,6 +50,7 @@
         own_facts: Callable[[str], OwnFacts],
         summaries: Callable[[], Mapping[ServiceId, ServiceSummary]],
         feed: ExchangeFeed,
+        quarantine: Quarantine,
     ) -> None:
         """``own_facts`` gets the address of the port."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -60,7 +62,7 @@
         self.address = f"{host}:{self._socket.getsockname()[1]}"
         self._targets: dict[str, tuple[str, int]] = {}
         self._exchange = Exchange(
-            peers, lambda: own_facts(self.address), summaries, feed, self._send
+            peers, lambda: own_facts(self.address), summaries, feed, self._send, quarantine
         )
         self._is_open = True
         self._thread = threading.Thread(target=self._run, name="reporter", daemon=True)
--- a/packages/primroseferry-relay/tests/relay_tests/fleet_play.py
+++ b/packages/primroseferry-relay/tests/relay_tests/fleet_play.py
@@ -5,6 +5,7 @@
 import heapq
 import itertools
 import random
+import time
 from collections import Counter
 from dataclasses import dataclass
 from dataclasses import field
@@ -81,7 +82,7 @@
 class PlayedFeed:
     """Keeps what an exchange makes of digests."""
 
-    def __init__(self, clock: Callable[[], float]) -> None:
+    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self.loads: dict[EndpointPoint, OpenWork] = {}
         self.own: Mapping[EndpointPoint, OpenWork] = {}
         self.parts: list[tuple[EndpointPoint, tuple[PromptPart, ...]]] = []
@@ -164,6 +165,7 @@
             dict,
             feed,
             lambda receiver, data: self._send(address, receiver, data),
+            feed.quarantine,
             self.clock,
             seed=len(self.gateways),
         )
--- a/packages/primroseferry-relay/tests/relay_tests/scripted_endpoint.py
+++ b/packages/primroseferry-relay/tests/relay_tests/scripted_endpoint.py
@@ -57,7 +57,10 @@
         with connection, contextlib.suppress(OSError):
             data = b""
             while b"\r\n\r\n" not in data:
-                data += connection.recv(65_536)
+                piece = connection.recv(65_536)
+                if not piece:  # A probe closes without a request.
+                    return
+                data += piece
             head, _, body = data.partition(b"\r\n\r\n")
             request = Received(head.decode("latin-1"), body)
             length = int(request.header("content-length") or 0)
--- a/packages/primroseferry-relay/tests/relay_tests/test_background.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_background.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from primroseferry_core.ids import InstanceId
+from primroseferry_policy.quarantine import Quarantine
 from primroseferry_relay.control.control_state import ControlState
 from primroseferry_relay.control.metadata_store import LeaseId
 from primroseferry_relay.control.metadata_store import Listing
@@ -84,6 +85,7 @@
         lambda _address: OwnFacts(PEER, ControlFacts(0, 0.0), {}),
         dict,
         FailingOnceFeed(),
+        Quarantine(),
     )
     reporter.start()
     assert went_on.wait(8)
--- a/packages/primroseferry-relay/tests/relay_tests/test_codec.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from dataclasses import replace
 
 import msgpack
 import pytest
@@ -17,6 +18,8 @@
 from primroseferry_policy.endpoint_loads import OpenWork
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
+from primroseferry_policy.quarantine import ToldSuspicion
+from primroseferry_policy.suspicion import Suspicion
 from primroseferry_relay.endpoints.endpoint import EndpointRun
 from primroseferry_relay.endpoints.endpoint_point import endpoint_point
 from primroseferry_relay.membership import codec
@@ -37,6 +40,8 @@
 from primroseferry_relay.membership.datagrams import RegionSummary
 from primroseferry_relay.membership.datagrams import RosterVersion
 from primroseferry_relay.membership.datagrams import RosterWanted
+from primroseferry_relay.membership.datagrams import Suspicions
+from primroseferry_relay.membership.datagrams import SuspicionsKnown
 from primroseferry_relay.membership.peer import ControlFacts
 from primroseferry_relay.membership.peer import ServiceSummary
 
@@ -81,15 +86,31 @@
         (FarPart(POINT, PartId("ab12"), 6_300),),
         (SUMMARY,),
         2.5,
+        2**62 + 7,
         acked=77,
     ),
     SUMMARY,
+    replace(SUMMARY, suspicions=3),
     roster_of(NORTH, PEER, peer_of("g-3", NORTH)),
     RosterWanted("10.0.0.2:82", (NORTH, SOUTH)),
     Referral(("10.0.0.2:82",)),
     FarParts((FarPart(POINT, PartId("ab12"), 6_300),)),
     Blame(Fingerprint("f"), "e-1@100"),
     LeavingNote(EndpointRun(EndpointId("e-1"), 1_700_000_000_000, "10.0.0.7:80")),
+    SuspicionsKnown("10.0.0.2:82", b"01234567"),
+    Suspicions(
+        (
+            ToldSuspicion(
+                Suspicion(
+                    Fingerprint("f"),
+                    frozenset({"e-1/1@100", "e-2/1@110"}),
+                    frozenset({"a1@90"}),
+                    frozenset({"e-3/1@80"}),
+                ),
+                12.5,
+            ),
+        )
+    ),
 ]
 
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
@@ -9,6 +9,7 @@
 import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import FailureDomainId
+from primroseferry_core.ids import Fingerprint
 from primroseferry_policy.far_parts import PartReading
 from primroseferry_policy.part_cache import SETTLE_S
 from primroseferry_policy.prompt import Generation
@@ -40,7 +41,9 @@
 def plan() -> AttemptPlan:
     now_s = time.monotonic()
     request = RelayRequest("POST", "/safe/x", "a.example", (), b"prompt", now_s)
-    return AttemptPlan(request, "r1", ENGINES.name, PROMPT, now_s + 5, 3, "", False)
+    return AttemptPlan(
+        request, "r1", Fingerprint("f1"), ENGINES.name, PROMPT, now_s + 5, 3, "", False
+    )
 
 
 def test_engine_that_lacks_the_parts_copies_them_from_one_that_has_them(loop: CurlLoop) -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
@@ -56,7 +56,7 @@
         return OwnFacts(own, ControlFacts(1, 10.0), dict(loads))
 
     peers.own_state = GatewayState.READY
-    reporter = Reporter("127.0.0.1", 0, peers, facts, dict, feed)
+    reporter = Reporter("127.0.0.1", 0, peers, facts, dict, feed, feed.quarantine)
     return Gateway(peers, feed, reporter, loads)
 
 
