Count a trial of a quarantined request from its start on, for all gateways

Cause: the trial was a mark of one gateway. Change: it is an observation like a death, noted and told to every gateway before the request is sent; a death replaces it, an answer of any kind or a refusal takes it back, a whole answer drops it. The order to another region's gateway names it. A trial makes one attempt. Tests: test_trial_of_one_gateway_is_the_trial_of_all and test_trial_that_no_endpoint_saw_is_taken_back.

--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import secrets
 import struct
 import threading
 import time
@@ -32,8 +33,8 @@
 
 # A blame is forgotten after this time, so that a quarantine without trials ends.
 BLAME_TTL_S = 600.0
-# Long enough for every gateway to hear that a request was cleared.
-CLEARED_TTL_S = 60.0
+# Longer than any gateway or the store keeps what was dropped.
+CLEARED_TTL_S = 600.0
 MAX_SUSPECTS = 1_024
 EXPIRY_PAUSE_S = 1.0
 _POINT = struct.Struct(">Q")
@@ -47,12 +48,19 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """For how long a request may not be sent, 0 for at once, and its trial, empty for none."""
+
+    wait_s: float = 0.0
+    trial: str = ""
+
+
 @dataclass(slots=True)
 class _Suspect:
     suspicion: Suspicion
     point: int
     seen_s: float
-    next_trial_s: float = float("-inf")
 
 
 class Quarantine:
@@ -95,14 +103,18 @@
             self._join(added, self._clock_s())
 
     def confirm(self, fingerprint: Fingerprint, observation: str, death: str) -> None:
-        """Note that an endpoint on which a connection broke had died of it."""
+        """Note that a broken connection or a trial, empty for none, was an endpoint's death."""
         with self._lock:
             self._expire()
-            added = Suspicion(
-                fingerprint, frozenset({death}), dropped=frozenset({observation} - {""})
-            )
+            replaced = frozenset({observation} - {""})
+            added = Suspicion(fingerprint, frozenset({death}), dropped=replaced)
             self._join(added, self._clock_s())
 
+    def drop(self, fingerprint: Fingerprint, observation: str) -> None:
+        """Take back an observation, such as a trial in which no endpoint was lost."""
+        with self._lock:
+            self._join(Suspicion(fingerprint, dropped=frozenset({observation})), self._clock_s())
+
     def clear(self, fingerprint: Fingerprint) -> None:
         """Note that an endpoint answered the request whole: nothing before that counts."""
         with self._lock:
@@ -111,27 +123,28 @@
                 return
             against = held.suspicion.deaths | held.suspicion.breaks
             self._join(Suspicion(fingerprint, dropped=against), self._clock_s())
-            held.next_trial_s = float("-inf")
         log_event(Event.FINGERPRINT_CLEARED, fingerprint=fingerprint, observations=len(against))
 
-    def admit(self, fingerprint: Fingerprint) -> float:
-        """Return 0 where the request may be sent now, or for how many seconds it may not.
+    def admit(self, fingerprint: Fingerprint) -> Admission:
+        """Return whether the request may be sent now.
 
-        A quarantined request that may be sent is on trial; the next one comes after another wait.
+        A quarantined request that may be sent is on trial. The trial counts as a death from its
+        start on, so that no other gateway makes one beside it, and none is forgotten when the
+        gateway that makes it ends.
         """
         with self._lock:
             self._expire()
             held = self._suspects.get(fingerprint)
             if held is None or held.suspicion.level < DEATHS_TO_QUARANTINE:
-                return 0.0
+                return Admission()
             now_s = self._clock_s()
-            left_s = self._trial_s(held) - now_s
+            left_s = held.seen_s + self._wait_s(held.suspicion.level) - now_s
             if left_s > 0:
-                return left_s
-            level = held.suspicion.level
-            held.next_trial_s = now_s + self._wait_s(level)
-        log_event(Event.FINGERPRINT_ON_TRIAL, fingerprint=fingerprint, level=level)
-        return 0.0
+                return Admission(left_s)
+            trial = f"trial-{secrets.token_hex(4)}@{int(time.time())}"
+            after = self._join(Suspicion(fingerprint, frozenset({trial})), now_s)
+        log_event(Event.FINGERPRINT_ON_TRIAL, fingerprint=fingerprint, level=after.level)
+        return Admission(trial=trial)
 
     def level(self, fingerprint: Fingerprint) -> int:
         """Return how much is held against a request; see :class:`Suspicion`."""
@@ -204,8 +217,19 @@
                 if not self._is_over(one.suspicion, seen_s, now_s):
                     self._join(one.suspicion, seen_s)
 
+    def severe(self) -> list[ToldSuspicion]:
+        """Return the suspicions that are quarantines, on trial or not."""
+        with self._lock:
+            self._expire()
+            now_s = self._clock_s()
+            return [
+                ToldSuspicion(held.suspicion, now_s - held.seen_s)
+                for held in self._suspects.values()
+                if held.suspicion.level >= DEATHS_TO_QUARANTINE
+            ]
+
     def find(self, fingerprint: Fingerprint) -> ToldSuspicion | None:
-        """Return what is held against a request."""
+        """Return what is held against a request, ``None`` for nothing."""
         with self._lock:
             held = self._suspects.get(fingerprint)
             if held is None:
@@ -273,12 +297,11 @@
         step = min(level - DEATHS_TO_QUARANTINE, len(self._trial_waits_s) - 1)
         return self._trial_waits_s[step]
 
-    def _trial_s(self, held: _Suspect) -> float:
-        return max(held.next_trial_s, held.seen_s + self._wait_s(held.suspicion.level))
-
     def _is_held(self, held: _Suspect) -> bool:
-        is_condemned = held.suspicion.level >= DEATHS_TO_QUARANTINE
-        return is_condemned and self._clock_s() < self._trial_s(held)
+        level = held.suspicion.level
+        if level < DEATHS_TO_QUARANTINE:
+            return False
+        return self._clock_s() - held.seen_s < self._wait_s(level)
 
 
 def _unpacked(points: bytes) -> set[int]:
--- a/packages/primroseferry-policy/tests/test_suspicion.py
+++ b/packages/primroseferry-policy/tests/test_suspicion.py
@@ -4,6 +4,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from primroseferry_core.ids import Fingerprint
+from primroseferry_policy.quarantine import Admission
 from primroseferry_policy.quarantine import Quarantine
 from primroseferry_policy.suspicion import Suspicion
 
@@ -75,17 +76,37 @@
     clock = Clock()
     quarantine = Quarantine(clock, trial_waits_s=(5.0, 60.0))
     quarantine.blame(CULPRIT, ["e-1@100", "e-2@100"])
-    assert quarantine.admit(CULPRIT) == 5.0
+    assert quarantine.admit(CULPRIT) == Admission(5.0)
     clock.now_s += 5.0
-    assert quarantine.admit(CULPRIT) == 0.0
-    assert quarantine.admit(CULPRIT) == 5.0
-    quarantine.blame(CULPRIT, ["e-3@106"])
-    assert quarantine.admit(CULPRIT) == 60.0
+    trial = quarantine.admit(CULPRIT)
+    assert (trial.wait_s, trial.trial != "") == (0.0, True)
+    assert quarantine.admit(CULPRIT) == Admission(60.0)
+    quarantine.confirm(CULPRIT, trial.trial, "e-3@106")
+    assert quarantine.admit(CULPRIT) == Admission(60.0)
     clock.now_s += 60.0
-    assert quarantine.admit(CULPRIT) == 0.0
+    assert quarantine.admit(CULPRIT).trial
     quarantine.clear(CULPRIT)
-    assert quarantine.admit(CULPRIT) == 0.0
-    assert quarantine.admit(CULPRIT) == 0.0
+    assert quarantine.admit(CULPRIT) == Admission()
+
+
+def test_trial_of_one_gateway_is_the_trial_of_all() -> None:
+    clock = Clock()
+    one, other = (Quarantine(clock, trial_waits_s=(5.0, 60.0)) for _ in range(2))
+    for quarantine in (one, other):
+        quarantine.blame(CULPRIT, ["e-1@100", "e-2@100"])
+    clock.now_s += 5.0
+    assert one.admit(CULPRIT).trial
+    other.hear(one.unknown_to(other.points()))
+    assert other.admit(CULPRIT) == Admission(60.0)
+
+
+def test_trial_that_no_endpoint_saw_is_taken_back() -> None:
+    clock = Clock()
+    quarantine = Quarantine(clock, trial_waits_s=(5.0, 60.0))
+    quarantine.blame(CULPRIT, ["e-1@100", "e-2@100"])
+    clock.now_s += 5.0
+    quarantine.drop(CULPRIT, quarantine.admit(CULPRIT).trial)
+    assert quarantine.admit(CULPRIT) == Admission(5.0)
 
 
 def test_first_death_after_an_answer_is_no_quarantine() -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
@@ -21,6 +21,7 @@
 from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
 from primroseferry_core.recent_map import RecentMap
+from primroseferry_policy.suspicion import DEATHS_TO_QUARANTINE
 
 from .attempts.outcome import Answered
 from .attempts.outcome import CallerLeft
@@ -34,7 +35,9 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from primroseferry_policy.quarantine import Admission
     from primroseferry_policy.quarantine import Quarantine
+    from primroseferry_policy.quarantine import ToldSuspicion
 
     from .attempts.outcome import AttemptOutcome
     from .endpoints.catalog import EndpointCatalog
@@ -65,10 +68,26 @@
     def tell_blame(self, blame: Blame) -> None:
         """Tell every gateway of a request that an endpoint died of."""
 
+    def tell_suspicion(self, told: ToldSuspicion) -> None:
+        """Tell every gateway all that is held against a request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """A request as the quarantine knows it.
+
+    ``trial`` is the trial that it is sent in, empty for none; ``admitted_level`` what was held
+    against it when it was admitted.
+    """
+
+    fingerprint: Fingerprint
+    trial: str = ""
+    admitted_level: int = 0
+
 
 @dataclass(frozen=True, slots=True)
 class _UnexplainedLoss:
-    """``observation`` is the break that a death found later replaces, empty for none."""
+    """``observation`` is the break or trial that a death found later replaces, or empty."""
 
     at_s: float
     run: EndpointRun
@@ -98,24 +117,38 @@
         with self._lock:
             return dict(self._verdicts)
 
+    def admit(self, fingerprint: Fingerprint) -> Admission:
+        """Return whether a request may be sent now; a trial is told to every gateway at once."""
+        admission = self._quarantine.admit(fingerprint)
+        told = self._quarantine.find(fingerprint) if admission.trial else None
+        if told is not None:
+            self._teller.tell_suspicion(told)
+        return admission
+
+    def take_back(self, suspect: Suspect) -> None:
+        """End a trial in which no endpoint was lost."""
+        if suspect.trial:
+            self._quarantine.drop(suspect.fingerprint, suspect.trial)
+
+    def is_quarantined_since(self, suspect: Suspect) -> bool:
+        """Whether so much came to be held against a request that it is sent no further."""
+        level = self._quarantine.level(suspect.fingerprint)
+        return level >= DEATHS_TO_QUARANTINE and level > suspect.admitted_level
+
     def judge(
-        self, endpoint: Endpoint, fingerprint: Fingerprint, request_id: str, outcome: AttemptOutcome
+        self, endpoint: Endpoint, suspect: Suspect, request_id: str, outcome: AttemptOutcome
     ) -> None:
         """Learn from one attempt on an endpoint."""
         match outcome:
             case Lost(reason) | StreamBroken(reason):
                 verdict = self._verdict(endpoint, outcome.is_death)
-                self._hold(verdict, endpoint, fingerprint, request_id, reason)
+                self._hold(verdict, endpoint.run, suspect, request_id, reason)
             case CallerLeft():
-                self._remember(endpoint.run, fingerprint, request_id, "")
-            case Answered(answer) if 200 <= answer.head.status < 300:
-                self._quarantine.clear(fingerprint)
-            case StreamEnded():
-                self._quarantine.clear(fingerprint)
-
-    def wait_s(self, fingerprint: Fingerprint) -> float:
-        """Return for how long the request is given no endpoint, 0 where it may be sent now."""
-        return self._quarantine.admit(fingerprint)
+                self._remember(endpoint.run, suspect, request_id, suspect.trial)
+            case Answered(answer) if not 200 <= answer.head.status < 300:
+                self.take_back(suspect)
+            case Answered() | StreamEnded():
+                self._quarantine.clear(suspect.fingerprint)
 
     def note_run_ended(self, endpoint: Endpoint, was_leaving: bool) -> None:
         """Take in that a run of an endpoint is no longer listed."""
@@ -150,31 +183,28 @@
         return Verdict.DEATH if is_gone else Verdict.BREAK
 
     def _hold(
-        self,
-        verdict: Verdict,
-        endpoint: Endpoint,
-        fingerprint: Fingerprint,
-        request_id: str,
-        reason: str,
+        self, verdict: Verdict, run: EndpointRun, suspect: Suspect, request_id: str, reason: str
     ) -> None:
-        run = endpoint.run
+        fingerprint = suspect.fingerprint
         self._log(verdict, run, fingerprint, request_id, reason)
         match verdict:
             case Verdict.DEATH:
                 death = _death_of(run)
-                self._quarantine.blame(fingerprint, [death])
+                self._quarantine.confirm(fingerprint, suspect.trial, death)
                 self._teller.tell_blame(Blame(fingerprint, death))
-            case Verdict.BREAK:
+            case Verdict.BREAK if not suspect.trial:
                 observation = f"{secrets.token_hex(4)}@{int(time.time())}"
                 self._quarantine.note_break(fingerprint, observation)
-                self._remember(run, fingerprint, request_id, observation)
-            case Verdict.UNEXPLAINED:
-                self._remember(run, fingerprint, request_id, "")
+                self._remember(run, suspect, request_id, observation)
+            case Verdict.BREAK | Verdict.UNEXPLAINED:
+                self._remember(run, suspect, request_id, suspect.trial)
+            case Verdict.LEAVING:
+                self.take_back(suspect)
 
     def _remember(
-        self, run: EndpointRun, fingerprint: Fingerprint, request_id: str, observation: str
+        self, run: EndpointRun, suspect: Suspect, request_id: str, observation: str
     ) -> None:
-        loss = _UnexplainedLoss(time.monotonic(), run, fingerprint, request_id, observation)
+        loss = _UnexplainedLoss(time.monotonic(), run, suspect.fingerprint, request_id, observation)
         with self._lock:
             self._unexplained.append(loss)
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/decision.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
+from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
 
 from .local_attempts import LocalOption
@@ -31,7 +32,7 @@
     status: int = 0
     attempts: list[str] = field(default_factory=list)
     options: str = ""
-    fingerprint: str = ""
+    fingerprint: Fingerprint = Fingerprint("")
 
     def note_options(self, local: LocalOption | None, remote: RegionOption | None) -> None:
         """Note the best options of a choice with their expected times."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
@@ -39,7 +39,8 @@
 
     ``hop_id`` is new for each attempt: a copy of it that arrives later is not run. A gateway that
     restarted does not know which it has seen, so an order holds for one incarnation only.
-    ``deadline_ms`` is what is left when it is sent, ``fingerprint`` what the request is known by.
+    ``deadline_ms`` is what is left when it is sent, ``fingerprint`` what the request is known by,
+    ``trial`` the trial that it is admitted to, empty for none.
     """
 
     hop_id: str
@@ -54,6 +55,7 @@
     last_event_id: str
     excluded: tuple[EndpointId, ...]
     fingerprint: Fingerprint = Fingerprint("")
+    trial: str = ""
 
     def encode(self) -> str:
         """Return the value of the header."""
@@ -77,6 +79,7 @@
             last_event_id=str(data["last_event_id"]),
             excluded=_names(data["excluded"]),
             fingerprint=Fingerprint(str(data.get("fingerprint", ""))),
+            trial=str(data.get("trial", "")),
         )
     except (ValueError, KeyError, TypeError):
         return None
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -12,6 +12,7 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 from primroseferry_core.recent_map import RecentMap
+from primroseferry_policy.quarantine import Admission
 from primroseferry_transport.calls import Header
 from primroseferry_transport.hang_up import watch_hang_up
 
@@ -23,6 +24,7 @@
 from ..attempts.outcome import StreamBroken
 from ..attempts.outcome import StreamEnded
 from ..control.peer_sync import CONTROL_PATH
+from ..crash_judge import Suspect
 from ..crash_judge import fingerprint_of_request
 from ..ingress.channel_sink import ChannelSink
 from ..local_attempts import AttemptPlan
@@ -150,10 +152,14 @@
         service = table.services[order.service]
         facts = self._server._dialect.read_request(self._request.headers)
         fingerprint = order.fingerprint or fingerprint_of_request(self._request)
+        crashes = self._server._local.crashes
+        admission = Admission(trial=order.trial) if order.trial else crashes.admit(fingerprint)
+        if admission.wait_s > 0:
+            return NotRun("endpoints that ran this request crashed", is_sent=False)
         plan = AttemptPlan(
             self._request,
             order.request_id,
-            fingerprint,
+            Suspect(fingerprint, admission.trial),
             order.service,
             facts.generation,
             self._request.received_s + order.deadline_ms / 1000,
@@ -163,8 +169,6 @@
             target_ms,
         )
         excluded = set(order.excluded)
-        if self._server._local.crashes.wait_s(fingerprint) > 0:
-            return NotRun("endpoints that ran this request crashed", is_sent=False)
         outcome: AttemptOutcome = NotRun("no endpoint is available here", is_sent=False)
         for _ in range(MAX_TRIES):
             options = self._server._local.rank(service, facts.generation, excluded)
@@ -185,6 +189,8 @@
             )
             if not (isinstance(outcome, NotRun) and not outcome.is_sent):
                 break
+        if isinstance(outcome, NotRun) and not order.trial:
+            crashes.take_back(plan.suspect)
         return outcome
 
     def _answer(self, outcome: AttemptOutcome) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -101,7 +101,8 @@
             plan.may_be_repeated,
             plan.last_event_id,
             excluded,
-            plan.fingerprint,
+            plan.suspect.fingerprint,
+            plan.suspect.trial,
         )
         call = HopCall(self._loop, option.peer.address.hop, plan.request, order, sink)
         circuit = _circuit(option.peer)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -40,7 +40,6 @@
     from collections.abc import Sequence
 
     from primroseferry_core.ids import EndpointId
-    from primroseferry_core.ids import Fingerprint
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.endpoint_loads import OpenRequest
@@ -50,6 +49,7 @@
     from .attempts.attempt_call import AttemptCall
     from .attempts.attempt_call import StreamSink
     from .attempts.outcome import AttemptOutcome
+    from .crash_judge import Suspect
     from .dialect import EndpointDialect
     from .dialect import ReplyFacts
     from .endpoints.catalog import EndpointCatalog
@@ -92,7 +92,7 @@
 
     request: RelayRequest
     request_id: str
-    fingerprint: Fingerprint
+    suspect: Suspect
     service: ServiceId
     generation: Generation
     deadline_s: float
@@ -239,7 +239,7 @@
         finally:
             policy.loads.end(opened)
         self._learn(option, service, call, opened, outcome)
-        self.crashes.judge(endpoint, plan.fingerprint, plan.request_id, outcome)
+        self.crashes.judge(endpoint, plan.suspect, plan.request_id, outcome)
         return outcome
 
     def rest_left_s(self, service: Service) -> float:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -54,6 +54,7 @@
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.endpoint_loads import OpenWork
     from primroseferry_policy.quarantine import Quarantine
+    from primroseferry_policy.quarantine import ToldSuspicion
 
     from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointPoint
@@ -248,6 +249,12 @@
         for address in self._peers.report_addresses() * 2:
             self._send(address, data)
 
+    def tell_suspicion(self, told: ToldSuspicion) -> None:
+        """Tell every gateway what is held against a request, twice: datagrams get lost."""
+        data = encode(Suspicions((told,)))
+        for address in self._peers.report_addresses() * 2:
+            self._send(address, data)
+
     def tell_leaving(self, run: EndpointRun) -> None:
         """Tell the region's gateways of an endpoint that leaves, twice: datagrams get lost."""
         data = encode(LeavingNote(run))
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -20,6 +20,7 @@
 
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.quarantine import Quarantine
+    from primroseferry_policy.quarantine import ToldSuspicion
 
     from ..endpoints.endpoint import EndpointRun
     from ..relay_policy import Placed
@@ -92,6 +93,10 @@
         """Tell every gateway of a request that an endpoint died of."""
         self._exchange.tell_blame(blame)
 
+    def tell_suspicion(self, told: ToldSuspicion) -> None:
+        """Tell every gateway all that is held against a request."""
+        self._exchange.tell_suspicion(told)
+
     def tell_leaving(self, run: EndpointRun) -> None:
         """Tell the region's gateways of an endpoint that leaves."""
         self._exchange.tell_leaving(run)
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -10,7 +10,6 @@
 
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import Problem
-from primroseferry_policy.suspicion import DEATHS_TO_QUARANTINE
 from primroseferry_transport.hang_up import watch_hang_up
 
 from .attempts.caller_watch import CallerWatch
@@ -20,6 +19,7 @@
 from .attempts.outcome import NotRun
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
+from .crash_judge import Suspect
 from .crash_judge import fingerprint_of_request
 from .ingress.answer_channel import ChannelState
 from .ingress.channel_sink import ChannelSink
@@ -120,13 +120,11 @@
         limit_ms = route.timeout_ms
         if facts.deadline_ms is not None:
             limit_ms = min(limit_ms, facts.deadline_ms)
-        self._fingerprint = fingerprint_of_request(request)
-        self._admitted_level = 0
-        record.fingerprint = self._fingerprint
+        record.fingerprint = fingerprint_of_request(request)
         self._plan = AttemptPlan(
             request,
             facts.request_id,
-            self._fingerprint,
+            Suspect(record.fingerprint),
             service.name,
             facts.generation,
             request.received_s + limit_ms / 1000,
@@ -146,11 +144,8 @@
 
     def run(self) -> None:
         """Make attempts until the request is answered."""
-        wait_s = self._policy.quarantine.admit(self._fingerprint)
-        if wait_s > 0:
-            self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, CRASHED_DETAIL), wait_s)
+        if not self._is_admitted():
             return
-        self._admitted_level = self._policy.quarantine.level(self._fingerprint)
         connection = self._channel.connection
         with watch_hang_up(self._parts.loop, connection, self._watch.note_left):
             while not self._watch.has_left:
@@ -167,7 +162,7 @@
                     if not self._wait_for_room():
                         return
                     continue
-                if self._is_quarantined_since():
+                if self._is_to_stop():
                     self._give_up_after_failure(CRASHED_DETAIL)
                     return
                 if not self._may_send_again():
@@ -177,6 +172,18 @@
                     return
         self._finish("caller-left")
 
+    def _is_admitted(self) -> bool:
+        """Ask the quarantine; a request that is not admitted is answered here."""
+        fingerprint = self._plan.suspect.fingerprint
+        admission = self._parts.local.crashes.admit(fingerprint)
+        if admission.wait_s > 0:
+            problem = Problem(ErrorKind.ENDPOINT_FAILED, CRASHED_DETAIL)
+            self._give_up(problem, admission.wait_s)
+            return False
+        level = self._policy.quarantine.level(fingerprint)
+        self._plan = replace(self._plan, suspect=Suspect(fingerprint, admission.trial, level))
+        return True
+
     def _choose(self) -> LocalOption | RegionOption | None:
         if self._progress.tries >= MAX_TRIES:
             return None
@@ -229,10 +236,11 @@
         self._give_up(problem, _return_s())
         return False
 
-    def _is_quarantined_since(self) -> bool:
-        """Whether so much came to be held against the request that it is sent no further."""
-        level = self._policy.quarantine.level(self._fingerprint)
-        return level >= DEATHS_TO_QUARANTINE and level > self._admitted_level
+    def _is_to_stop(self) -> bool:
+        """Whether the request is sent no further, because of what is held against it by now."""
+        suspect = self._plan.suspect
+        is_tried = bool(suspect.trial) and self._progress.may_have_run
+        return is_tried or self._parts.local.crashes.is_quarantined_since(suspect)
 
     def _may_send_again(self) -> bool:
         progress = self._progress
@@ -360,6 +368,8 @@
         self._finish("broken-off")
 
     def _finish(self, outcome: str) -> None:
+        if not self._progress.may_have_run:
+            self._parts.local.crashes.take_back(self._plan.suspect)
         self._record.close(outcome, self._channel.status)
         self._parts.on_done(self._record)
 
--- a/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_bench.py
@@ -40,6 +40,7 @@
     from collections.abc import Mapping
     from collections.abc import Sequence
 
+    from primroseferry_policy.quarantine import ToldSuspicion
     from primroseferry_relay.decision import DecisionRecord
     from primroseferry_relay.dialect import SendOrder
     from primroseferry_relay.endpoints.endpoint import EndpointRun
@@ -117,6 +118,7 @@
         self.placed: list[Placed] = []
         self.blames: list[Blame] = []
         self.leaving: list[EndpointRun] = []
+        self.suspicions: list[ToldSuspicion] = []
         self.catalog = EndpointCatalog()
         for number, endpoint in enumerate(endpoints):
             self.catalog.put(
@@ -160,6 +162,9 @@
     def tell_blame(self, blame: Blame) -> None:
         self.blames.append(blame)
 
+    def tell_suspicion(self, told: ToldSuspicion) -> None:
+        self.suspicions.append(told)
+
     def tell_leaving(self, run: EndpointRun) -> None:
         self.leaving.append(run)
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
@@ -16,6 +16,7 @@
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
 from primroseferry_relay.attempts.outcome import Answered
+from primroseferry_relay.crash_judge import Suspect
 from primroseferry_relay.decision import DecisionRecord
 from primroseferry_relay.local_attempts import AttemptPlan
 from primroseferry_relay.messages import RelayRequest
@@ -42,7 +43,7 @@
     now_s = time.monotonic()
     request = RelayRequest("POST", "/safe/x", "a.example", (), b"prompt", now_s)
     return AttemptPlan(
-        request, "r1", Fingerprint("f1"), ENGINES.name, PROMPT, now_s + 5, 3, "", False
+        request, "r1", Suspect(Fingerprint("f1")), ENGINES.name, PROMPT, now_s + 5, 3, "", False
     )
 
 
