Keep quarantines in the store, for a fleet whose gateways all end within seconds

Cause: what is held against requests lived in the memory of gateways alone.

Change: each quarantine has a record under a lease of ten minutes, written by one gateway in turn by the hash of the request, by the next one after a second where that fails; a gateway reads it with its first listing or from the peer that helps it. What was cleared overwrites its record. Two calls a change; single deaths are not written (an engine's end blames all it ran). Ruled out: a record for each death, because its calls grow with endpoints and gateways.

--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -64,6 +64,8 @@
     BLAME_HEARD = (5016, "info", "blame of a request heard from a peer")
     FINGERPRINT_ON_TRIAL = (5017, "warning", "quarantined request sent once more")
     SUSPICIONS_HEARD = (5018, "info", "suspicions of requests taken from a peer")
+    QUARANTINE_RECORDED = (5019, "info", "quarantine written to the store")
+    QUARANTINE_NOT_RECORDED = (5020, "warning", "quarantine could not be written to the store")
     KEY_CLAIMED = (6001, "info", "idempotency key claimed in the key-value service")
     KEY_CLAIM_FAILED = (6002, "warning", "idempotency key could not be claimed")
     ORDER_DISPATCHED = (6003, "info", "at-most-once operation dispatched")
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -13,6 +13,7 @@
 from .changes import EndpointRemoved
 from .changes import ItemIgnored
 from .changes import RoutesChanged
+from .quarantine_records import QUARANTINE_PREFIX
 from .registration import GATEWAY_PREFIX
 
 if TYPE_CHECKING:
@@ -25,6 +26,7 @@
     from ..routes.route_table import RouteTable
     from .changes import ControlDialect
     from .metadata_store import StoredItem
+    from .quarantine_records import QuarantineRecords
 
 
 class ControlFeed:
@@ -36,11 +38,13 @@
         catalog: EndpointCatalog,
         peers: PeerTable,
         policy: RelayPolicy,
+        records: QuarantineRecords,
     ) -> None:
         self._dialect = dialect
         self._catalog = catalog
         self._peers = peers
         self._policy = policy
+        self._records = records
         self._table: RouteTable | None = None
         self._evacuated: set[FailureDomainId] = set()
 
@@ -54,6 +58,9 @@
             if item.value is not None:
                 self._peers.add_candidates([item.value.decode("latin-1")])
             return
+        if item.key.startswith(QUARANTINE_PREFIX):
+            self._records.hear(item)
+            return
         match self._dialect.decode(item):
             case RoutesChanged(table):
                 self._put_table(table, item)
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -25,6 +25,7 @@
 from ..control.control_state import ControlState
 from ..control.counted_store import CountedStore
 from ..control.peer_sync import PeerSync
+from ..control.quarantine_records import QuarantineRecords
 from ..control.registration import Registration
 from ..control.store_watch import StartRole
 from ..control.store_watch import StoreWatch
@@ -116,11 +117,12 @@
         self._policy = RelayPolicy(SharedRetryBudget(limits.window_s, limits.ratio, limits.slack))
         self._catalog = EndpointCatalog()
         self._peers = PeerTable(settings.instance, settings.region)
-        self._feed = ControlFeed(control_dialect, self._catalog, self._peers, self._policy)
+        records = QuarantineRecords(self._store, self._policy.quarantine, self._peers)
+        self._feed = ControlFeed(control_dialect, self._catalog, self._peers, self._policy, records)
         self._state = ControlState(self._feed.apply)
         self._duty = WatchDuty(self._peers)
         self._sync = PeerSync(self._loop, self._peers, self._state, self._duty)
-        peer_feed = PeerFeed(self._catalog, self._policy, self._sync, self._feed.table)
+        peer_feed = PeerFeed(self._catalog, self._policy, self._sync, self._feed.table, records)
         self._reporter = Reporter(
             settings.host,
             settings.report_port,
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -16,6 +16,7 @@
     from primroseferry_policy.endpoint_loads import OpenWork
 
     from ..control.peer_sync import PeerSync
+    from ..control.quarantine_records import QuarantineRecords
     from ..endpoints.catalog import EndpointCatalog
     from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointPoint
@@ -35,11 +36,13 @@
         policy: RelayPolicy,
         sync: PeerSync,
         tables: Callable[[], RouteTable | None],
+        records: QuarantineRecords,
     ) -> None:
         self._catalog = catalog
         self._policy = policy
         self._sync = sync
         self._tables = tables
+        self._records = records
 
     def hear_digest(self, digest: Digest, own_loads: Mapping[EndpointPoint, OpenWork]) -> None:
         """Take in the region's loads; ``own_loads`` are this gateway's share of them."""
@@ -79,8 +82,9 @@
         self._catalog.note_leaving(run)
 
     def tick(self) -> None:
-        """Look whether a peer knows more of the store's items."""
+        """Look whether peers know more of the store, and whether the store is to be told."""
         self._sync.tick()
+        self._records.tick()
 
     def _note_parts(self, held: HeldParts) -> None:
         name = self._catalog.at_point(held.endpoint)
