Divide the retry slack by the gateways known lately, and keep it back after a restart

Cause: each gateway takes the slack divided by the gateways that it sees now. One that is cut off or has just started sees itself alone and takes all; one that restarts has forgotten what its last process spent. Class: an empty view taken for a fleet of one. Evidence: test_gateways_that_cannot_see_each_other_stay_within_the_shared_budget and test_fleet_that_restarts_stays_within_the_shared_budget failed before and pass now. The second names the restarted processes (replaces_another) as the gateway does; without that they could not be told from a fleet's first start, which test_budget_of_a_quiet_service_is_its_share_of_the_slack covers.

Change: the divisor is the most gateways known to live within two hours; a process that replaces another one keeps the slack back for one window and lives on its share of the requests.

--- a/packages/primroseferry-policy/src/primroseferry_policy/shared_budget.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/shared_budget.py
@@ -7,6 +7,8 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from .recent_maximum import RecentMaximum
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -20,6 +22,11 @@
 USED_COLD_SHARE = 0.9
 
 
+# A gateway that loses sight of others divides the slack by all that it knew in this time: they may
+# live on behind a cut and spend their shares.
+FLEET_MEMORY_S = 7_200.0
+
+
 class _Window:
     """Events of the last seconds, oldest first."""
 
@@ -36,7 +43,8 @@
 class SharedRetryBudget:
     """Repeats of each service: a share of its requests and a fixed slack, in a sliding window.
 
-    The slack is divided by the gateways that live; one that cannot tell takes the smallest share.
+    The slack is divided by the most gateways that were known to live lately. A process that takes
+    another one's place keeps it back for a whole window: the one before may have spent it.
     """
 
     def __init__(
@@ -45,7 +53,11 @@
         ratio: float,
         slack: float,
         clock_s: Callable[[], float] = time.monotonic,
+        *,
+        replaces_another: bool = False,
     ) -> None:
+        self._slack_from_s = clock_s() + window_s if replaces_another else float("-inf")
+        self._most_live = RecentMaximum(FLEET_MEMORY_S, clock_s)
         self._window_s = window_s
         self._ratio = ratio
         self._slack = slack
@@ -58,9 +70,10 @@
         with self._lock:
             self._window_s, self._ratio, self._slack = window_s, ratio, slack
 
-    def note_request(self, service: ServiceId) -> None:
-        """Count a request of a caller."""
+    def note_request(self, service: ServiceId, live_gateways: int = 1) -> None:
+        """Count a request of a caller, and the gateways that live as it comes."""
         with self._lock:
+            self._most_live.note(max(1, live_gateways))
             self._current(service).requests.append(self._clock_s())
 
     def spend(self, service: ServiceId, live_gateways: int) -> bool:
@@ -68,12 +81,18 @@
         with self._lock:
             window = self._current(service)
             earned = len(window.requests) * self._ratio * USED_RATIO_SHARE
-            share = self._slack * USED_SLACK_SHARE / max(1, live_gateways)
+            share = self._slack_share(live_gateways)
             if len(window.repeats) + 1 > earned + share:
                 return False
             window.repeats.append(self._clock_s())
             return True
 
+    def _slack_share(self, live_gateways: int) -> float:
+        most_live = self._most_live.note(max(1, live_gateways))
+        if self._clock_s() < self._slack_from_s:
+            return 0.0
+        return self._slack * USED_SLACK_SHARE / most_live
+
     def _current(self, service: ServiceId) -> _Window:
         window = self._windows.setdefault(service, _Window())
         window.drop_before(self._clock_s() - self._window_s)
--- a/packages/primroseferry-policy/tests/test_shared_limits.py
+++ b/packages/primroseferry-policy/tests/test_shared_limits.py
@@ -199,7 +199,17 @@
     clock = Clock()
     repeats = []
     for _ in range(3):
-        budgets = [SharedRetryBudget(10.0, 0.2, 52.0, clock) for _ in range(6)]
+        budgets = [
+            SharedRetryBudget(10.0, 0.2, 52.0, clock, replaces_another=True) for _ in range(6)
+        ]
         repeats += repeats_of_fleet_that_fails(budgets, clock, 1.0, [1] * 6)
         repeats += repeats_of_fleet_that_fails(budgets, clock, 2.0, [6] * 6)
     assert len(repeats) <= 0.2 * 16 * 9 + 52
+
+
+def test_gateway_that_never_repeated_before_a_cut_still_knows_its_share() -> None:
+    clock = Clock()
+    budget = SharedRetryBudget(10.0, 0.2, 52.0, clock)
+    budget.note_request(SERVICE, live_gateways=6)
+    clock.now_s += 60.0
+    assert sum(budget.spend(SERVICE, 1) for _ in range(52)) == 5
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -114,7 +114,13 @@
         self._summaries_s = 0.0
         self._stopping = threading.Event()
         limits = settings.retry_limits
-        self._policy = RelayPolicy(SharedRetryBudget(limits.window_s, limits.ratio, limits.slack))
+        budget = SharedRetryBudget(
+            limits.window_s,
+            limits.ratio,
+            limits.slack,
+            replaces_another=not settings.is_first_start,
+        )
+        self._policy = RelayPolicy(budget)
         self._catalog = EndpointCatalog()
         self._peers = PeerTable(settings.instance, settings.region)
         records = QuarantineRecords(self._store, self._policy.quarantine, self._peers)
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -60,7 +60,7 @@
         service = table.services[route.service_for(ticket)]
         record.route = route.name
         record.service = service.name
-        self._parts.policy.budget.note_request(service.name)
+        self._parts.policy.budget.note_request(service.name, self._parts.peers.live_count())
         RequestRun(self._parts, request, facts, channel, route, service, record).run()
 
     def _refuse(
