--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -137,12 +137,11 @@
             held = self._suspects.get(fingerprint)
             if held is None or held.suspicion.level < DEATHS_TO_QUARANTINE:
                 return Admission()
-            now_s = self._clock_s()
-            left_s = held.seen_s + self._wait_s(held.suspicion.level) - now_s
+            left_s = self._left_s(held)
             if left_s > 0:
                 return Admission(left_s)
             trial = f"trial-{secrets.token_hex(4)}@{int(time.time())}"
-            after = self._join(Suspicion(fingerprint, frozenset({trial})), now_s)
+            after = self._join(Suspicion(fingerprint, frozenset({trial})), self._clock_s())
         log_event(Event.FINGERPRINT_ON_TRIAL, fingerprint=fingerprint, level=after.level)
         return Admission(trial=trial)
 
@@ -158,7 +157,13 @@
         with self._lock:
             self._expire()
             held = self._suspects.get(fingerprint)
-            return held is not None and self._is_held(held)
+            return held is not None and self._left_s(held) > 0
+
+    def wait_s(self, fingerprint: Fingerprint) -> float:
+        """Return the seconds until the next trial of a quarantined request, 0 for all others."""
+        with self._lock:
+            held = self._suspects.get(fingerprint)
+            return self._left_s(held) if held is not None else 0.0
 
     def is_suspected(self, fingerprint: Fingerprint) -> bool:
         """Whether anything is held against the request."""
@@ -174,7 +179,7 @@
     def quarantined(self) -> list[Fingerprint]:
         """Return the quarantined requests."""
         with self._lock:
-            return sorted(name for name, held in self._suspects.items() if self._is_held(held))
+            return sorted(name for name, held in self._suspects.items() if self._left_s(held) > 0)
 
     @property
     def version(self) -> int:
@@ -297,11 +302,12 @@
         step = min(level - DEATHS_TO_QUARANTINE, len(self._trial_waits_s) - 1)
         return self._trial_waits_s[step]
 
-    def _is_held(self, held: _Suspect) -> bool:
+    def _left_s(self, held: _Suspect) -> float:
+        """Return the seconds until the next trial, 0 where none is waited for."""
         level = held.suspicion.level
         if level < DEATHS_TO_QUARANTINE:
-            return False
-        return self._clock_s() - held.seen_s < self._wait_s(level)
+            return 0.0
+        return max(0.0, held.seen_s + self._wait_s(level) - self._clock_s())
 
 
 def _unpacked(points: bytes) -> set[int]:
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -163,7 +163,7 @@
                         return
                     continue
                 if self._is_to_stop():
-                    self._give_up_after_failure(CRASHED_DETAIL)
+                    self._give_up_quarantined()
                     return
                 if not self._may_send_again():
                     self._give_up_after_failure("no further attempt is allowed")
@@ -177,8 +177,7 @@
         fingerprint = self._plan.suspect.fingerprint
         admission = self._parts.local.crashes.admit(fingerprint)
         if admission.wait_s > 0:
-            problem = Problem(ErrorKind.ENDPOINT_FAILED, CRASHED_DETAIL)
-            self._give_up(problem, admission.wait_s)
+            self._give_up_quarantined()
             return False
         level = self._policy.quarantine.level(fingerprint)
         self._plan = replace(self._plan, suspect=Suspect(fingerprint, admission.trial, level))
@@ -343,6 +342,10 @@
             wait_s = rest_s + _return_s() - MIN_RETURN_S
         self._give_up(Problem(ErrorKind.NO_ENDPOINT, detail), wait_s)
 
+    def _give_up_quarantined(self) -> None:
+        wait_s = self._policy.quarantine.wait_s(self._plan.suspect.fingerprint)
+        self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, CRASHED_DETAIL), wait_s or None)
+
     def _give_up_after_failure(self, detail: str) -> None:
         progress = self._progress
         if progress.last_failure is not None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
@@ -8,7 +8,12 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from primroseferry_core.hashing import fingerprint_of
 from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import Fingerprint
+from primroseferry_policy.quarantine import Quarantine
+from primroseferry_policy.shared_budget import SharedRetryBudget
+from primroseferry_relay.relay_policy import RelayPolicy
 from primroseferry_relay.routes.route_table import build_route_table
 
 from .relay_bench import LIMITS
@@ -178,3 +183,24 @@
         connection.sendall(request_bytes("/safe/deadly", headers="Connection: close\r\n"))
         read_all(connection)
     assert sends(endpoints) == 3
+
+
+def test_refusal_of_a_quarantined_request_says_when_to_come_back(loop: CurlLoop) -> None:
+    bench = RelayBench(loop, mortals(3))
+    for _ in range(2):
+        bench.call("/once/", "POST", body=DEADLY)
+    head = bench.call("/once/", "POST", body=DEADLY).partition(b"\r\n\r\n")[0].lower()
+    wait_s = float(head.partition(b"retry-after:")[2].split()[0])
+    assert 0 < wait_s <= 5
+
+
+def test_request_that_was_only_near_two_crashes_is_served_after_its_wait(loop: CurlLoop) -> None:
+    policy = RelayPolicy(
+        SharedRetryBudget(10, 0.2, 50), quarantine=Quarantine(trial_waits_s=(0.2, 60.0))
+    )
+    bench = RelayBench(loop, [endpoint_that(die)], policy=policy)
+    fingerprint = Fingerprint(fingerprint_of("127.0.0.1", "/safe/innocent", b""))
+    bench.policy.quarantine.blame(fingerprint, ["e-7@100", "e-8@200"])
+    assert status_of(bench.call("/safe/innocent")) == 502
+    time.sleep(0.25)
+    assert [status_of(bench.call("/safe/innocent")) for _ in range(3)] == [200] * 3
