--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -199,12 +199,8 @@
         known = _unpacked(points)
         with self._lock:
             self._expire()
-            now_s = self._clock_s()
-            return [
-                ToldSuspicion(held.suspicion, now_s - held.seen_s)
-                for held in self._suspects.values()
-                if held.point not in known
-            ]
+            held = list(self._suspects.values())
+            return [self._told(one) for one in held if one.point not in known]
 
     def lacks_any(self, points: bytes) -> bool:
         """Whether a gateway with these hashes holds something that this one does not."""
@@ -226,20 +222,17 @@
         """Return the suspicions that are quarantines, on trial or not."""
         with self._lock:
             self._expire()
-            now_s = self._clock_s()
-            return [
-                ToldSuspicion(held.suspicion, now_s - held.seen_s)
-                for held in self._suspects.values()
-                if held.suspicion.level >= DEATHS_TO_QUARANTINE
-            ]
+            held = list(self._suspects.values())
+            return [self._told(one) for one in held if one.suspicion.level >= DEATHS_TO_QUARANTINE]
 
     def find(self, fingerprint: Fingerprint) -> ToldSuspicion | None:
         """Return what is held against a request, ``None`` for nothing."""
         with self._lock:
             held = self._suspects.get(fingerprint)
-            if held is None:
-                return None
-            return ToldSuspicion(held.suspicion, self._clock_s() - held.seen_s)
+            return self._told(held) if held is not None else None
+
+    def _told(self, held: _Suspect) -> ToldSuspicion:
+        return ToldSuspicion(held.suspicion, self._clock_s() - held.seen_s)
 
     def _join(self, added: Suspicion, seen_s: float) -> Suspicion:
         held = self._suspects.get(added.fingerprint)
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
@@ -25,7 +25,7 @@
 
 # How long a request that crashed endpoints waits for its next trial, after the second death and
 # each further one.
-TRIAL_WAITS_S = (5.0, 60.0, 600.0, 3_600.0, 21_600.0)
+TRIAL_WAITS_S = (5.0, 60.0, 600.0, 3_600.0, 86_400.0)
 
 
 @dataclass(frozen=True, slots=True)
