Do not choose a gateway that has just started and sees no other

One gateway of a region sends to a cold endpoint; after a restart of all, each of them was that one until it heard the others.

Change: for 2 s after its start a gateway that sees no other of its region is not chosen; one that is alone is chosen then.

--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -8,7 +8,6 @@
 from typing import Protocol
 
 from primroseferry_core.events import Event
-from primroseferry_core.hashing import rendezvous_order
 from primroseferry_core.logs import log_event
 from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_policy.endpoint_loads import OpenWork
@@ -325,9 +324,7 @@
     def _may_send_cold(self, endpoint: Endpoint, service: Service) -> bool:
         if service.warmup_per_s <= 0 or not self._catalog.is_cold(endpoint.endpoint):
             return True
-        members = [str(name) for name in self._peers.ready_in(self._region)]
-        order = rendezvous_order(str(endpoint.endpoint), members)
-        is_sender = bool(order) and order[0] == self._peers.own_instance
+        is_sender = self._peers.is_chosen(endpoint.endpoint)
         return is_sender and self._policy.cold_gate.may_send(endpoint.endpoint)
 
     def _take_cold_place(self, endpoint: Endpoint, service: Service) -> bool:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
+from primroseferry_core.hashing import rendezvous_order
 from primroseferry_core.logs import log_event
 
 from .datagrams import Roster
@@ -35,6 +36,8 @@
 FAR_CONFIRMED_S = 3.0
 # Names of peers in one log line; a fleet that starts must not write a line for each pair.
 MAX_LOGGED_NAMES = 5
+# A gateway that sees no other of its region for so long after its start is the only one.
+ALONE_AFTER_S = 2.0
 UNKNOWN_ROSTER = RosterVersion(0)
 
 
@@ -68,6 +71,7 @@
         self.own_region = own_region
         self.own_state = GatewayState.STARTING
         self._clock_s = clock_s
+        self._started_s = clock_s()
         self._regions: dict[RegionId, _Region] = {}
         self._candidates: set[str] = set()
         self._lock = threading.Lock()
@@ -165,6 +169,17 @@
             names.append(self.own_instance)
         return names
 
+    def is_chosen(self, key: str) -> bool:
+        """Whether this gateway is the one of its region's ready ones that a key falls to.
+
+        One that has just started and sees no other does not know yet whether it is alone.
+        """
+        is_young = self._clock_s() - self._started_s < ALONE_AFTER_S
+        if is_young and not self.live_in(self.own_region):
+            return False
+        order = rendezvous_order(key, [str(name) for name in self.ready_in(self.own_region)])
+        return bool(order) and order[0] == self.own_instance
+
     def summary(self, region: RegionId, service: ServiceId) -> ServiceSummary | None:
         """Return how another region's service stands."""
         held = self._confirmed().get(region)
