Keep a trial whose caller left; pass on an endpoint's own failure where a quarantine stops the request

Found in reading: a caller that left took the trial of its request back although an endpoint may have ended under it, and a request that a quarantine stopped between two attempts hid the answer that an endpoint had given. Both tests failed before and pass now.

--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
@@ -49,6 +49,7 @@
 LAPSE_S = 10.0
 MAX_UNEXPLAINED = 4_096
 MAX_ENDED_RUNS = 1_024
+CRASHED_DETAIL = "endpoints that ran this request crashed"
 _CREDENTIAL_HEADER = "authorization"
 
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -144,11 +144,9 @@
         """Whether a run of an endpoint says itself, or in its entry, that it leaves."""
         with self._lock:
             held = self._listed.get(run.endpoint)
-            is_listed = held is not None and held.endpoint.run == run
-            is_draining = (
-                is_listed and held is not None and held.endpoint.state is not EndpointState.READY
-            )
-            return is_draining or run in self._leaving
+            if held is not None and held.endpoint.run == run:
+                return held.endpoint.state is not EndpointState.READY or run in self._leaving
+            return run in self._leaving
 
     def set_evacuated(self, domains: frozenset[FailureDomainId]) -> None:
         """Close exactly these failure domains for work."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -24,6 +24,7 @@
 from ..attempts.outcome import StreamBroken
 from ..attempts.outcome import StreamEnded
 from ..control.peer_sync import CONTROL_PATH
+from ..crash_judge import CRASHED_DETAIL
 from ..crash_judge import Suspect
 from ..crash_judge import fingerprint_of_request
 from ..ingress.channel_sink import ChannelSink
@@ -155,7 +156,7 @@
         crashes = self._server._local.crashes
         admission = Admission(trial=order.trial) if order.trial else crashes.admit(fingerprint)
         if admission.wait_s > 0:
-            return NotRun("endpoints that ran this request crashed", is_sent=False)
+            return NotRun(CRASHED_DETAIL, is_sent=False)
         plan = AttemptPlan(
             self._request,
             order.request_id,
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -19,6 +19,7 @@
 from .attempts.outcome import NotRun
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
+from .crash_judge import CRASHED_DETAIL
 from .crash_judge import Suspect
 from .crash_judge import fingerprint_of_request
 from .ingress.answer_channel import ChannelState
@@ -63,7 +64,6 @@
 # The endpoints' order of urgency, 0 first; a route's own priority is added to this.
 BASE_PRIORITY = 3
 MAX_PRIORITY = 9
-CRASHED_DETAIL = "endpoints that ran this request crashed"
 
 
 @dataclass(frozen=True, slots=True)
@@ -312,6 +312,7 @@
                 progress.reason = reason
                 return False
             case CallerLeft():
+                progress.may_have_run = True
                 self._finish("caller-left")
                 return True
 
@@ -343,6 +344,9 @@
         self._give_up(Problem(ErrorKind.NO_ENDPOINT, detail), wait_s)
 
     def _give_up_quarantined(self) -> None:
+        if self._progress.last_failure is not None:
+            self._deliver(self._progress.last_failure)
+            return
         wait_s = self._policy.quarantine.wait_s(self._plan.suspect.fingerprint)
         self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, CRASHED_DETAIL), wait_s or None)
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
@@ -204,3 +204,36 @@
     assert status_of(bench.call("/safe/innocent")) == 502
     time.sleep(0.25)
     assert [status_of(bench.call("/safe/innocent")) for _ in range(3)] == [200] * 3
+
+
+def test_trial_whose_caller_left_is_not_taken_back(loop: CurlLoop) -> None:
+    def hang(_endpoint: ScriptedEndpoint, _connection: socket.socket, _request: Received) -> None:
+        time.sleep(1.0)
+
+    policy = RelayPolicy(
+        SharedRetryBudget(10, 0.2, 50), quarantine=Quarantine(trial_waits_s=(0.0, 60.0))
+    )
+    endpoint = endpoint_that(hang)
+    bench = RelayBench(loop, [endpoint], policy=policy)
+    fingerprint = Fingerprint(fingerprint_of("127.0.0.1", "/once/", DEADLY))
+    policy.quarantine.blame(fingerprint, ["e-7@100", "e-8@200"])
+    with bench.connect() as connection:
+        connection.sendall(request_bytes("/once/", "POST", body=DEADLY))
+        limit_s = time.monotonic() + 5
+        while not endpoint.requests and time.monotonic() < limit_s:
+            time.sleep(0.01)
+    assert bench.wait_records()[0].outcome == "caller-left"
+    assert policy.quarantine.level(fingerprint) == 3
+
+
+def test_failure_of_an_endpoint_is_passed_on_where_a_quarantine_stops_the_request(
+    loop: CurlLoop,
+) -> None:
+    def fail(_endpoint: ScriptedEndpoint, connection: socket.socket, request: Received) -> None:
+        policy.quarantine.blame(fingerprint, ["e-7@100", "e-8@200"])
+        connection.sendall(answer(request, "500 Failed", b"its own words"))
+
+    policy = RelayPolicy(SharedRetryBudget(10, 0.2, 50))
+    fingerprint = Fingerprint(fingerprint_of("127.0.0.1", "/safe/", DEADLY))
+    bench = RelayBench(loop, [endpoint_that(fail), endpoint_that(fail)], policy=policy)
+    assert bench.call("/safe/", "POST", body=DEADLY).endswith(b"its own words")
