Repeat a probe that a dying engine leaves unanswered, not only one that it drops

On a busy instance a process that is ending leaves a probe without an answer for longer than the probe waits; that counted as a sign of life, so the death was not blamed. Two of the new cases of test_engine_death.py failed before and pass now. It may be what is left of the entry of test_innocent_requests_batched_with_it_are_served in KNOWN-RED.txt (three engines dead); that is not shown, so the entry stays.

--- a/packages/primroseferry-gateway/src/primroseferry_gateway/engine_call.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/engine_call.py
@@ -32,6 +32,8 @@
 # How often a probe that is dropped unanswered is repeated, and the pause before each.
 DEATH_PROBES = 5
 DEATH_PROBE_PAUSE_S = 0.05
+# So many probes without an answer come from an endpoint that is slow and not dead.
+DEATH_PROBE_SILENCES = 3
 DEADLINE_SLACK_S = 0.15
 ENGINE_PRIORITIES = {Urgency.HIGH: 2, Urgency.NORMAL: 1, Urgency.LOW: 0}
 AGED_PRIORITY = 3
@@ -196,7 +198,8 @@
     """Ask the endpoint's port: an endpoint that crashed refuses the connection.
 
     The kernel still takes connections for a process that is just ending, and drops them unanswered
-    with it. A probe that is dropped is therefore repeated, until the endpoint answers or refuses.
+    with it, on a busy instance only after a while. A probe that is dropped or gets no answer is
+    therefore repeated, until the endpoint answers or refuses.
     """
     probe = HttpCall(
         "GET",
@@ -205,8 +208,13 @@
         timeout_ms=DEATH_PROBE_TIMEOUT_MS,
         is_repeatable=False,
     )
+    silences = 0
     for _ in range(DEATH_PROBES):
         match loop.call(probe):
+            case Err(failure) if failure.stage is FailureStage.TIMED_OUT:
+                silences += 1
+                if silences == DEATH_PROBE_SILENCES:
+                    return False
             case Err(failure) if failure.stage is FailureStage.CONNECTION_LOST:
                 time.sleep(DEATH_PROBE_PAUSE_S)
             case Err(failure):
--- a/packages/primroseferry-gateway/tests/test_engine_death.py
+++ b/packages/primroseferry-gateway/tests/test_engine_death.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+import time
 from typing import TYPE_CHECKING
 
 import pytest
@@ -15,7 +16,9 @@
 if TYPE_CHECKING:
     from primroseferry_transport.curl_loop import CurlLoop
 
-DROP, ANSWER = "drop", "answer"
+DROP, ANSWER, HOLD = "drop", "answer", "hold"
+# Longer than a probe waits for an answer.
+HOLD_S = 0.7
 REPLY = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 
 
@@ -35,6 +38,8 @@
                 self._listener.close()
             with connection:
                 connection.recv(4_096)
+                if action == HOLD:
+                    time.sleep(HOLD_S)
                 if action == ANSWER:
                     connection.sendall(REPLY)
 
@@ -47,6 +52,10 @@
         ([ANSWER], False),
         ([DROP, ANSWER], False),
         ([DROP] * 20, False),
+        ([HOLD], True),
+        ([DROP, HOLD], True),
+        ([HOLD, ANSWER], False),
+        ([HOLD] * 8, False),
     ],
 )
 def test_engine_whose_process_is_just_ending_counts_as_dead(
