Count nothing against a request from before its last whole answer, wherever and whenever that is told

What callers saw: sound requests, of callers that repeat them beside one that crashes endpoints, were refused although they had been answered since.

Cause, from the logs of both: a loss that is found to be a death some seconds later was held against the request though it had been answered in between (5014 at 07.949, 5015 at 11.120, 5005 'found later' at 12.304, 5006); and an answer dropped only the deaths that its gateway had heard of.

Change: a suspicion holds the time of the last whole answer; observations carry the time of the loss, not of its discovery, and older ones never count. A gateway remembers the answers of the last 2,048 requests for blames that come later.

--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -20,6 +20,7 @@
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
+from primroseferry_core.recent_map import RecentMap
 
 from .suspicion import DEATHS_TO_QUARANTINE
 from .suspicion import Suspicion
@@ -36,6 +37,8 @@
 # Longer than any gateway or the store keeps what was dropped.
 CLEARED_TTL_S = 600.0
 MAX_SUSPECTS = 1_024
+# Requests whose last whole answer is remembered, for blames that come later than that.
+MAX_ANSWERED = 2_048
 EXPIRY_PAUSE_S = 1.0
 _POINT = struct.Struct(">Q")
 
@@ -71,6 +74,7 @@
         clock_s: Callable[[], float] = time.monotonic,
         ttl_s: float = BLAME_TTL_S,
         trial_waits_s: Sequence[float] = (),
+        wall_clock_s: Callable[[], float] = time.time,
     ) -> None:
         """``trial_waits_s`` are the waits from the quarantine's first level on, the last for all.
 
@@ -79,6 +83,8 @@
         self._clock_s = clock_s
         self._ttl_s = ttl_s
         self._trial_waits_s = tuple(trial_waits_s)
+        self._wall_clock_s = wall_clock_s
+        self._answered: RecentMap[Fingerprint, int] = RecentMap(MAX_ANSWERED)
         self._suspects: dict[Fingerprint, _Suspect] = {}
         self._version = 0
         self._next_expiry_s = float("-inf")
@@ -118,12 +124,15 @@
     def clear(self, fingerprint: Fingerprint) -> None:
         """Note that an endpoint answered the request whole: nothing before that counts."""
         with self._lock:
+            answered_s = int(self._wall_clock_s())
+            self._answered.put(fingerprint, answered_s)
             held = self._suspects.get(fingerprint)
             if held is None or held.suspicion.is_empty:
                 return
-            against = held.suspicion.deaths | held.suspicion.breaks
-            self._join(Suspicion(fingerprint, dropped=against), self._clock_s())
-        log_event(Event.FINGERPRINT_CLEARED, fingerprint=fingerprint, observations=len(against))
+            before = held.suspicion
+            self._join(Suspicion(fingerprint, answered_s=answered_s), self._clock_s())
+            dropped = len(before.deaths | before.breaks)
+        log_event(Event.FINGERPRINT_CLEARED, fingerprint=fingerprint, observations=dropped)
 
     def admit(self, fingerprint: Fingerprint) -> Admission:
         """Return whether the request may be sent now.
@@ -140,7 +149,7 @@
             left_s = self._left_s(held)
             if left_s > 0:
                 return Admission(left_s)
-            trial = f"trial-{secrets.token_hex(4)}@{int(time.time())}"
+            trial = f"trial-{secrets.token_hex(4)}@{int(self._wall_clock_s())}"
             after = self._join(Suspicion(fingerprint, frozenset({trial})), self._clock_s())
         log_event(Event.FINGERPRINT_ON_TRIAL, fingerprint=fingerprint, level=after.level)
         return Admission(trial=trial)
@@ -237,6 +246,9 @@
     def _join(self, added: Suspicion, seen_s: float) -> Suspicion:
         held = self._suspects.get(added.fingerprint)
         before = held.suspicion if held is not None else Suspicion(added.fingerprint)
+        answered_s = self._answered.get(added.fingerprint)
+        if answered_s is not None:
+            added = added.joined(Suspicion(added.fingerprint, answered_s=answered_s))
         after = before.joined(added)
         if after == before:
             return after
--- a/packages/primroseferry-policy/tests/test_quarantine.py
+++ b/packages/primroseferry-policy/tests/test_quarantine.py
@@ -25,7 +25,7 @@
 
     @initialize()
     def start(self) -> None:
-        self.gateways = [Quarantine(), Quarantine()]
+        self.gateways = [Quarantine(wall_clock_s=lambda: self.now_s) for _ in range(2)]
         self.innocents = [Fingerprint(f"innocent-{number}") for number in range(6)]
         self.culprit_deaths = 0
         self.now_s = 0
--- a/packages/primroseferry-policy/tests/test_suspicion.py
+++ b/packages/primroseferry-policy/tests/test_suspicion.py
@@ -14,7 +14,11 @@
     max_size=24,
 )
 SUSPICIONS = st.builds(
-    lambda *sets: Suspicion(CULPRIT).joined(Suspicion(CULPRIT, *sets)), NAMES, NAMES, NAMES
+    lambda *parts: Suspicion(CULPRIT).joined(Suspicion(CULPRIT, *parts)),
+    NAMES,
+    NAMES,
+    NAMES,
+    st.integers(0, 60),
 )
 
 
@@ -110,7 +114,7 @@
 
 
 def test_first_death_after_an_answer_is_no_quarantine() -> None:
-    quarantine = Quarantine()
+    quarantine = Quarantine(wall_clock_s=lambda: 150.0)
     quarantine.blame(CULPRIT, ["e-1@100"])
     quarantine.clear(CULPRIT)
     quarantine.blame(CULPRIT, ["e-2@200"])
@@ -126,3 +130,22 @@
         quarantine.blame(Fingerprint(f"f{number}"), ["e-1@100"])
     assert quarantine.is_quarantined(CULPRIT)
     assert len(quarantine.points()) <= 8 * 1_024
+
+
+def test_death_from_before_an_answer_that_is_found_later_does_not_count() -> None:
+    quarantine = Quarantine(wall_clock_s=lambda: 150.0)
+    quarantine.clear(CULPRIT)
+    quarantine.confirm(CULPRIT, "", "e-1/7@120")
+    quarantine.confirm(CULPRIT, "", "e-2/7@130")
+    assert not quarantine.is_suspected(CULPRIT)
+
+
+def test_answer_at_one_gateway_drops_older_deaths_that_another_one_tells_later() -> None:
+    one, other = (Quarantine(wall_clock_s=lambda: 150.0) for _ in range(2))
+    other.blame(CULPRIT, ["e-1/7@100", "e-2/7@110"])
+    one.clear(CULPRIT)
+    one.hear(other.unknown_to(one.points()))
+    other.hear(one.unknown_to(other.points()))
+    assert not one.is_suspected(CULPRIT)
+    assert not other.is_suspected(CULPRIT)
+    assert one.version == other.version
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
@@ -91,6 +91,7 @@
     """``observation`` is the break or trial that a death found later replaces, or empty."""
 
     at_s: float
+    wall_s: float
     run: EndpointRun
     fingerprint: Fingerprint
     request_id: str
@@ -165,7 +166,9 @@
             return
         for one in lost:
             if now_s - one.at_s <= LAPSE_S:
-                self._quarantine.confirm(one.fingerprint, one.observation, _death_of(run))
+                self._quarantine.confirm(
+                    one.fingerprint, one.observation, _death_of(run, one.wall_s)
+                )
                 self._log(
                     Verdict.DEATH_FOUND_LATER, run, one.fingerprint, one.request_id, "entry lapsed"
                 )
@@ -190,7 +193,7 @@
         self._log(verdict, run, fingerprint, request_id, reason)
         match verdict:
             case Verdict.DEATH:
-                death = _death_of(run)
+                death = _death_of(run, time.time())
                 self._quarantine.confirm(fingerprint, suspect.trial, death)
                 self._teller.tell_blame(Blame(fingerprint, death))
             case Verdict.BREAK if not suspect.trial:
@@ -205,7 +208,9 @@
     def _remember(
         self, run: EndpointRun, suspect: Suspect, request_id: str, observation: str
     ) -> None:
-        loss = _UnexplainedLoss(time.monotonic(), run, suspect.fingerprint, request_id, observation)
+        loss = _UnexplainedLoss(
+            time.monotonic(), time.time(), run, suspect.fingerprint, request_id, observation
+        )
         with self._lock:
             self._unexplained.append(loss)
 
@@ -242,5 +247,10 @@
     return Fingerprint(fingerprint_of(caller, request.target, request.body))
 
 
-def _death_of(run: EndpointRun) -> str:
-    return f"{run.endpoint}/{run.started_ms}@{int(time.time())}"
+def _death_of(run: EndpointRun, wall_s: float) -> str:
+    """Return the name of a run's death under a request that was lost at that time.
+
+    A run whose start is not known is told from the next one of its endpoint by the time alone.
+    """
+    source = f"{run.endpoint}/{run.started_ms}" if run.started_ms else run.endpoint
+    return f"{source}@{int(wall_s)}"
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -409,12 +409,13 @@
         sorted(held.breaks),
         sorted(held.dropped),
         round(max(0.0, told.age_s), 1),
+        held.answered_s,
     ]
 
 
 def told_suspicion(fields: Any) -> ToldSuspicion:
     """Return the suspicion that ``told_fields`` made; raises ``ValueError`` or ``TypeError``."""
-    fingerprint, deaths, breaks, dropped, age_s = fields[:5]
+    fingerprint, deaths, breaks, dropped, age_s, answered_s = fields[:6]
     if not 0 <= age_s < float("inf"):
         raise ValueError("an age is needed")
     return ToldSuspicion(
@@ -423,6 +424,7 @@
             frozenset(map(_text, deaths)),
             frozenset(map(_text, breaks)),
             frozenset(map(_text, dropped)),
+            _whole(answered_s),
         ),
         float(age_s),
     )
--- a/packages/primroseferry-relay/tests/relay_tests/test_codec.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_codec.py
@@ -106,6 +106,7 @@
                     frozenset({"e-1/1@100", "e-2/1@110"}),
                     frozenset({"a1@90"}),
                     frozenset({"e-3/1@80"}),
+                    70,
                 ),
                 12.5,
             ),
--- a/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
@@ -237,3 +237,20 @@
     fingerprint = Fingerprint(fingerprint_of("127.0.0.1", "/safe/", DEADLY))
     bench = RelayBench(loop, [endpoint_that(fail), endpoint_that(fail)], policy=policy)
     assert bench.call("/safe/", "POST", body=DEADLY).endswith(b"its own words")
+
+
+def test_loss_from_before_a_whole_answer_is_not_held_against_its_request(loop: CurlLoop) -> None:
+    def fall_silent(
+        endpoint: ScriptedEndpoint, _connection: socket.socket, _request: Received
+    ) -> None:
+        endpoint.close()
+        time.sleep(1.0)
+
+    first = RelayBench(loop, [endpoint_that(fall_silent)], prefix="first")
+    first.call("/short/deadly")
+    sound = ScriptedEndpoint(lambda one, request: one.sendall(answer(request)))
+    second = RelayBench(loop, [sound], prefix="second", policy=first.policy)
+    assert status_of(second.call("/short/deadly")) == 200
+    first.catalog.remove(EndpointId("first-0"))
+    fingerprint = Fingerprint(fingerprint_of("127.0.0.1", "/short/deadly", b""))
+    assert not first.policy.quarantine.is_suspected(fingerprint)
--- a/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
@@ -158,7 +158,7 @@
 
 def test_age_of_a_record_counts_from_when_it_was_written() -> None:
     fleet = Fleet()
-    data = b'{"held":["deadly",["e-1@100","e-2@110"],[],[],5.0],"written_s":%d}'
+    data = b'{"held":["deadly",["e-1@100","e-2@110"],[],[],5.0,0],"written_s":%d}'
     item = StoredItem("quarantine/deadly", data % int(time.time() - 100), 5)
     fleet.records[0].hear(item)
     told = fleet.quarantines[0].find(DEADLY)
