Suspect a request less whose answer had begun when its endpoint ended

What callers saw: sound requests beside ones that crash endpoints were refused for seconds.

Cause: an endpoint takes everything down that it runs; each of these was blamed as much as the one that had just been sent.

--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_judge.py
@@ -2,6 +2,9 @@
 
 A refused connection right after a loss proves that the endpoint ended. Where nothing proves it at
 once, the loss is remembered: the endpoint's entry lapses, or names another run, some seconds later.
+
+A request whose answer had begun to arrive is less suspect than one that had only been sent: most
+requests that an endpoint takes down with it are in the midst of their answers.
 """
 
 from __future__ import annotations
@@ -58,6 +61,7 @@
 
     DEATH = "endpoint-died"
     DEATH_FOUND_LATER = "endpoint-died-found-later"
+    MIDWAY = "broke-after-the-answer-began"
     BREAK = "connection-broke-on-living-endpoint"
     UNEXPLAINED = "unexplained"
     LEAVING = "endpoint-was-leaving"
@@ -143,7 +147,10 @@
         """Learn from one attempt on an endpoint."""
         match outcome:
             case Lost(reason) | StreamBroken(reason):
+                has_begun = isinstance(outcome, StreamBroken) and outcome.events > 0
                 verdict = self._verdict(endpoint, outcome.is_death)
+                if has_begun and verdict in (Verdict.DEATH, Verdict.BREAK):
+                    verdict = Verdict.MIDWAY
                 self._hold(verdict, endpoint.run, suspect, request_id, reason)
             case CallerLeft():
                 self._remember(endpoint.run, suspect, request_id, suspect.trial)
@@ -197,10 +204,12 @@
                 self._quarantine.confirm(fingerprint, suspect.trial, death)
                 self._teller.tell_blame(Blame(fingerprint, death))
             case Verdict.BREAK if not suspect.trial:
-                observation = f"{secrets.token_hex(4)}@{int(time.time())}"
+                observation = _new_break()
                 self._quarantine.note_break(fingerprint, observation)
                 self._remember(run, suspect, request_id, observation)
-            case Verdict.BREAK | Verdict.UNEXPLAINED:
+            case Verdict.MIDWAY if not suspect.trial:
+                self._quarantine.note_break(fingerprint, _new_break())
+            case Verdict.BREAK | Verdict.UNEXPLAINED | Verdict.MIDWAY:
                 self._remember(run, suspect, request_id, suspect.trial)
             case Verdict.LEAVING:
                 self.take_back(suspect)
@@ -247,6 +256,10 @@
     return Fingerprint(fingerprint_of(caller, request.target, request.body))
 
 
+def _new_break() -> str:
+    return f"{secrets.token_hex(4)}@{int(time.time())}"
+
+
 def _death_of(run: EndpointRun, wall_s: float) -> str:
     """Return the name of a run's death under a request that was lost at that time.
 
