--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
@@ -26,6 +26,8 @@
 # How many request times are buffered before they are passed to the library.
 MAX_PENDING_TIMES = 5_000
 UNKNOWN_SERVICE = "none"
+# The labels of one value of a collector, and the value.
+_Sample = tuple[dict[str, str], float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,23 +95,13 @@
         from aioprometheus.collectors import Gauge
         from aioprometheus.collectors import Registry
 
+        # Without a registry of its own, each collector joins the library's global one, which
+        # rejects the same name at the next scrape.
         registry = Registry()
-        requests = CounterCollector("primroseferry_requests_total", "Requests by outcome.")
-        for labels, count in self._requests.items():
-            requests.set({"service": labels.service, "outcome": labels.outcome}, count)
-        attempts = CounterCollector("primroseferry_attempts_total", "Attempts on endpoints.")
-        for service, count in self._attempts.items():
-            attempts.set({"service": service}, count)
-        store_calls = CounterCollector("primroseferry_store_calls_total", "Calls on the store.")
-        for call, count in gauges.store_calls.items():
-            store_calls.set({"call": call.call, "outcome": call.outcome}, count)
-        verdicts = CounterCollector("primroseferry_lost_attempts_total", "Losses by verdict.")
-        for verdict, count in gauges.crash_verdicts.items():
-            verdicts.set({"verdict": verdict.value}, count)
-        registry.register(verdicts)
-        registry.register(requests)
-        registry.register(attempts)
-        registry.register(store_calls)
+        for name, text, samples in self._counters(gauges):
+            counter = CounterCollector(f"primroseferry_{name}", text, registry=registry)
+            for labels, count in samples:
+                counter.set(dict(labels), count)
         for name, text, value in (
             ("open_connections", "Callers' connections.", gauges.open_connections),
             ("route_revision", "The revision of the routes in force.", gauges.route_revision),
@@ -120,23 +112,47 @@
             ("quarantined_requests", "Requests that are given no endpoint.", gauges.quarantined),
             ("log_lines_dropped", "Log lines dropped lately.", gauges.log_lines_dropped),
         ):
-            gauge = Gauge(f"primroseferry_{name}", text)
+            gauge = Gauge(f"primroseferry_{name}", text, registry=registry)
             gauge.set({}, value)
-            registry.register(gauge)
         if self._histogram is not None:
             registry.register(self._histogram.collector)
         return registry
 
+    def _counters(self, gauges: RelayGauges) -> list[tuple[str, str, list[_Sample]]]:
+        """Return name, help text and samples of each counter."""
+        requests: list[_Sample] = [
+            ({"service": labels.service, "outcome": labels.outcome}, count)
+            for labels, count in self._requests.items()
+        ]
+        attempts: list[_Sample] = [
+            ({"service": service}, count) for service, count in self._attempts.items()
+        ]
+        store_calls: list[_Sample] = [
+            ({"call": call.call, "outcome": call.outcome}, count)
+            for call, count in gauges.store_calls.items()
+        ]
+        verdicts: list[_Sample] = [
+            ({"verdict": verdict.value}, count) for verdict, count in gauges.crash_verdicts.items()
+        ]
+        return [
+            ("requests_total", "Requests by outcome.", requests),
+            ("attempts_total", "Attempts on endpoints.", attempts),
+            ("store_calls_total", "Calls on the store.", store_calls),
+            ("lost_attempts_total", "Losses by verdict.", verdicts),
+        ]
+
 
 class _Histogram:
     """The metrics library's histogram of request durations."""
 
     def __init__(self) -> None:
         from aioprometheus.collectors import Histogram
+        from aioprometheus.collectors import Registry
 
         self.collector = Histogram(
             "primroseferry_request_seconds",
             "Time from a request's head to the end of its answer.",
+            registry=Registry(),
             buckets=DURATION_BUCKETS_S,
         )
 
--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_tests/test_relay_metrics.py
@@ -0,0 +1,24 @@
+"""The metrics page of a gateway."""
+
+from __future__ import annotations
+
+from primroseferry_relay.decision import DecisionRecord
+from primroseferry_relay.lifecycle.relay_metrics import RelayGauges
+from primroseferry_relay.lifecycle.relay_metrics import RelayMetrics
+
+GAUGES = RelayGauges(3, 4, 5, 6, 7.0, 0, 2, {}, {}, 0)
+
+
+def test_metrics_page_is_served_after_the_first_scrape() -> None:
+    metrics = RelayMetrics()
+    record = DecisionRecord("r1", 0.0)
+    record.service = "orders"
+    record.close("answered", 200)
+    pages = []
+    for _ in range(3):
+        metrics.count(record)
+        pages.append(metrics.render(GAUGES, ["text/plain"])[0].decode())
+    for number, page in enumerate(pages, 1):
+        line = f'primroseferry_requests_total{{outcome="answered",service="orders"}} {number}'
+        assert line in page
+        assert f'primroseferry_request_seconds_count{{service="orders"}} {number}' in page
