--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -74,6 +74,8 @@
     SUSPICIONS_RECEIVED = (5018, "info", "suspicions of requests received from a peer")
     QUARANTINE_RECORDED = (5019, "info", "quarantine written to the store")
     QUARANTINE_NOT_RECORDED = (5020, "warning", "quarantine could not be written to the store")
+    REQUEST_LIMIT_CHANGED = (5021, "warning", "endpoint's request limit named, changed or lifted")
+    REQUEST_LIMIT_INVALID = (5022, "warning", "endpoint named an invalid request limit, ignored")
     KEY_CLAIMED = (6001, "info", "idempotency key claimed in the key-value service")
     KEY_CLAIM_FAILED = (6002, "warning", "idempotency key could not be claimed")
     OPERATION_DISPATCHED = (6003, "info", "at-most-once operation dispatched")
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
@@ -53,7 +53,8 @@
     ``is_not_run``: the endpoint states that it did not run the request. ``is_signed``: the answer
     comes from the endpoint itself. ``is_leaving``: the endpoint accepts no new requests from now
     on. ``rest_s`` is the backoff in seconds that it asks for when it rejects a request, ``None`` if
-    the value is missing or invalid.
+    the value is missing or invalid. ``request_limit_per_s`` is the number of requests per second
+    that it takes from all gateways together, ``None`` if it names no limit or an invalid one.
     """
 
     request_id: str
@@ -62,6 +63,8 @@
     cold_ms: float | None = None
     is_leaving: bool = False
     rest_s: float | None = None
+    request_limit_per_s: float | None = None
+    has_invalid_request_limit: bool = False
 
 
 class EndpointAdapter(Protocol):
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/request_limits.py
@@ -0,0 +1,179 @@
+"""The request limits that endpoints name in their answers, for all gateways of a region together.
+
+For each run of an endpoint, the newest observation counts: an answer that named a limit, or one
+that lifted it by naming none. Gateways exchange observations with their ages, so that each gateway
+keeps a limit that another one was told.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+import threading
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import NewType
+
+from primroseferry_core.bounded_map import BoundedMap
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from .endpoint import EndpointRun
+
+ObservationId = NewType("ObservationId", int)
+
+# An answer without a limit lifts a limit only if no answer has named it for this long. Answers of
+# one endpoint reach gateways out of order, and some endpoints name their limit in part of them.
+LIFT_AFTER_S = 1.0
+# A fleet replaces far fewer endpoints in an hour.
+MAX_RUNS = 4_096
+# Higher limits are reduced to this, so that intervals between requests stay above 0.
+MAX_LIMIT_PER_S = 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class LimitObservation:
+    """What an answer of an endpoint said about its limit, and how long ago.
+
+    ``limit_per_s`` is ``None`` if the answer lifted the limit. ``observation`` identifies the
+    answer: copies of one observation are not newer than the original, whatever their age says.
+    """
+
+    run: EndpointRun
+    limit_per_s: float | None
+    observation: ObservationId
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Known:
+    limit_per_s: float | None
+    observation: ObservationId
+    observed_s: float
+
+
+def clock_with_suspension_s() -> float:
+    """Return seconds of a clock that includes the time for which the machine was suspended.
+
+    After a suspension, ages by the monotonic clock would be too low.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class RequestLimits:
+    """The newest observation of each endpoint's run."""
+
+    def __init__(self, clock_s: Callable[[], float] = clock_with_suspension_s) -> None:
+        self._clock_s = clock_s
+        self._known: BoundedMap[EndpointRun, _Known] = BoundedMap(MAX_RUNS)
+        self._invalid: BoundedMap[EndpointRun, None] = BoundedMap(MAX_RUNS)
+        self._lock = threading.Lock()
+
+    def now_s(self) -> float:
+        """Return the present time, to pass as ``sent_s`` of a request."""
+        return self._clock_s()
+
+    def note_answer(self, run: EndpointRun, limit_per_s: float | None, sent_s: float) -> bool:
+        """Record an answer to a request that was sent at ``sent_s``; ``None`` names no limit.
+
+        Return ``True`` if the limit in force has changed.
+        """
+        now_s = self._clock_s()
+        with self._lock:
+            known = self._known.get(run)
+            before = known.limit_per_s if known is not None else None
+            if limit_per_s is None and not _is_lifted(known, sent_s, now_s):
+                return False
+            limit = min(limit_per_s, MAX_LIMIT_PER_S) if limit_per_s is not None else None
+            observation = ObservationId(random.getrandbits(62))
+            self._known.put(run, _Known(limit, observation, now_s))
+        return self._log_change(run, before, limit, "answer", 0.0)
+
+    def note_invalid(self, run: EndpointRun, status: int) -> None:
+        """Log once a run that named something else than a limit; it changes nothing."""
+        with self._lock:
+            if run in self._invalid:
+                return
+            self._invalid.put(run, None)
+        log_event(Event.REQUEST_LIMIT_INVALID, endpoint=run.endpoint, status=status)
+
+    def merge(self, observations: Iterable[LimitObservation]) -> bool:
+        """Add the observations of other gateways; return ``True`` if a limit in force changed."""
+        has_changed = False
+        for received in observations:
+            if not math.isfinite(received.age_s) or received.age_s < 0:
+                continue
+            observed_s = self._clock_s() - received.age_s
+            with self._lock:
+                known = self._known.get(received.run)
+                if known is not None and (
+                    known.observation == received.observation or known.observed_s >= observed_s
+                ):
+                    continue
+                before = known.limit_per_s if known is not None else None
+                self._known.put(
+                    received.run, _Known(received.limit_per_s, received.observation, observed_s)
+                )
+            has_changed |= self._log_change(
+                received.run, before, received.limit_per_s, "peer", received.age_s
+            )
+        return has_changed
+
+    def limit_per_s(self, run: EndpointRun) -> float | None:
+        """Return the requests per second that a run takes, ``None`` if it named no limit."""
+        known = self._known.get(run)
+        return known.limit_per_s if known is not None else None
+
+    def in_force(self) -> Mapping[EndpointRun, float]:
+        """Return all limits in force."""
+        with self._lock:
+            return {
+                run: known.limit_per_s
+                for run, known in self._known.items()
+                if known.limit_per_s is not None
+            }
+
+    def observations(self) -> list[LimitObservation]:
+        """Return the newest observation of each run with its present age."""
+        now_s = self._clock_s()
+        with self._lock:
+            return [
+                LimitObservation(
+                    run, known.limit_per_s, known.observation, max(0.0, now_s - known.observed_s)
+                )
+                for run, known in self._known.items()
+            ]
+
+    def _log_change(
+        self,
+        run: EndpointRun,
+        before: float | None,
+        limit_per_s: float | None,
+        source: str,
+        age_s: float,
+    ) -> bool:
+        if limit_per_s == before:
+            return False
+        log_event(
+            Event.REQUEST_LIMIT_CHANGED,
+            endpoint=run.endpoint,
+            limit_per_s=limit_per_s,
+            previous_per_s=before,
+            source=source,
+            age_ms=round(age_s * 1000),
+        )
+        return True
+
+
+def _is_lifted(known: _Known | None, sent_s: float, now_s: float) -> bool:
+    """Whether an answer without a limit lifts the known one."""
+    if known is None or known.limit_per_s is None:
+        return False
+    # The answer may be older than the one that named the limit.
+    return sent_s >= known.observed_s and now_s - known.observed_s >= LIFT_AFTER_S
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -337,6 +337,10 @@
             self._store.counts(),
             self._local.crash_attribution.verdicts(),
             len(self._policy.quarantine.quarantined()),
+            {
+                run.endpoint: limit_per_s
+                for run, limit_per_s in self._policy.request_limits.in_force().items()
+            },
         )
 
     def _dump(self) -> dict[str, object]:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
@@ -52,6 +52,7 @@
     store_calls: Mapping[StoreCallLabels, int]
     crash_verdicts: Mapping[Verdict, int]
     quarantined: int
+    request_limits: Mapping[str, float]
 
 
 class RelayMetrics:
@@ -114,6 +115,13 @@
         ):
             gauge = Gauge(f"primroseferry_{name}", text, registry=registry)
             gauge.set({}, value)
+        limits = Gauge(
+            "primroseferry_endpoint_request_limit",
+            "Requests per second that an endpoint takes from all gateways.",
+            registry=registry,
+        )
+        for endpoint, limit_per_s in gauges.request_limits.items():
+            limits.set({"endpoint": endpoint}, limit_per_s)
         if self._histogram is not None:
             registry.register(self._histogram.collector)
         return registry
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/state_dump.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/state_dump.py
@@ -22,6 +22,7 @@
             "is_cold": catalog.is_cold(name),
             "open_requests": policy.loads.work(name).requests,
             "pace": round(policy.pace.ratio(name), 2),
+            "request_limit_per_s": policy.request_limits.limit_per_s(endpoint.run),
         }
         for name, endpoint in catalog.entries().items()
     }
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -70,6 +70,8 @@
 MIN_FIRST_BYTE_TIMEOUT_TARGETS = 1.0
 # Status of an endpoint that rejects a request because it is overloaded.
 OVERLOADED_STATUS = 503
+# Status of an endpoint that is not the one for which the request was meant.
+OTHER_ENDPOINT_STATUS = 421
 # Reference request for the summary that other regions receive: a prompt that is mostly cached.
 TYPICAL_GENERATION = Generation(prompt_tokens=1_000, answer_tokens=200)
 
@@ -227,6 +229,7 @@
             # gateways would count them as in flight until it arrives.
             work = OpenWork(1, choice.uncached_tokens, plan.generation.memory_tokens)
             self._reporter.send_placement(PlacedRequest(endpoint.endpoint, work, parts))
+        sent_s = policy.request_limits.now_s()
         call = EndpointCall(
             self._loop,
             self._adapter,
@@ -236,7 +239,7 @@
                 if sink is not None
                 else None
             ),
-            lambda status, metadata: self._note_reply(endpoint, status, metadata),
+            lambda status, metadata: self._note_reply(endpoint, status, metadata, sent_s),
         )
         on_start(call)
         try:
@@ -343,7 +346,10 @@
             return True
         return self._policy.cold_limiter.take(endpoint.endpoint, service.warmup_per_s)
 
-    def _note_reply(self, endpoint: Endpoint, status: int, metadata: ReplyMetadata) -> None:
+    def _note_reply(
+        self, endpoint: Endpoint, status: int, metadata: ReplyMetadata, sent_s: float
+    ) -> None:
+        self._note_request_limit(endpoint.run, status, metadata, sent_s)
         if metadata.cold_ms is not None:
             self._catalog.set_cold(endpoint.endpoint, metadata.cold_ms)
         if metadata.is_leaving and self._catalog.note_leaving(endpoint.run):
@@ -352,6 +358,19 @@
             self._policy.backoffs.note(endpoint.endpoint, metadata.rest_s)
             log_event(Event.ENDPOINT_BACKOFF, endpoint=endpoint.endpoint, rest_s=metadata.rest_s)
 
+    def _note_request_limit(
+        self, run: EndpointRun, status: int, metadata: ReplyMetadata, sent_s: float
+    ) -> None:
+        limit_per_s = metadata.request_limit_per_s
+        # Bytes that are no answer of the endpoint do not lift its limit.
+        is_own_answer = metadata.is_signed or metadata.is_not_run
+        if status == OTHER_ENDPOINT_STATUS or (limit_per_s is None and not is_own_answer):
+            return
+        if metadata.has_invalid_request_limit:
+            self._policy.request_limits.note_invalid(run, status)
+            return
+        self._policy.request_limits.note_answer(run, limit_per_s, sent_s)
+
     def _record_outcome(
         self,
         option: LocalOption,
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
@@ -18,6 +18,8 @@
 from primroseferry_policy.shared_budget import SharedRetryBudget
 from primroseferry_policy.slot_time import SlotTimes
 
+from .endpoints.request_limits import RequestLimits
+
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
     from primroseferry_policy.endpoint_loads import OpenWork
@@ -52,6 +54,7 @@
     prefill_load: PrefillLoad = field(default_factory=PrefillLoad)
     slot_times: SlotTimes = field(default_factory=SlotTimes)
     backoffs: EndpointBackoffs = field(default_factory=EndpointBackoffs)
+    request_limits: RequestLimits = field(default_factory=RequestLimits)
 
     def forget(self, endpoint: EndpointId) -> None:
         """Discard all state of an endpoint whose process was replaced or has ended."""
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -95,12 +95,14 @@
 
     def read_reply(self, headers: Mapping[str, str]) -> ReplyMetadata:
         rest = headers.get("retry-after")
+        limit = headers.get("x-limit")
         return ReplyMetadata(
             headers.get("x-id", ""),
             "x-not-run" in headers,
             "x-signed" in headers,
             is_leaving="x-leaving" in headers,
             rest_s=float(rest) if rest else None,
+            request_limit_per_s=float(limit) if limit else None,
         )
 
 
