--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/request_limits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/request_limits.py
@@ -127,6 +127,11 @@
             )
         return has_changed
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no run ever named a limit."""
+        return not self._known
+
     def limit_per_s(self, run: EndpointRun) -> float | None:
         """Return the requests per second that a run takes, ``None`` if it named no limit."""
         known = self._known.get(run)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -351,6 +351,8 @@
     def _wait_s(self, endpoint: Endpoint) -> float:
         """Return the seconds in which an endpoint takes no requests, by its own answers."""
         backoff_s = self._policy.backoffs.remaining_s(endpoint.endpoint)
+        if self._policy.request_limits.is_empty:
+            return backoff_s
         return max(backoff_s, self._permits.wait_s(endpoint.run))
 
     def _may_send_cold(self, endpoint: Endpoint, service: Service) -> bool:
