--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/request_limits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/request_limits.py
@@ -3,6 +3,9 @@
 For each run of an endpoint, the newest observation counts: an answer that named a limit, or one
 that lifted it by naming none. Gateways exchange observations with their ages, so that each gateway
 keeps a limit that another one was told.
+
+A lifted limit is raised in steps before it ends: an endpoint that was just in need does not get the
+requests of all gateways at once, and one whose limit comes and goes stays near it.
 """
 
 from __future__ import annotations
@@ -31,6 +34,11 @@
 # An answer without a limit lifts a limit only if no answer has named it for this long. Answers of
 # one endpoint reach gateways out of order, and some endpoints name their limit in part of them.
 LIFT_AFTER_S = 1.0
+# A lifted limit doubles at this interval, for this many times, and then ends.
+RAMP_STEP_S = 1.0
+RAMP_STEPS = 6
+# The least limit from which a lifted one is raised.
+MIN_RAMP_PER_S = 1.0
 # A fleet replaces far fewer endpoints in an hour.
 MAX_RUNS = 4_096
 # Higher limits are reduced to this, so that intervals between requests stay above 0.
@@ -41,23 +49,40 @@
 class LimitObservation:
     """What an answer of an endpoint said about its limit, and how long ago.
 
-    ``limit_per_s`` is ``None`` if the answer lifted the limit. ``observation`` identifies the
-    answer: copies of one observation are not newer than the original, whatever their age says.
+    ``limit_per_s`` is the named limit, or the one that the answer lifted if ``is_lifted``.
+    ``observation`` identifies the answer: copies of one observation are not newer than the
+    original, whatever their age says.
     """
 
     run: EndpointRun
-    limit_per_s: float | None
+    limit_per_s: float
+    is_lifted: bool
     observation: ObservationId
     age_s: float
 
 
 @dataclass(frozen=True, slots=True)
 class _Known:
-    limit_per_s: float | None
+    limit_per_s: float
+    is_lifted: bool
     observation: ObservationId
     observed_s: float
     is_own: bool
 
+    @property
+    def named_per_s(self) -> float | None:
+        """The limit that the endpoint names, ``None`` if it names none any more."""
+        return None if self.is_lifted else self.limit_per_s
+
+    def in_force_per_s(self, now_s: float) -> float | None:
+        """The limit to keep now, ``None`` for no limit."""
+        if not self.is_lifted:
+            return self.limit_per_s
+        steps = 1 + int((now_s - self.observed_s) / RAMP_STEP_S)
+        if steps > RAMP_STEPS:
+            return None
+        return max(self.limit_per_s, MIN_RAMP_PER_S) * float(2**steps)
+
 
 def clock_with_suspension_s() -> float:
     """Return seconds of a clock that includes the time for which the machine was suspended.
@@ -88,13 +113,17 @@
         now_s = self._clock_s()
         with self._lock:
             known = self._known.get(run)
-            before = known.limit_per_s if known is not None else None
-            if limit_per_s is None and not _is_lifted(known, sent_s, now_s):
-                return False
-            limit = min(limit_per_s, MAX_LIMIT_PER_S) if limit_per_s is not None else None
+            before = known.named_per_s if known is not None else None
             observation = ObservationId(random.getrandbits(62))
-            self._known.put(run, _Known(limit, observation, now_s, is_own=True))
-        return self._log_change(run, before, limit, "answer", 0.0)
+            if limit_per_s is not None:
+                limit = min(limit_per_s, MAX_LIMIT_PER_S)
+                new = _Known(limit, False, observation, now_s, is_own=True)
+            elif known is not None and _lifts(known, sent_s, now_s):
+                new = _Known(known.limit_per_s, True, observation, now_s, is_own=True)
+            else:
+                return False
+            self._known.put(run, new)
+        return self._log_change(run, before, new.named_per_s, "answer", 0.0)
 
     def note_invalid(self, run: EndpointRun, status: int) -> None:
         """Log once a run that named something else than a limit; it changes nothing."""
@@ -117,13 +146,17 @@
                     known.observation == received.observation or known.observed_s >= observed_s
                 ):
                     continue
-                before = known.limit_per_s if known is not None else None
-                self._known.put(
-                    received.run,
-                    _Known(received.limit_per_s, received.observation, observed_s, is_own=False),
+                before = known.named_per_s if known is not None else None
+                new = _Known(
+                    received.limit_per_s,
+                    received.is_lifted,
+                    received.observation,
+                    observed_s,
+                    is_own=False,
                 )
+                self._known.put(received.run, new)
             has_changed |= self._log_change(
-                received.run, before, received.limit_per_s, "peer", received.age_s
+                received.run, before, new.named_per_s, "peer", received.age_s
             )
         return has_changed
 
@@ -133,18 +166,16 @@
         return not self._known
 
     def limit_per_s(self, run: EndpointRun) -> float | None:
-        """Return the requests per second that a run takes, ``None`` if it named no limit."""
+        """Return the requests per second to keep to at a run, ``None`` for no limit."""
         known = self._known.get(run)
-        return known.limit_per_s if known is not None else None
+        return known.in_force_per_s(self._clock_s()) if known is not None else None
 
     def in_force(self) -> Mapping[EndpointRun, float]:
         """Return all limits in force."""
+        now_s = self._clock_s()
         with self._lock:
-            return {
-                run: known.limit_per_s
-                for run, known in self._known.items()
-                if known.limit_per_s is not None
-            }
+            limits = {run: known.in_force_per_s(now_s) for run, known in self._known.items()}
+        return {run: limit for run, limit in limits.items() if limit is not None}
 
     def observation(self, run: EndpointRun) -> LimitObservation | None:
         """Return the newest observation of a run, ``None`` if it never named a limit."""
@@ -190,12 +221,11 @@
 
 def _aged(run: EndpointRun, known: _Known, now_s: float) -> LimitObservation:
     age_s = max(0.0, now_s - known.observed_s)
-    return LimitObservation(run, known.limit_per_s, known.observation, age_s)
+    return LimitObservation(run, known.limit_per_s, known.is_lifted, known.observation, age_s)
 
 
-def _is_lifted(known: _Known | None, sent_s: float, now_s: float) -> bool:
+def _lifts(known: _Known, sent_s: float, now_s: float) -> bool:
     """Whether an answer without a limit lifts the known one."""
-    if known is None or known.limit_per_s is None:
-        return False
     # The answer may be older than the one that named the limit.
-    return sent_s >= known.observed_s and now_s - known.observed_s >= LIFT_AFTER_S
+    is_newer = sent_s >= known.observed_s and now_s - known.observed_s >= LIFT_AFTER_S
+    return is_newer and not known.is_lifted
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -329,20 +329,22 @@
     return [
         _run_fields(observation.run),
         observation.limit_per_s,
+        observation.is_lifted,
         observation.observation,
         round(observation.age_s, 3),
     ]
 
 
 def _decode_observation(fields: Any) -> LimitObservation:
-    run, limit_per_s, observation, age_s = fields[:4]
-    if limit_per_s is not None and not 0 <= limit_per_s <= MAX_LIMIT_PER_S:
+    run, limit_per_s, is_lifted, observation, age_s = fields[:5]
+    if not 0 <= limit_per_s <= MAX_LIMIT_PER_S:
         raise ValueError("expected a request limit of at least 0")
     if not 0 <= age_s < float("inf"):
         raise ValueError("expected a finite age of at least 0 s")
     return LimitObservation(
         _decode_run(run),
-        float(limit_per_s) if limit_per_s is not None else None,
+        float(limit_per_s),
+        bool(is_lifted),
         ObservationId(_non_negative_int(observation)),
         float(age_s),
     )
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/limit_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/limit_sync.py
@@ -58,12 +58,16 @@
 
     def _is_due(self, observation: LimitObservation, now_s: float) -> bool:
         sent = self._sent.get(observation.run)
-        if sent is None or sent.limit_per_s != observation.limit_per_s:
+        if sent is None or _value(sent) != _value(observation):
             return True
         if sent.observation == observation.observation:
             return False
         return now_s - self._sent_s[observation.run] >= RENEWAL_INTERVAL_S
 
 
+def _value(observation: LimitObservation) -> tuple[float, bool]:
+    return observation.limit_per_s, observation.is_lifted
+
+
 def _newest(observations: list[LimitObservation], count: int) -> tuple[LimitObservation, ...]:
     return tuple(sorted(observations, key=lambda observation: observation.age_s)[:count])
