--- a/packages/primroseferry-policy/src/primroseferry_policy/shared_budget.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/shared_budget.py
@@ -87,6 +87,13 @@
             window.retries.append(self._clock_s())
             return True
 
+    def refund(self, service: ServiceId) -> None:
+        """Return a retry that was taken from the budget but not sent."""
+        with self._lock:
+            retries = self._current_window(service).retries
+            if retries:
+                retries.pop()
+
     def _slack_share(self, live_gateways: int) -> float:
         max_live_gateways = self._max_live_gateways.add(max(1, live_gateways))
         if self._clock_s() < self._slack_available_from_s:
--- a/packages/primroseferry-policy/tests/test_shared_limits.py
+++ b/packages/primroseferry-policy/tests/test_shared_limits.py
@@ -53,6 +53,15 @@
         assert in_window <= 0.2 * earned + 52
 
 
+def test_retry_that_was_not_sent_is_returned_to_the_budget() -> None:
+    budget = SharedRetryBudget(10.0, 0.0, 10.0, Clock())
+    for _ in range(50):
+        assert budget.spend(SERVICE, 1)
+        budget.refund(SERVICE)
+    assert sum(budget.spend(SERVICE, 1) for _ in range(50)) == 6
+    budget.refund(ServiceId("idle"))
+
+
 def test_budget_of_an_idle_service_is_the_local_share_of_the_slack() -> None:
     budget = SharedRetryBudget(10.0, 0.2, 52.0, Clock())
     assert sum(budget.spend(SERVICE, 6) for _ in range(52)) == 5
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -296,6 +296,8 @@
         progress = self._progress
         match outcome:
             case NotRun(reason, is_sent, retry_after_s):
+                if progress.sends > 0 and not is_sent:
+                    self._policy.budget.refund(self._service.name)
                 progress.sends += is_sent
                 progress.reason = reason
                 progress.retry_after_s = retry_after_s
