--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -193,12 +193,12 @@
     ) -> AttemptOutcome:
         """Make one attempt. ``on_start`` receives the call before it runs, to cancel it later."""
         endpoint = option.endpoint
-        if not self._acquire_cold_send(endpoint, service):
-            return NotRun("the endpoint is cold and its request rate is used up", is_sent=False)
         if not self._catalog.is_available(endpoint):
             return NotRun("the endpoint accepts no new requests", is_sent=False)
         if self._policy.backoffs.remaining_s(endpoint.endpoint) > 0:
             return NotRun("the endpoint asked for a backoff", is_sent=False)
+        if not self._acquire_cold_send(endpoint, service):
+            return NotRun("the endpoint is cold and its request rate is used up", is_sent=False)
         if not self._permits.acquire(endpoint.run):
             return NotRun("the endpoint's request limit is used up", is_sent=False)
         first_byte_timeout_ms = None
--- a/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
@@ -2,18 +2,33 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import ServiceId
 
 from .relay_harness import RelayHarness
+from .test_part_copies import plan
 from .test_relay import fixed_answer_endpoint
 from .test_relay import status_of
+from .test_route_table import SERVICE
 
 if TYPE_CHECKING:
     from primroseferry_transport.curl_loop import CurlLoop
 
+COLD = replace(SERVICE, warmup_s=60.0, warmup_per_s=1.0)
+
+
+def test_request_to_a_backed_off_endpoint_takes_none_of_its_cold_rate(loop: CurlLoop) -> None:
+    harness = RelayHarness(loop, [fixed_answer_endpoint()])
+    (option,) = harness.local.rank(SERVICE, plan().generation, ())
+    name = option.endpoint.endpoint
+    harness.catalog.set_cold(name, 60_000)
+    harness.policy.backoffs.note(name, 30)
+    harness.local.run(option, COLD, plan(), None, lambda _call: None)
+    assert harness.policy.cold_limiter.may_send(name)
+
 
 def test_retry_that_is_not_sent_takes_nothing_of_the_retry_budget(loop: CurlLoop) -> None:
     failing = fixed_answer_endpoint("500 Internal Server Error")
