--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -36,6 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
+    from collections.abc import Iterable
     from collections.abc import Sequence
 
     from primroseferry_core.ids import EndpointId
@@ -155,9 +156,10 @@
         is_urgent: bool = True,
     ) -> list[LocalOption]:
         """Return the endpoints that may receive the request now, best first."""
+        available = self._catalog.available_endpoints(service.name, self._region)
         endpoints = [
             endpoint
-            for endpoint in self._catalog.available_endpoints(service.name, self._region)
+            for endpoint in available
             if endpoint.endpoint not in excluded
             and self._policy.breakers.permits(endpoint.endpoint)
             and self._wait_s(endpoint) <= 0
@@ -174,7 +176,14 @@
                 self._policy.loads.unreported_placements,
             )
             sampled_holders = [holders[endpoint.endpoint] for endpoint in sample]
-            engines = self._engine_candidates(sampled_holders, service, service.engine, generation)
+            limited_holders = [
+                self._part_holder(endpoint, generation)
+                for endpoint in self._limited_endpoints(available)
+                if endpoint.endpoint not in holders
+            ]
+            engines = self._engine_candidates(
+                sampled_holders, limited_holders, service, service.engine, generation
+            )
             choices = rank_engines(engines, generation, is_urgent)
         else:
             sample = choose_sample(endpoints, generation)
@@ -291,13 +300,14 @@
     def _engine_candidates(
         self,
         holders: Sequence[PartHolder],
+        limited_holders: Sequence[PartHolder],
         service: Service,
         engine: EngineSize,
         generation: Generation,
     ) -> list[Candidate]:
         policy = self._policy
-        remote_holders = self._remote_holders(service, generation)
-        sources = CopySources([*holders, *remote_holders], engine.copy_tokens_per_ms)
+        other_holders = [*limited_holders, *self._remote_holders(service, generation)]
+        sources = CopySources([*holders, *other_holders], engine.copy_tokens_per_ms)
         return [
             Candidate(
                 holder.endpoint,
@@ -355,6 +365,20 @@
             return backoff_s
         return max(backoff_s, self._permits.wait_s(endpoint.run))
 
+    def _limited_endpoints(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+        """Return the endpoints whose request limit is used up for now.
+
+        Engines may copy prompt parts from them: a copy is no request.
+        """
+        if self._policy.request_limits.is_empty:
+            return []
+        return [
+            endpoint
+            for endpoint in endpoints
+            if self._permits.wait_s(endpoint.run) > 0
+            and self._policy.breakers.permits(endpoint.endpoint)
+        ]
+
     def _may_send_cold(self, endpoint: Endpoint, service: Service) -> bool:
         if service.warmup_per_s <= 0 or not self._catalog.is_cold(endpoint.endpoint):
             return True
--- a/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
@@ -66,6 +66,20 @@
     assert engines[1].requests[0].header("x-copy-from") == engines[0].address
 
 
+def test_parts_are_copied_from_an_engine_whose_request_limit_is_used_up(loop: CurlLoop) -> None:
+    harness = RelayHarness(loop, [fixed_answer_endpoint(), fixed_answer_endpoint()])
+    harness.policy.parts.record_prefill(FIRST, SHARED)
+    time.sleep(PREFILL_DELAY_S)
+    limited = harness.catalog.entries()[FIRST]
+    limits = harness.policy.request_limits
+    limits.note_answer(limited.run, 0.5, limits.now_s())
+    harness.local.run(harness.local.rank(ENGINES, PROMPT, ())[0], ENGINES, plan(), None, print)
+    (option,) = harness.local.rank(ENGINES, PROMPT, ())
+    assert option.endpoint.endpoint == SECOND
+    assert option.choice.copy is not None
+    assert option.choice.copy.source == FIRST
+
+
 def test_engine_with_cached_parts_copies_nothing(loop: CurlLoop) -> None:
     engines = [fixed_answer_endpoint(), fixed_answer_endpoint()]
     harness = RelayHarness(loop, engines)
