--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/request_limits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/request_limits.py
@@ -167,7 +167,8 @@
 
     def limit_per_s(self, run: EndpointRun) -> float | None:
         """Return the requests per second to keep to at a run, ``None`` for no limit."""
-        known = self._known.get(run)
+        with self._lock:
+            known = self._known.get(run)
         return known.in_force_per_s(self._clock_s()) if known is not None else None
 
     def in_force(self) -> Mapping[EndpointRun, float]:
@@ -179,7 +180,8 @@
 
     def observation(self, run: EndpointRun) -> LimitObservation | None:
         """Return the newest observation of a run, ``None`` if it never named a limit."""
-        known = self._known.get(run)
+        with self._lock:
+            known = self._known.get(run)
         return _aged(run, known, self._clock_s()) if known is not None else None
 
     def observations(self) -> list[LimitObservation]:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/permit_issuer.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/permit_issuer.py
@@ -34,9 +34,10 @@
 
 
 class IssuerRole(Enum):
-    """Whether a gateway issues an endpoint's permits, or does so while the issuer is silent.
+    """Whether a gateway issues an endpoint's permits, or does so while the issuer does
+    not respond.
 
-    Both may issue at the same time while gateways disagree on which of them is silent, so the
+    Both may issue at the same time while gateways disagree on which of them responds, so the
     shares of the limit that they issue add up to little more than the whole.
     """
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
@@ -46,11 +46,11 @@
 # A permit that arrives too late for its request may be used by another one until this time after
 # it was asked for.
 PERMIT_LIFETIME_S = 0.5
-# An issuer is silent after this many timeouts in a row, since single datagrams may be lost, over at
-# least this time, since the requests that wait during a short pause time out together.
+# An issuer counts as unresponsive after this many timeouts in a row, since single datagrams may be
+# lost, over at least this time, since requests that wait during a short pause time out together.
 MIN_TIMEOUTS = 3
-MIN_SILENCE_S = 0.3
-# How long the next gateway is asked in place of a silent issuer.
+MIN_UNRESPONSIVE_S = 0.3
+# How long the next gateway is asked in place of an unresponsive issuer.
 STANDBY_S = 2.0
 # Wait after a timeout, and while no issuer is known.
 UNKNOWN_WAIT_S = 0.1
@@ -87,11 +87,11 @@
 
 
 @dataclass(slots=True)
-class _Silence:
+class _IssuerTimeouts:
     """Timeouts of an issuer since its last reply."""
 
     first_asked_s: float
-    timeouts: int = 0
+    count: int = 0
     standby_until_s: float = 0.0
 
 
@@ -112,7 +112,7 @@
         self._pending: BoundedMap[int, PendingPermit] = BoundedMap(MAX_PENDING)
         self._blocked_until_s: BoundedMap[EndpointRun, float] = BoundedMap(MAX_BLOCKED_RUNS)
         self._spare_until_s: BoundedMap[EndpointRun, deque[float]] = BoundedMap(MAX_BLOCKED_RUNS)
-        self._silences: dict[InstanceId, _Silence] = {}
+        self._timeouts: dict[InstanceId, _IssuerTimeouts] = {}
         self._outcomes: Counter[PermitOutcome] = Counter()
         self._lock = threading.Lock()
 
@@ -160,7 +160,7 @@
         return pending
 
     def time_out(self, pending: PendingPermit) -> None:
-        """Give up waiting for a reply; repeated timeouts make the issuer count as silent."""
+        """Give up waiting for a reply; repeated timeouts make the issuer count as unresponsive."""
         if pending.done.is_set():
             return
         self._block(pending.run, UNKNOWN_WAIT_S)
@@ -169,14 +169,15 @@
             return
         now_s = self._clock_s()
         with self._lock:
-            silence = self._silences.setdefault(pending.issuer, _Silence(pending.asked_s))
-            silence.timeouts += 1
-            is_silent = (
-                silence.timeouts >= MIN_TIMEOUTS and now_s - silence.first_asked_s >= MIN_SILENCE_S
+            timeouts = self._timeouts.setdefault(pending.issuer, _IssuerTimeouts(pending.asked_s))
+            timeouts.count += 1
+            is_unresponsive = (
+                timeouts.count >= MIN_TIMEOUTS
+                and now_s - timeouts.first_asked_s >= MIN_UNRESPONSIVE_S
             )
-            is_new = is_silent and now_s >= silence.standby_until_s
+            is_new = is_unresponsive and now_s >= timeouts.standby_until_s
             if is_new:
-                silence.standby_until_s = now_s + STANDBY_S
+                timeouts.standby_until_s = now_s + STANDBY_S
         if is_new:
             log_event(
                 Event.PERMIT_ISSUER_TIMED_OUT, peer=pending.issuer, endpoint=pending.run.endpoint
@@ -195,7 +196,7 @@
         now_s = self._clock_s()
         with self._lock:
             pending = self._pending.pop(reply.number, None)
-            self._silences.pop(reply.issuer, None)
+            self._timeouts.pop(reply.issuer, None)
             if pending is None or now_s - pending.asked_s > PERMIT_LIFETIME_S:
                 return
             if pending.done.is_set():
@@ -226,9 +227,9 @@
         if not order:
             return IssuerRole.PRIMARY, None
         with self._lock:
-            silence = self._silences.get(order[0])
-            is_silent = silence is not None and now_s < silence.standby_until_s
-        if is_silent and len(order) > 1:
+            timeouts = self._timeouts.get(order[0])
+            is_unresponsive = timeouts is not None and now_s < timeouts.standby_until_s
+        if is_unresponsive and len(order) > 1:
             return IssuerRole.STANDBY, order[1]
         return IssuerRole.PRIMARY, order[0]
 
