--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/outcome.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/outcome.py
@@ -46,12 +46,14 @@
     """The request provably did not run in this attempt.
 
     ``is_sent``: the endpoint received the request. ``retry_after_s`` is the time in s after which
-    the remote gateway expects to have capacity, ``None`` if it gave none.
+    the remote gateway expects to have capacity, ``None`` if it gave none. ``is_permit_denied``: the
+    endpoint's request limit was used up.
     """
 
     reason: str
     is_sent: bool
     retry_after_s: float | None = None
+    is_permit_denied: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -4,6 +4,7 @@
 
 import threading
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
@@ -193,8 +194,11 @@
         )
         excluded = set(hop_request.excluded)
         outcome: AttemptOutcome = NotRun("no endpoint is available in this region", is_sent=False)
-        for _ in range(MAX_ENDPOINT_ATTEMPTS):
-            options = self._server._local.rank(service, metadata.generation, excluded)
+        attempts = permits_denied = 0
+        while attempts < MAX_ENDPOINT_ATTEMPTS:
+            options = self._server._local.rank(
+                service, metadata.generation, excluded, permits_denied=permits_denied
+            )
             if not options or self._watch.is_disconnected:
                 break
             excluded.add(options[0].endpoint.endpoint)
@@ -214,10 +218,15 @@
                 outcome=type(outcome).__name__,
                 duration_ms=round((time.monotonic() - self._request.received_s) * 1000),
             )
-            if not (isinstance(outcome, NotRun) and not outcome.is_sent):
+            if not isinstance(outcome, NotRun) or outcome.is_sent:
                 break
-        if isinstance(outcome, NotRun) and not hop_request.trial:
-            crash_attribution.withdraw_trial(plan.suspect)
+            attempts += not outcome.is_permit_denied
+            permits_denied += outcome.is_permit_denied
+        if isinstance(outcome, NotRun):
+            if not hop_request.trial:
+                crash_attribution.withdraw_trial(plan.suspect)
+            send_s = self._server._local.earliest_send_s(service)
+            return replace(outcome, retry_after_s=send_s or None)
         return outcome
 
     def _answer(self, outcome: AttemptOutcome) -> None:
@@ -230,10 +239,9 @@
                 channel.end_stream()
             case StreamBroken():
                 channel.abort()
-            case NotRun(reason, is_sent):
-                _send_outcome(
-                    channel, HopOutcome.NOT_RUN if is_sent else HopOutcome.REFUSED, reason
-                )
+            case NotRun(reason, is_sent, retry_after_s):
+                kind = HopOutcome.NOT_RUN if is_sent else HopOutcome.REFUSED
+                _send_outcome(channel, kind, reason, retry_after_s)
             case Lost(reason, is_connection_lost):
                 _send_outcome(
                     channel, HopOutcome.DIED if is_connection_lost else HopOutcome.LOST, reason
@@ -251,8 +259,10 @@
     return _with_outcome(head, HopOutcome.ANSWERED)
 
 
-def _send_outcome(channel: AnswerChannel, outcome: HopOutcome, detail: str) -> None:
+def _send_outcome(
+    channel: AnswerChannel, outcome: HopOutcome, detail: str, retry_after_s: float | None = None
+) -> None:
     problem = Problem(ErrorKind.NO_ENDPOINT, detail)
-    answer = problem_answer(problem)
+    answer = problem_answer(problem, retry_after_s)
     printable = "".join(character for character in detail if character.isprintable())
     channel.send(CompleteAnswer(_with_outcome(answer.head, outcome, printable), answer.body))
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -70,6 +70,8 @@
 # The timeout is at least this many latency targets: while the answer may still be in time, a retry
 # would repeat the prefill that an overloaded endpoint has already done.
 MIN_FIRST_BYTE_TIMEOUT_TARGETS = 1.0
+# How often a request asks for a permit; each time takes a round trip within the region.
+MAX_PERMITS_DENIED = 6
 # Status of an endpoint that rejects a request because it is overloaded.
 OVERLOADED_STATUS = 503
 # Status of an endpoint that is not the one for which the request was meant.
@@ -154,8 +156,14 @@
         generation: Generation,
         excluded: Collection[EndpointId],
         is_urgent: bool = True,
+        permits_denied: int = 0,
     ) -> list[LocalOption]:
-        """Return the endpoints that may receive the request now, best first."""
+        """Return the endpoints that may receive the request now, best first.
+
+        A request that was denied ``MAX_PERMITS_DENIED`` permits is not sent to endpoints that name
+        a request limit.
+        """
+        may_ask = permits_denied < MAX_PERMITS_DENIED
         available = self._catalog.available_endpoints(service.name, self._region)
         endpoints = [
             endpoint
@@ -163,6 +171,7 @@
             if endpoint.endpoint not in excluded
             and self._policy.breakers.permits(endpoint.endpoint)
             and self._wait_s(endpoint) <= 0
+            and (may_ask or self._policy.request_limits.limit_per_s(endpoint.run) is None)
             and self._may_send_cold(endpoint, service)
         ]
         if service.engine is not None:
@@ -209,7 +218,8 @@
         if not self._acquire_cold_send(endpoint, service):
             return NotRun("the endpoint is cold and its request rate is used up", is_sent=False)
         if not self._permits.acquire(endpoint.run):
-            return NotRun("the endpoint's request limit is used up", is_sent=False)
+            reason = "the endpoint's request limit is used up"
+            return NotRun(reason, is_sent=False, is_permit_denied=True)
         first_byte_timeout_ms = None
         if plan.may_be_repeated:
             first_byte_timeout_ms = int(
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -83,11 +83,13 @@
 class _Progress:
     """Accumulated results of the attempts of a request.
 
-    ``sends`` counts the attempts that reached an endpoint, ``tries`` all of them.
+    ``sends`` counts the attempts that reached an endpoint, ``tries`` all of them but
+    those that were denied a permit, which ``permits_denied`` counts.
     """
 
     sends: int = 0
     tries: int = 0
+    permits_denied: int = 0
     events: int = 0
     last_event_id: str = ""
     may_have_run: bool = False
@@ -193,7 +195,11 @@
         local = None
         if route.permits(self._context.region):
             options = self._context.local.rank(
-                self._service, self._plan.generation, self._excluded, self._is_urgent
+                self._service,
+                self._plan.generation,
+                self._excluded,
+                self._is_urgent,
+                self._progress.permits_denied,
             )
             local = options[0] if options else None
         remote = self._context.regions.best(
@@ -295,10 +301,12 @@
         """Process the outcome of an attempt and return whether the request is finished."""
         progress = self._progress
         match outcome:
-            case NotRun(reason, is_sent, retry_after_s):
+            case NotRun(reason, is_sent, retry_after_s, is_permit_denied):
                 if progress.sends > 0 and not is_sent:
                     self._policy.budget.refund(self._service.name)
                 progress.sends += is_sent
+                progress.tries -= is_permit_denied
+                progress.permits_denied += is_permit_denied
                 progress.reason = reason
                 progress.retry_after_s = retry_after_s
                 return False
@@ -354,11 +362,13 @@
             self._give_up_after_failure("no other endpoint is available")
             return
         detail = self._progress.reason or "no endpoint is available"
-        wait_s = self._progress.retry_after_s or _random_retry_after_s()
-        send_s = self._context.local.earliest_send_s(self._service)
-        if send_s > 0:
+        remote_s = self._progress.retry_after_s
+        wait_s = remote_s or _random_retry_after_s()
+        local_s = self._context.local.earliest_send_s(self._service)
+        if local_s > 0:
+            earliest_s = min(local_s, remote_s or local_s)
             # Randomized like the other waits, so that callers do not all retry at once.
-            wait_s = send_s + _random_retry_after_s() - MIN_RETRY_AFTER_S
+            wait_s = earliest_s + _random_retry_after_s() - MIN_RETRY_AFTER_S
             detail = self._progress.reason or "all endpoints asked for fewer requests"
         self._give_up(Problem(ErrorKind.NO_ENDPOINT, detail), wait_s)
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from primroseferry_relay.forwarding.hop import HOP_HEADER
 from primroseferry_relay.forwarding.hop import HopRequest
 from primroseferry_relay.forwarding.hop import decode_hop_request
+from primroseferry_relay.forwarding.hop_server import MAX_ENDPOINT_ATTEMPTS
 from primroseferry_relay.forwarding.hop_server import HopServer
 from primroseferry_relay.ingress.listener import Listener
 
@@ -27,6 +29,7 @@
 from .scripted_endpoint import ScriptedEndpoint
 from .scripted_endpoint import answer
 from .scripted_endpoint import reset
+from .test_relay import body_of
 from .test_route_table import SERVICE
 
 if TYPE_CHECKING:
@@ -57,9 +60,17 @@
     return ScriptedEndpoint(script)
 
 
-def hop_listener(loop: CurlLoop, *endpoints: ScriptedEndpoint) -> Listener:
-    """Return the listener of a hop server with these endpoints."""
+def hop_listener(
+    loop: CurlLoop, *endpoints: ScriptedEndpoint, limited_endpoints: int = 0
+) -> Listener:
+    """Return the listener of a hop server with these endpoints.
+
+    The first ``limited_endpoints`` of them have named a request limit that is used up.
+    """
     harness = RelayHarness(loop, endpoints)
+    limits = harness.policy.request_limits
+    for entry in [*harness.catalog.entries().values()][:limited_endpoints]:
+        limits.note_answer(entry.run, 1.0, limits.now_s())
     sync = PeerSync(loop, harness.peers, ControlState(lambda _item: None), WatchDuty(harness.peers))
     server = HopServer(
         NORTH, INCARNATION, loop, TestAdapter(), lambda: harness.table, harness.local, sync
@@ -147,3 +158,24 @@
     for number in range(4):
         send_hop(harness, listener, replace(HOP_REQUEST, hop_id=f"h{number}"))
     assert sum(len(endpoint.requests) for endpoint in endpoints) == 2
+
+
+def test_hop_request_that_many_limited_endpoints_deny_reaches_one_without_a_limit(
+    loop: CurlLoop,
+) -> None:
+    limited = [answering_endpoint() for _ in range(MAX_ENDPOINT_ATTEMPTS + 3)]
+    listener = hop_listener(
+        loop, *limited, answering_endpoint(), limited_endpoints=MAX_ENDPOINT_ATTEMPTS + 3
+    )
+    data = send_hop(RelayHarness(loop, []), listener, HOP_REQUEST)
+    assert b"X-Primroseferry-Outcome: answered" in data
+    assert not any(endpoint.requests for endpoint in limited)
+
+
+def test_hop_request_above_all_request_limits_is_refused_with_the_time_of_the_next_permit(
+    loop: CurlLoop,
+) -> None:
+    listener = hop_listener(loop, answering_endpoint(), limited_endpoints=1)
+    data = send_hop(RelayHarness(loop, []), listener, HOP_REQUEST)
+    assert b"X-Primroseferry-Outcome: refused" in data
+    assert 0 < json.loads(body_of(data))["retry_after_s"] <= 1.1
--- a/packages/primroseferry-relay/tests/relay_tests/test_limited_endpoints.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_limited_endpoints.py
@@ -7,6 +7,8 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from primroseferry_policy.prompt import Generation
+from primroseferry_relay.request_run import MAX_TRIES
 
 from .relay_harness import RelayHarness
 from .scripted_endpoint import Received
@@ -74,6 +76,21 @@
     assert len(limited.requests) <= 1 + 1
 
 
+def test_request_that_many_limited_endpoints_deny_reaches_one_without_a_limit(
+    loop: CurlLoop,
+) -> None:
+    limited = [fixed_answer_endpoint(extra=LIMITED) for _ in range(MAX_TRIES + 1)]
+    bench = RelayHarness(loop, [*limited, fixed_answer_endpoint()])
+    *runs, busy = [entry.run for entry in bench.catalog.entries().values()]
+    limits = bench.policy.request_limits
+    for run in runs:
+        limits.note_answer(run, 1.0, limits.now_s())
+    for _ in range(3):
+        bench.policy.loads.begin(busy.endpoint, Generation(), 0, 100.0)
+    assert status_of(bench.call("/safe/")) == 200
+    assert not any(endpoint.requests for endpoint in limited)
+
+
 @pytest.mark.parametrize(
     ("path", "endpoint"),
     [
