--- a/packages/primroseferry-policy/src/primroseferry_policy/token_bucket.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/token_bucket.py
@@ -45,14 +45,18 @@
             self._rate_per_s, self._capacity = rate_per_s, capacity
             self._tokens = min(self._tokens, capacity)
 
-    def take(self) -> float:
-        """Take one token and return 0, or return the seconds until there is one."""
+    def take(self, reserved: float = 0.0) -> float:
+        """Take one token and return 0, or return the seconds until there is one.
+
+        ``reserved`` tokens are left in the bucket for others.
+        """
         with self._lock:
             self._fill()
-            if self._tokens >= 1.0:
+            needed = 1.0 + reserved
+            if self._tokens >= needed:
                 self._tokens -= 1.0
                 return 0.0
-            return (1.0 - self._tokens) / self._rate_per_s
+            return (needed - self._tokens) / self._rate_per_s
 
     def _fill(self) -> None:
         now_s = self._clock_s()
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -197,7 +197,7 @@
         attempts = permits_denied = 0
         while attempts < MAX_ENDPOINT_ATTEMPTS:
             options = self._server._local.rank(
-                service, metadata.generation, excluded, permits_denied=permits_denied
+                service, metadata.generation, excluded, plan.is_urgent, permits_denied
             )
             if not options or self._watch.is_disconnected:
                 break
@@ -225,7 +225,7 @@
         if isinstance(outcome, NotRun):
             if not hop_request.trial:
                 crash_attribution.withdraw_trial(plan.suspect)
-            send_s = self._server._local.earliest_send_s(service)
+            send_s = self._server._local.earliest_send_s(service, plan.is_urgent)
             return replace(outcome, retry_after_s=send_s or None)
         return outcome
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -70,6 +70,8 @@
 # The timeout is at least this many latency targets: while the answer may still be in time, a retry
 # would repeat the prefill that an overloaded endpoint has already done.
 MIN_FIRST_BYTE_TIMEOUT_TARGETS = 1.0
+# Priority sent to endpoints, 0 is the most urgent; the route's own priority is added to the base.
+BASE_PRIORITY = 3
 # How often a request asks for a permit; each time takes a round trip within the region.
 MAX_PERMITS_DENIED = 6
 # Status of an endpoint that rejects a request because it is overloaded.
@@ -107,6 +109,11 @@
     may_be_repeated: bool
     target_ms: float = 0.0
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the request belongs to a route of the most urgent priority."""
+        return self.priority <= BASE_PRIORITY
+
     @property
     def remaining_ms(self) -> float:
         """Milliseconds until the deadline, never below 0."""
@@ -170,7 +177,7 @@
             for endpoint in available
             if endpoint.endpoint not in excluded
             and self._policy.breakers.permits(endpoint.endpoint)
-            and self._wait_s(endpoint) <= 0
+            and self._wait_s(endpoint, is_urgent) <= 0
             and (may_ask or self._policy.request_limits.limit_per_s(endpoint.run) is None)
             and self._may_send_cold(endpoint, service)
         ]
@@ -187,7 +194,7 @@
             sampled_holders = [holders[endpoint.endpoint] for endpoint in sample]
             limited_holders = [
                 self._part_holder(endpoint, generation)
-                for endpoint in self._limited_endpoints(available)
+                for endpoint in self._limited_endpoints(available, is_urgent)
                 if endpoint.endpoint not in holders
             ]
             engines = self._engine_candidates(
@@ -217,7 +224,7 @@
             return NotRun("the endpoint asked for a backoff", is_sent=False)
         if not self._acquire_cold_send(endpoint, service):
             return NotRun("the endpoint is cold and its request rate is used up", is_sent=False)
-        if not self._permits.acquire(endpoint.run):
+        if not self._permits.acquire(endpoint.run, plan.is_urgent):
             reason = "the endpoint's request limit is used up"
             return NotRun(reason, is_sent=False, is_permit_denied=True)
         first_byte_timeout_ms = None
@@ -277,13 +284,13 @@
         self.crash_attribution.record_outcome(endpoint, plan.suspect, plan.request_id, outcome)
         return outcome
 
-    def earliest_send_s(self, service: Service) -> float:
+    def earliest_send_s(self, service: Service, is_urgent: bool) -> float:
         """Return the seconds until a local endpoint of a service takes requests again.
 
         The result is 0 if for any of them neither a backoff nor a used up request limit is known.
         """
         endpoints = self._catalog.available_endpoints(service.name, self._region)
-        return min(map(self._wait_s, endpoints), default=0.0)
+        return min((self._wait_s(endpoint, is_urgent) for endpoint in endpoints), default=0.0)
 
     def summary(self, service: Service) -> ServiceSummary:
         """Return the capacity and load of a service in this region, to report to other regions."""
@@ -368,14 +375,14 @@
         source = self._catalog.find(choice.copy.source) if choice.copy is not None else None
         return source.address if source is not None else ""
 
-    def _wait_s(self, endpoint: Endpoint) -> float:
+    def _wait_s(self, endpoint: Endpoint, is_urgent: bool) -> float:
         """Return the seconds in which an endpoint takes no requests, by its own answers."""
         backoff_s = self._policy.backoffs.remaining_s(endpoint.endpoint)
         if self._policy.request_limits.is_empty:
             return backoff_s
-        return max(backoff_s, self._permits.wait_s(endpoint.run))
+        return max(backoff_s, self._permits.wait_s(endpoint.run, is_urgent))
 
-    def _limited_endpoints(self, endpoints: Iterable[Endpoint]) -> list[Endpoint]:
+    def _limited_endpoints(self, endpoints: Iterable[Endpoint], is_urgent: bool) -> list[Endpoint]:
         """Return the endpoints whose request limit is used up for now.
 
         Engines may copy prompt parts from them: a copy is no request.
@@ -385,7 +392,7 @@
         return [
             endpoint
             for endpoint in endpoints
-            if self._permits.wait_s(endpoint.run) > 0
+            if self._permits.wait_s(endpoint.run, is_urgent) > 0
             and self._policy.breakers.permits(endpoint.endpoint)
         ]
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -122,11 +122,12 @@
             return _pack(_Kind.SUSPICION_INVENTORY, [reply_to, content_hashes])
         case Suspicions(entries):
             return _pack(_Kind.SUSPICIONS, [encode_suspicion(entry) for entry in entries])
-        case PermitRequest(reply_to, number, role, run, observation):
+        case PermitRequest(reply_to, number, role, is_urgent, run, observation):
             fields = _observation_fields(observation) if observation is not None else None
             is_standby = role is IssuerRole.STANDBY
             return _pack(
-                _Kind.PERMIT_REQUEST, [reply_to, number, is_standby, _run_fields(run), fields]
+                _Kind.PERMIT_REQUEST,
+                [reply_to, number, is_standby, is_urgent, _run_fields(run), fields],
             )
         case PermitReply(number, is_granted, ask_again_ms):
             return _pack(_Kind.PERMIT_REPLY, [number, is_granted, ask_again_ms])
@@ -227,11 +228,12 @@
         case _Kind.SUSPICIONS:
             return Suspicions(tuple(map(decode_suspicion, fields)))
         case _Kind.PERMIT_REQUEST:
-            reply_to, number, is_standby, run, observation = fields[:5]
+            reply_to, number, is_standby, is_urgent, run, observation = fields[:6]
             return PermitRequest(
                 _string(reply_to),
                 _non_negative_int(number),
                 IssuerRole.STANDBY if is_standby else IssuerRole.PRIMARY,
+                bool(is_urgent),
                 _decode_run(run),
                 _decode_observation(observation) if observation is not None else None,
             )
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
@@ -223,6 +223,7 @@
     reply_to: str
     number: int
     role: IssuerRole
+    is_urgent: bool
     run: EndpointRun
     observation: LimitObservation | None
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/permit_issuer.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/permit_issuer.py
@@ -24,10 +24,16 @@
 # permits, because a gateway may have no request left at its turn.
 TURNS_PER_PERMIT = 1.25
 MAX_TURN_WAIT_S = 1.0
-# Permits for this much time may be issued at once, and always ``MIN_BURST``, so that a permit is
-# not lost when the next request for it is a little late.
+# A permit is reserved for urgent requests until this time after one of them asked, or after its
+# next turn.
+URGENT_RETENTION_S = 1.0
+# Less urgent requests get at least one of so many permits.
+MAX_URGENT_SHARE = 4
+# Permits for this much time may be issued at once, and always one; the issuer, at which one may be
+# reserved, holds more, so that none is lost when the next request for it is a little late.
 BURST_S = 0.1
-MIN_BURST = 2.0
+MIN_BURST = 3.0
+MIN_STANDBY_BURST = 1.0
 
 
 class IssuerRole(Enum):
@@ -53,11 +59,40 @@
     role: IssuerRole
 
 
+@dataclass(slots=True)
+class _Turns:
+    """The turns of the gateways that ask for permits of one urgency."""
+
+    last_turn_s: float
+
+    def next_wait_s(self, now_s: float, wait_s: float, rate_per_s: float) -> float | None:
+        """Return the seconds until the next turn, which is not before ``wait_s``.
+
+        Return ``None`` if that is more than ``MAX_TURN_WAIT_S`` away.
+        """
+        next_turn_s = self.last_turn_s + 1.0 / (TURNS_PER_PERMIT * rate_per_s)
+        turn_wait_s = max(wait_s, next_turn_s - now_s)
+        if turn_wait_s > max(wait_s, MAX_TURN_WAIT_S):
+            return None
+        self.last_turn_s = now_s + turn_wait_s
+        return turn_wait_s
+
+
 @dataclass(slots=True)
 class _Issued:
+    """The permits of an endpoint; ``urgent_in_row`` were issued since the last less urgent one."""
+
     bucket: TokenBucket
     limit_per_s: float
-    last_turn_s: float
+    urgent_turns: _Turns
+    other_turns: _Turns
+    urgent_until_s: float = 0.0
+    urgent_in_row: int = 0
+
+    def reserved(self, now_s: float) -> float:
+        """Return the permits that less urgent requests leave to urgent ones."""
+        is_share_used = self.urgent_in_row >= MAX_URGENT_SHARE - 1
+        return 1.0 if now_s < self.urgent_until_s and not is_share_used else 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,31 +112,44 @@
         self._issued: BoundedMap[_BucketKey, _Issued] = BoundedMap(MAX_BUCKETS)
         self._lock = threading.Lock()
 
-    def take(self, run: EndpointRun, limit_per_s: float, role: IssuerRole) -> PermitDecision:
-        """Issue one permit if there is one, and tell when the gateway's next turn is."""
+    def take(
+        self, run: EndpointRun, limit_per_s: float, role: IssuerRole, is_urgent: bool
+    ) -> PermitDecision:
+        """Issue one permit if there is one, and tell when the gateway's next turn is.
+
+        Urgent requests go first, and others get what they leave, at least one permit in
+        ``MAX_URGENT_SHARE``.
+        """
         rate_per_s = max(MIN_RATE_PER_S, limit_per_s * role.share)
-        capacity = max(MIN_BURST, rate_per_s * BURST_S)
-        key = _BucketKey(run, role)
         with self._lock:
             now_s = self._clock_s()
-            issued = self._issued.get(key)
-            if issued is None:
-                # A standby is asked only after some time without permits.
-                tokens = 1.0 if role is IssuerRole.STANDBY else 0.0
-                bucket = TokenBucket(rate_per_s, capacity, self._clock_s, tokens)
-                issued = _Issued(bucket, limit_per_s, last_turn_s=now_s)
-                self._issued.put(key, issued)
-            elif issued.limit_per_s != limit_per_s:
-                issued.bucket.set_rate(rate_per_s, capacity)
-                issued.limit_per_s = limit_per_s
-            wait_s = issued.bucket.take()
+            issued = self._issued_permits(_BucketKey(run, role), limit_per_s, rate_per_s)
+            turns = issued.urgent_turns if is_urgent else issued.other_turns
+            wait_s = issued.bucket.take(0.0 if is_urgent else issued.reserved(now_s))
             is_granted = wait_s <= 0
-            if is_granted and issued.last_turn_s <= now_s:
-                return PermitDecision(is_granted, 0.0)
-            next_turn_s = issued.last_turn_s + 1.0 / (TURNS_PER_PERMIT * rate_per_s)
-            turn_wait_s = max(wait_s, next_turn_s - now_s)
-            max_wait_s = max(wait_s, MAX_TURN_WAIT_S)
-            if turn_wait_s > max_wait_s:
-                return PermitDecision(is_granted, max_wait_s * self._rng.uniform(0.5, 1.0))
-            issued.last_turn_s = now_s + turn_wait_s
-            return PermitDecision(is_granted, turn_wait_s)
+            ask_again_s: float | None = 0.0
+            if not is_granted or turns.last_turn_s > now_s:
+                ask_again_s = turns.next_wait_s(now_s, wait_s, rate_per_s)
+            if ask_again_s is None:
+                ask_again_s = max(wait_s, MAX_TURN_WAIT_S) * self._rng.uniform(0.5, 1.0)
+            if is_granted:
+                issued.urgent_in_row = issued.urgent_in_row + 1 if is_urgent else 0
+            if is_urgent:
+                issued.urgent_until_s = now_s + ask_again_s + URGENT_RETENTION_S
+            return PermitDecision(is_granted, ask_again_s)
+
+    def _issued_permits(self, key: _BucketKey, limit_per_s: float, rate_per_s: float) -> _Issued:
+        min_burst = MIN_BURST if key.role is IssuerRole.PRIMARY else MIN_STANDBY_BURST
+        capacity = max(min_burst, rate_per_s * BURST_S)
+        issued = self._issued.get(key)
+        if issued is None:
+            now_s = self._clock_s()
+            # A standby is asked only after some time without permits.
+            tokens = 1.0 if key.role is IssuerRole.STANDBY else 0.0
+            bucket = TokenBucket(rate_per_s, capacity, self._clock_s, tokens)
+            issued = _Issued(bucket, limit_per_s, _Turns(now_s), _Turns(now_s))
+            self._issued.put(key, issued)
+        elif issued.limit_per_s != limit_per_s:
+            issued.bucket.set_rate(rate_per_s, capacity)
+            issued.limit_per_s = limit_per_s
+        return issued
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
@@ -69,11 +69,20 @@
     TIMED_OUT = "timed-out"
 
 
+@dataclass(frozen=True, slots=True)
+class _BlockKey:
+    """Requests that were denied a permit wait by themselves for each urgency."""
+
+    run: EndpointRun
+    is_urgent: bool
+
+
 @dataclass(slots=True)
 class PendingPermit:
     """A permit that was asked for; ``outcome`` is ``None`` until there is one."""
 
     run: EndpointRun
+    is_urgent: bool
     number: int
     role: IssuerRole
     issuer: InstanceId | None
@@ -112,7 +121,7 @@
         # Replies to an earlier run of this process must not match.
         self._numbers = itertools.count(rng.getrandbits(31))
         self._pending: BoundedMap[int, PendingPermit] = BoundedMap(MAX_PENDING)
-        self._blocked_until_s: BoundedMap[EndpointRun, float] = BoundedMap(MAX_BLOCKED_RUNS)
+        self._blocked_until_s: BoundedMap[_BlockKey, float] = BoundedMap(MAX_BLOCKED_RUNS)
         self._spare_until_s: BoundedMap[EndpointRun, deque[float]] = BoundedMap(MAX_BLOCKED_RUNS)
         self._timeouts: dict[InstanceId, _IssuerTimeouts] = {}
         self._outcomes: Counter[PermitOutcome] = Counter()
@@ -127,37 +136,40 @@
         with self._lock:
             return dict(self._outcomes)
 
-    def wait_s(self, run: EndpointRun) -> float:
+    def wait_s(self, run: EndpointRun, is_urgent: bool) -> float:
         """Return the seconds until it makes sense to ask for a permit, 0 if no limit is known."""
         if self.limits.limit_per_s(run) is None:
             return 0.0
-        return max(0.0, self._blocked_until_s.get(run, 0.0) - self._clock_s())
+        blocked_until_s = self._blocked_until_s.get(_BlockKey(run, is_urgent), 0.0)
+        return max(0.0, blocked_until_s - self._clock_s())
 
-    def acquire(self, run: EndpointRun) -> bool:
+    def acquire(self, run: EndpointRun, is_urgent: bool) -> bool:
         """Wait until a request may be sent to a run or is denied; return whether it may."""
         if self.limits.limit_per_s(run) is None:
             return True
-        pending = self.ask(run)
+        pending = self.ask(run, is_urgent)
         if not pending.done.wait(REPLY_TIMEOUT_S):
             self.time_out(pending)
         return pending.is_granted
 
-    def ask(self, run: EndpointRun) -> PendingPermit:
+    def ask(self, run: EndpointRun, is_urgent: bool) -> PendingPermit:
         """Ask for one permit without waiting for the reply."""
         now_s = self._clock_s()
         role, issuer = self._choose_issuer(run, now_s)
-        pending = PendingPermit(run, next(self._numbers), role, issuer, now_s)
+        pending = PendingPermit(run, is_urgent, next(self._numbers), role, issuer, now_s)
         if self._take_spare(run, now_s):
             self._finish(pending, PermitOutcome.TAKEN_FROM_SPARE)
         elif issuer is None:
             self._settle(pending, PermitDecision(False, UNKNOWN_WAIT_S))
         elif issuer == self._peers.own_instance:
-            self._settle(pending, self._issue(run, role))
+            self._settle(pending, self._issue(run, role, is_urgent))
         else:
             with self._lock:
                 self._pending.put(pending.number, pending)
             observation = self.limits.observation(run)
-            request = PermitRequest(self._own_address(), pending.number, role, run, observation)
+            request = PermitRequest(
+                self._own_address(), pending.number, role, is_urgent, run, observation
+            )
             self._send(self._peers.report_address(issuer), encode(request))
         return pending
 
@@ -165,7 +177,7 @@
         """Give up waiting for a reply; repeated timeouts make the issuer count as unresponsive."""
         if pending.done.is_set():
             return
-        self._block(pending.run, UNKNOWN_WAIT_S)
+        self._block(pending, UNKNOWN_WAIT_S)
         self._finish(pending, PermitOutcome.TIMED_OUT)
         if pending.issuer is None:
             return
@@ -189,7 +201,7 @@
         """Issue a permit to another gateway, or tell it when to ask again."""
         if request.observation is not None:
             self.limits.merge([request.observation])
-        decision = self._issue(request.run, request.role)
+        decision = self._issue(request.run, request.role, request.is_urgent)
         ask_again_ms = math.ceil(decision.ask_again_s * 1000)
         reply = PermitReply(request.number, decision.is_granted, ask_again_ms)
         self._send(request.reply_to, encode(reply))
@@ -214,7 +226,7 @@
         if not is_late:
             self._settle(pending, decision)
 
-    def _issue(self, run: EndpointRun, role: IssuerRole) -> PermitDecision:
+    def _issue(self, run: EndpointRun, role: IssuerRole, is_urgent: bool) -> PermitDecision:
         limit_per_s = self.limits.limit_per_s(run)
         if limit_per_s is None:
             return PermitDecision(True, 0.0)
@@ -225,7 +237,7 @@
         if not is_responsible and not is_standby:
             return PermitDecision(False, UNKNOWN_WAIT_S)
         own_role = IssuerRole.PRIMARY if is_responsible else IssuerRole.STANDBY
-        return self._issuer.take(run, limit_per_s, own_role)
+        return self._issuer.take(run, limit_per_s, own_role, is_urgent)
 
     def _choose_issuer(
         self, run: EndpointRun, now_s: float
@@ -252,7 +264,7 @@
 
     def _settle(self, pending: PendingPermit, decision: PermitDecision) -> None:
         if decision.ask_again_s > 0:
-            self._block(pending.run, decision.ask_again_s)
+            self._block(pending, decision.ask_again_s)
         if not decision.is_granted:
             self._finish(pending, PermitOutcome.DENIED)
         elif pending.role is IssuerRole.STANDBY:
@@ -260,9 +272,10 @@
         else:
             self._finish(pending, PermitOutcome.GRANTED)
 
-    def _block(self, run: EndpointRun, wait_s: float) -> None:
+    def _block(self, pending: PendingPermit, wait_s: float) -> None:
+        key = _BlockKey(pending.run, pending.is_urgent)
         with self._lock:
-            self._blocked_until_s.put(run, self._clock_s() + wait_s)
+            self._blocked_until_s.put(key, self._clock_s() + wait_s)
 
     def _finish(self, pending: PendingPermit, outcome: PermitOutcome) -> None:
         with self._lock:
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -24,6 +24,7 @@
 from .crash_attribution import fingerprint_of_request
 from .ingress.answer_channel import ChannelState
 from .ingress.channel_sink import ChannelSink
+from .local_attempts import BASE_PRIORITY
 from .local_attempts import AttemptPlan
 from .local_attempts import LocalOption
 from .messages import problem_answer
@@ -61,8 +62,7 @@
 # of its latency target, and how often it checks for a free one.
 CAPACITY_WAIT_SHARE = 0.5
 CAPACITY_CHECK_INTERVAL_S = 0.03
-# Priority sent to endpoints, 0 is the most urgent; the route's own priority is added to the base.
-BASE_PRIORITY = 3
+# The least urgent priority that endpoints know.
 MAX_PRIORITY = 9
 
 
@@ -141,7 +141,7 @@
 
     @property
     def _is_urgent(self) -> bool:
-        return self._route.priority == 0
+        return self._plan.is_urgent
 
     @property
     def _may_be_repeated(self) -> bool:
@@ -364,7 +364,7 @@
         detail = self._progress.reason or "no endpoint is available"
         remote_s = self._progress.retry_after_s
         wait_s = remote_s or _random_retry_after_s()
-        local_s = self._context.local.earliest_send_s(self._service)
+        local_s = self._context.local.earliest_send_s(self._service, self._is_urgent)
         if local_s > 0:
             earliest_s = min(local_s, remote_s or local_s)
             # Randomized like the other waits, so that callers do not all retry at once.
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -22,6 +22,7 @@
 from primroseferry_relay.ingress.listener import Listener
 from primroseferry_relay.local_attempts import LocalAttempts
 from primroseferry_relay.membership.peer import GatewayState
+from primroseferry_relay.membership.peer_table import DISCOVERY_TIMEOUT_S
 from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.membership.request_permits import RequestPermits
 from primroseferry_relay.relay import Relay
@@ -54,6 +55,7 @@
 LIMITS = CallerLimits(max_head_bytes=2_048, max_body_bytes=10_000, head_timeout_ms=300)
 ROUTES = [
     replace(ROUTE, name="safe", prefix="/safe/", timeout_ms=1_500),
+    replace(ROUTE, name="later", prefix="/later/", timeout_ms=1_500, priority=1),
     replace(ROUTE, name="short", prefix="/short/", timeout_ms=150),
     replace(ROUTE, name="once", prefix="/once/", kind=RouteKind.NON_IDEMPOTENT, timeout_ms=1_500),
     replace(ROUTE, name="stream", prefix="/stream/", kind=RouteKind.STREAM, timeout_ms=3_000),
@@ -146,9 +148,13 @@
         self.table: RouteTable | None = None
         if has_table:
             self.table = build_route_table(4, ROUTES, [SERVICE], LIMITS)
-        self.peers = peers = PeerTable(InstanceId("g-1"), NORTH)
+        self.skipped_s = 0.0
+        self.peers = peers = PeerTable(
+            InstanceId("g-1"), NORTH, lambda: time.monotonic() + self.skipped_s
+        )
         peers.own_state = GatewayState.READY
         self.policy = policy or RelayPolicy(SharedRetryBudget(10, 0.2, 50))
+        self.permits = RequestPermits(self.policy.request_limits, peers)
         adapter = TestAdapter()
         self.local = local = LocalAttempts(
             NORTH,
@@ -158,7 +164,7 @@
             peers,
             self.policy,
             self,
-            RequestPermits(self.policy.request_limits, peers),
+            self.permits,
         )
         regions = RegionAttempts(loop, peers, self.policy)
         context = RelayContext(NORTH, loop, local, regions, peers, self.policy, self.records.append)
@@ -181,6 +187,10 @@
     def send_request_limits(self) -> None:
         self.limit_reports += 1
 
+    def end_discovery(self) -> None:
+        """Let the relay be alone for so long that it knows of no other gateway to wait for."""
+        self.skipped_s += 2 * DISCOVERY_TIMEOUT_S
+
     def connect(self) -> socket.socket:
         connection = socket.create_connection(("127.0.0.1", self.listener.port))
         connection.settimeout(5)
--- a/packages/primroseferry-relay/tests/relay_tests/test_codec.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_codec.py
@@ -107,8 +107,8 @@
     RemoteParts((RemotePart(ENGINE_HASH, PartId("ab12"), 6_300),)),
     Blame(Fingerprint("f"), "e-1@100"),
     LeavingNotice(RUN),
-    PermitRequest("10.0.0.2:82", 2**40, IssuerRole.STANDBY, RUN, LIMIT),
-    PermitRequest("10.0.0.2:82", 8, IssuerRole.PRIMARY, RUN, None),
+    PermitRequest("10.0.0.2:82", 2**40, IssuerRole.STANDBY, True, RUN, LIMIT),
+    PermitRequest("10.0.0.2:82", 8, IssuerRole.PRIMARY, False, RUN, None),
     PermitReply(8, is_granted=False, ask_again_ms=250),
     SuspicionInventory("10.0.0.2:82", b"01234567"),
     Suspicions(
--- a/packages/primroseferry-relay/tests/relay_tests/test_limited_endpoints.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_limited_endpoints.py
@@ -8,6 +8,7 @@
 
 import pytest
 from primroseferry_policy.prompt import Generation
+from primroseferry_relay.membership.request_permits import PermitOutcome
 from primroseferry_relay.request_run import MAX_TRIES
 
 from .relay_harness import RelayHarness
@@ -76,6 +77,18 @@
     assert len(limited.requests) <= 1 + 1
 
 
+def test_less_urgent_request_that_is_denied_does_not_block_urgent_ones(loop: CurlLoop) -> None:
+    bench = RelayHarness(loop, [fixed_answer_endpoint(extra="X-Limit: 0.01\r\n")])
+    bench.end_discovery()
+    bench.call("/safe/")
+    for _ in range(3):
+        bench.call("/later/")
+    # After the first one was denied, the others do not ask.
+    assert bench.permits.outcomes()[PermitOutcome.DENIED] == 1
+    bench.call("/safe/")
+    assert bench.permits.outcomes()[PermitOutcome.DENIED] == 2
+
+
 def test_request_that_many_limited_endpoints_deny_reaches_one_without_a_limit(
     loop: CurlLoop,
 ) -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_request_permits.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_request_permits.py
@@ -49,8 +49,11 @@
     fleet: FleetSimulation
     rate_per_s: float
     limit_per_s: float | None = None
+    urgent_share: float = 1.0
     step_s: float = 0.01
     sent: list[tuple[float, str]] = field(default_factory=list)
+    asked_by_urgency: Counter[bool] = field(default_factory=Counter)
+    sent_by_urgency: Counter[bool] = field(default_factory=Counter)
     random: random.Random = field(default_factory=lambda: random.Random(7))
     pending: list[tuple[SimulatedGateway, PendingPermit]] = field(default_factory=list)
 
@@ -62,6 +65,7 @@
             if not permit.done.is_set() and now_s - permit.asked_s >= REPLY_TIMEOUT_S:
                 gateway.permits.time_out(permit)
             if permit.is_granted:
+                self.sent_by_urgency[permit.is_urgent] += 1
                 self._send(gateway)
             elif not permit.done.is_set():
                 still_pending.append((gateway, permit))
@@ -71,10 +75,12 @@
         live = [gateway for gateway in self.fleet.region("north") if not gateway.is_frozen]
         for _ in range(count):
             gateway = self.random.choice(live)
+            is_urgent = self.random.random() < self.urgent_share
+            self.asked_by_urgency[is_urgent] += 1
             if gateway.permits.limits.limit_per_s(RUN) is None:
                 self._send(gateway)
-            elif gateway.permits.wait_s(RUN) <= 0:
-                self.pending.append((gateway, gateway.permits.ask(RUN)))
+            elif gateway.permits.wait_s(RUN, is_urgent) <= 0:
+                self.pending.append((gateway, gateway.permits.ask(RUN, is_urgent)))
 
     def run(self, seconds: float) -> None:
         self.fleet.run(seconds, self.step, self.step_s)
@@ -144,6 +150,31 @@
     assert max(counts.values()) <= 100.0 * 20 / 65 * 3
 
 
+@pytest.mark.parametrize("gateways", [2, 65])
+@pytest.mark.parametrize(
+    ("urgent_per_s", "min_urgent_share"),
+    # Of 20 a second: what is asked for, or all but the one in four that others get.
+    [(8.0, 0.8), (30.0, MIN_USED_SHARE * 20 * 0.75 / 30)],
+)
+def test_urgent_requests_get_scarce_permits_first_and_starve_no_others(
+    gateways: int, urgent_per_s: float, min_urgent_share: float
+) -> None:
+    limit_per_s = 20.0
+    load = _limited_region(gateways, limit_per_s, 0.002, rate_per_s=60.0)
+    load.urgent_share = urgent_per_s / 60.0
+    load.run(3.0)
+    start_s = load.fleet.clock.now_s
+    load.asked_by_urgency.clear()
+    load.sent_by_urgency.clear()
+    load.run(20.0)
+    urgent = load.sent_by_urgency[True] / load.asked_by_urgency[True]
+    assert urgent >= min_urgent_share
+    assert load.count_since(start_s) >= MIN_USED_SHARE * limit_per_s * 20
+    # A quarter of what an even distribution would give.
+    others = load.sent_by_urgency[False] / load.asked_by_urgency[False]
+    assert others >= limit_per_s / 60.0 / 4
+
+
 def test_permits_follow_the_requests_of_one_gateway_out_of_many() -> None:
     load = _limited_region(65, 10.0, 0.002)
     _, busy, *_ = load.fleet.region("north")
@@ -155,8 +186,8 @@
         nonlocal granted
         granted += sum(permit.is_granted for permit in pending if permit.done.is_set())
         pending[:] = [permit for permit in pending if not permit.done.is_set()]
-        if busy.permits.wait_s(RUN) <= 0:
-            pending.append(busy.permits.ask(RUN))
+        if busy.permits.wait_s(RUN, is_urgent=True) <= 0:
+            pending.append(busy.permits.ask(RUN, is_urgent=True))
 
     load.fleet.run(10.0, step)
     assert granted >= MIN_USED_SHARE * 10.0 * (load.fleet.clock.now_s - start_s)
@@ -277,9 +308,9 @@
 def test_issuer_takes_over_without_a_burst() -> None:
     clock = Clock()
     issuer = PermitIssuer(clock, random.Random(1))
-    assert not issuer.take(RUN, 100.0, IssuerRole.PRIMARY).is_granted
+    assert not issuer.take(RUN, 100.0, IssuerRole.PRIMARY, is_urgent=True).is_granted
     clock.now_s += 60
     granted = 0
-    while issuer.take(RUN, 100.0, IssuerRole.PRIMARY).is_granted:
+    while issuer.take(RUN, 100.0, IssuerRole.PRIMARY, is_urgent=True).is_granted:
         granted += 1
     assert granted <= 100.0 * BURST_S
