--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -101,7 +101,7 @@
 
     def _on_head(self, head: HttpReply) -> bool:
         super()._on_head(head)
-        self._metadata = self._adapter.read_reply(head.headers)
+        self._metadata = self._adapter.read_reply(head.header_lines)
         self._has_other_request_id = self._metadata.request_id not in ("", self._attempt.request_id)
         if self._has_other_request_id:
             return False
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
@@ -9,7 +9,6 @@
 from primroseferry_policy.prompt import NO_GENERATION
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from primroseferry_core.ids import EndpointId
@@ -78,5 +77,5 @@
     ) -> list[Header]:
         """Return the headers to send to an endpoint, from a caller's headers and ``options``."""
 
-    def read_reply(self, headers: Mapping[str, str]) -> ReplyMetadata:
-        """Decode an endpoint's headers, whose names are in lower case."""
+    def read_reply(self, headers: Sequence[Header]) -> ReplyMetadata:
+        """Decode an endpoint's headers."""
