--- a/packages/primroseferry-relay/tests/relay_tests/test_request_permits.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_request_permits.py
@@ -139,6 +139,21 @@
     assert load.count_since(start_s) <= limit_per_s * 20 * 1.02 + 1
 
 
+@pytest.mark.parametrize(
+    ("gateways", "limit_per_s"), [(2, 0.5), (2, 1.0), (2, 20.0), (12, 1.0), (12, 4.0)]
+)
+def test_no_gateway_is_starved_of_permits_by_one_that_asks_in_time(
+    gateways: int, limit_per_s: float
+) -> None:
+    load = _limited_region(gateways, limit_per_s, 0.002)
+    start_s = load.fleet.clock.now_s
+    mean = 20
+    load.run(mean * gateways / limit_per_s)
+    counts = Counter(name for at_s, name in load.sent if at_s >= start_s)
+    assert len(counts) == gateways
+    assert min(counts.values()) >= mean / 3
+
+
 def test_no_gateway_of_a_large_region_is_starved_of_permits() -> None:
     load = _limited_region(65, 100.0, 0.002, rate_per_s=400.0)
     load.step_s = 0.001
