--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_point.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_point.py
@@ -1,4 +1,4 @@
-"""The hash that identifies an endpoint in datagrams."""
+"""The hashes that identify endpoints and their runs in datagrams."""
 
 from __future__ import annotations
 
@@ -10,7 +10,10 @@
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
 
+    from .endpoint import EndpointRun
+
 EndpointHash = NewType("EndpointHash", int)
+RunHash = NewType("RunHash", int)
 
 
 def endpoint_hash(endpoint: EndpointId) -> EndpointHash:
@@ -20,3 +23,9 @@
     with a probability of one in a million.
     """
     return EndpointHash(xxhash.xxh32_intdigest(endpoint.encode()))
+
+
+def run_hash(run: EndpointRun) -> RunHash:
+    """Return the 64-bit hash that identifies a run of an endpoint in datagrams."""
+    text = f"{run.endpoint} {run.started_ms} {run.address}"
+    return RunHash(xxhash.xxh3_64_intdigest(text.encode()))
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/request_limits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/request_limits.py
@@ -22,18 +22,21 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
+from .endpoint_point import run_hash
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
 
     from .endpoint import EndpointRun
+    from .endpoint_point import RunHash
 
 ObservationId = NewType("ObservationId", int)
 
 # An answer without a limit lifts a limit only if no answer has named it for this long. Answers of
 # one endpoint reach gateways out of order, and some endpoints name their limit in part of them.
-LIFT_AFTER_S = 1.0
+LIFT_AFTER_S = 3.0
 # A lifted limit doubles at this interval, for this many times, and then ends.
 RAMP_STEP_S = 1.0
 RAMP_STEPS = 6
@@ -103,6 +106,7 @@
         self._clock_s = clock_s
         self._rng = rng or random.Random()
         self._known: BoundedMap[EndpointRun, _Known] = BoundedMap(MAX_RUNS)
+        self._runs: BoundedMap[RunHash, EndpointRun] = BoundedMap(MAX_RUNS)
         self._invalid: BoundedMap[EndpointRun, None] = BoundedMap(MAX_RUNS)
         self._lock = threading.Lock()
 
@@ -119,7 +123,7 @@
         with self._lock:
             known = self._known.get(run)
             before = known.named_per_s if known is not None else None
-            observation = ObservationId(self._rng.getrandbits(62))
+            observation = ObservationId(self._rng.getrandbits(32))
             if limit_per_s is not None:
                 limit = min(limit_per_s, MAX_LIMIT_PER_S)
                 new = _Known(limit, False, observation, now_s, is_own=True)
@@ -127,7 +131,7 @@
                 new = _Known(known.limit_per_s, True, observation, now_s, is_own=True)
             else:
                 return False
-            self._known.put(run, new)
+            self._put(run, new)
         return self._log_change(run, before, new.named_per_s, "answer", 0.0)
 
     def note_invalid(self, run: EndpointRun, status: int) -> None:
@@ -159,7 +163,7 @@
                     observed_s,
                     is_own=False,
                 )
-                self._known.put(received.run, new)
+                self._put(received.run, new)
             has_changed |= self._log_change(
                 received.run, before, new.named_per_s, "peer", received.age_s
             )
@@ -176,6 +180,11 @@
             known = self._known.get(run)
         return known.in_force_per_s(self._clock_s()) if known is not None else None
 
+    def find_run(self, wanted: RunHash) -> EndpointRun | None:
+        """Return the run with this hash, ``None`` if none with it ever named a limit."""
+        with self._lock:
+            return self._runs.get(wanted)
+
     def in_force(self) -> Mapping[EndpointRun, float]:
         """Return all limits in force."""
         now_s = self._clock_s()
@@ -183,12 +192,6 @@
             limits = {run: known.in_force_per_s(now_s) for run, known in self._known.items()}
         return {run: limit for run, limit in limits.items() if limit is not None}
 
-    def observation(self, run: EndpointRun) -> LimitObservation | None:
-        """Return the newest observation of a run, ``None`` if it never named a limit."""
-        with self._lock:
-            known = self._known.get(run)
-        return _aged(run, known, self._clock_s()) if known is not None else None
-
     def observations(self) -> list[LimitObservation]:
         """Return the newest observation of each run with its present age."""
         now_s = self._clock_s()
@@ -205,6 +208,11 @@
                 if known.is_own and now_s - known.observed_s <= max_age_s
             ]
 
+    def _put(self, run: EndpointRun, known: _Known) -> None:
+        if run not in self._known:
+            self._runs.put(run_hash(run), run)
+        self._known.put(run, known)
+
     def _log_change(
         self,
         run: EndpointRun,
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -73,7 +73,7 @@
 # Priority sent to endpoints, 0 is the most urgent; the route's own priority is added to the base.
 BASE_PRIORITY = 3
 # How often a request asks for a permit; each time takes a round trip within the region.
-MAX_PERMITS_DENIED = 6
+MAX_PERMITS_DENIED = 4
 # Status of an endpoint that rejects a request because it is overloaded.
 OVERLOADED_STATUS = 503
 # Status of an endpoint that is not the one for which the request was meant.
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -28,6 +28,7 @@
 
 from ..endpoints.endpoint import EndpointRun
 from ..endpoints.endpoint_point import EndpointHash
+from ..endpoints.endpoint_point import RunHash
 from ..endpoints.request_limits import MAX_LIMIT_PER_S
 from ..endpoints.request_limits import LimitObservation
 from ..endpoints.request_limits import ObservationId
@@ -122,12 +123,10 @@
             return _pack(_Kind.SUSPICION_INVENTORY, [reply_to, content_hashes])
         case Suspicions(entries):
             return _pack(_Kind.SUSPICIONS, [encode_suspicion(entry) for entry in entries])
-        case PermitRequest(reply_to, number, role, is_urgent, run, observation):
-            fields = _observation_fields(observation) if observation is not None else None
+        case PermitRequest(reply_to, number, role, is_urgent, run, limit_per_s):
             is_standby = role is IssuerRole.STANDBY
             return _pack(
-                _Kind.PERMIT_REQUEST,
-                [reply_to, number, is_standby, is_urgent, _run_fields(run), fields],
+                _Kind.PERMIT_REQUEST, [reply_to, number, is_standby, is_urgent, run, limit_per_s]
             )
         case PermitReply(number, is_granted, ask_again_ms):
             return _pack(_Kind.PERMIT_REPLY, [number, is_granted, ask_again_ms])
@@ -228,14 +227,14 @@
         case _Kind.SUSPICIONS:
             return Suspicions(tuple(map(decode_suspicion, fields)))
         case _Kind.PERMIT_REQUEST:
-            reply_to, number, is_standby, is_urgent, run, observation = fields[:6]
+            reply_to, number, is_standby, is_urgent, run, limit_per_s = fields[:6]
             return PermitRequest(
                 _string(reply_to),
                 _non_negative_int(number),
                 IssuerRole.STANDBY if is_standby else IssuerRole.PRIMARY,
                 bool(is_urgent),
-                _decode_run(run),
-                _decode_observation(observation) if observation is not None else None,
+                RunHash(_non_negative_int(run)),
+                _decode_limit(limit_per_s),
             )
         case _Kind.PERMIT_REPLY:
             number, is_granted, ask_again_ms = fields[:3]
@@ -337,15 +336,19 @@
     ]
 
 
+def _decode_limit(value: Any) -> float:
+    if not 0 <= value <= MAX_LIMIT_PER_S:
+        raise ValueError("expected a request limit of at least 0")
+    return float(value)
+
+
 def _decode_observation(fields: Any) -> LimitObservation:
     run, limit_per_s, is_lifted, observation, age_s = fields[:5]
-    if not 0 <= limit_per_s <= MAX_LIMIT_PER_S:
-        raise ValueError("expected a request limit of at least 0")
     if not 0 <= age_s < float("inf"):
         raise ValueError("expected a finite age of at least 0 s")
     return LimitObservation(
         _decode_run(run),
-        float(limit_per_s),
+        _decode_limit(limit_per_s),
         bool(is_lifted),
         ObservationId(_non_negative_int(observation)),
         float(age_s),
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
@@ -27,6 +27,7 @@
 
     from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointHash
+    from ..endpoints.endpoint_point import RunHash
     from ..endpoints.request_limits import LimitObservation
     from .peer import ControlStatus
     from .peer import Peer
@@ -217,15 +218,15 @@
     """Asks for a permit to send one request to a run of an endpoint that named a limit.
 
     ``number`` identifies the request at its sender. ``role`` is that in which the receiver is
-    asked. ``observation`` is what the sender knows of the limit.
+    asked. ``limit_per_s`` is the limit that the sender keeps to, in case the receiver knows none.
     """
 
     reply_to: str
     number: int
     role: IssuerRole
     is_urgent: bool
-    run: EndpointRun
-    observation: LimitObservation | None
+    run: RunHash
+    limit_per_s: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/limit_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/limit_sync.py
@@ -1,17 +1,20 @@
 """Chooses which observations of request limits go into updates and digests.
 
-Updates repeat a member's own observations for a while because datagrams can be lost. Digests hold
-what changed since the one before, and full digests hold everything, so that a gateway that starts
+Both hold what changed and, now and then, what was merely named again. Updates repeat a change for a
+while because datagrams can be lost. Full digests hold everything, so that a gateway that starts
 later or was disconnected learns of all limits.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primroseferry_core.bounded_map import BoundedMap
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from ..endpoints.endpoint import EndpointRun
     from ..endpoints.request_limits import LimitObservation
     from ..endpoints.request_limits import RequestLimits
@@ -20,9 +23,9 @@
 UPDATE_REPEAT_S = 3.0
 MAX_LIMITS_IN_UPDATE = 50
 MAX_LIMITS_IN_DIGEST = 200
-# Each answer of an endpoint names its limit again. Digests repeat an unchanged limit that was named
-# again only after this time.
-RENEWAL_INTERVAL_S = 0.5
+# Each answer of an endpoint names its limit again. That is reported often enough for
+# ``LIFT_AFTER_S`` to be counted from one of the latest answers.
+RENEWAL_INTERVAL_S = 2.0
 MAX_RUNS = 4_096
 
 
@@ -31,12 +34,13 @@
 
     def __init__(self, limits: RequestLimits) -> None:
         self._limits = limits
-        self._sent_s: BoundedMap[EndpointRun, float] = BoundedMap(MAX_RUNS)
-        self._sent: BoundedMap[EndpointRun, LimitObservation] = BoundedMap(MAX_RUNS)
+        self._in_updates = _ReportLog(UPDATE_REPEAT_S)
+        self._in_digests = _ReportLog(repeat_s=0.0)
 
     def for_update(self) -> tuple[LimitObservation, ...]:
-        """Return this gateway's own recent observations, the newest first."""
-        return _newest(self._limits.own_observations(UPDATE_REPEAT_S), MAX_LIMITS_IN_UPDATE)
+        """Return this gateway's own observations that are due, the newest first."""
+        own = self._limits.own_observations(UPDATE_REPEAT_S)
+        return self._in_updates.take_due(own, self._limits.now_s(), MAX_LIMITS_IN_UPDATE)
 
     def for_full_digest(self) -> tuple[LimitObservation, ...]:
         """Return all known observations, the newest first."""
@@ -44,25 +48,47 @@
 
     def take_changes(self) -> tuple[LimitObservation, ...]:
         """Return the observations that changed since the last call, as many as fit."""
-        now_s = self._limits.now_s()
-        changed = [
-            observation
-            for observation in self._limits.observations()
-            if self._is_due(observation, now_s)
-        ]
-        chosen = _newest(changed, MAX_LIMITS_IN_DIGEST)
+        known = self._limits.observations()
+        return self._in_digests.take_due(known, self._limits.now_s(), MAX_LIMITS_IN_DIGEST)
+
+
+@dataclass(frozen=True, slots=True)
+class _Report:
+    """The last report on a run; the value has been the same since ``changed_s``."""
+
+    observation: LimitObservation
+    changed_s: float
+    sent_s: float
+
+
+class _ReportLog:
+    """What was reported on each run. A change is repeated for ``repeat_s``."""
+
+    def __init__(self, repeat_s: float) -> None:
+        self._repeat_s = repeat_s
+        self._reports: BoundedMap[EndpointRun, _Report] = BoundedMap(MAX_RUNS)
+
+    def take_due(
+        self, observations: Iterable[LimitObservation], now_s: float, count: int
+    ) -> tuple[LimitObservation, ...]:
+        """Return the newest ``count`` observations that are due, and record them as reported."""
+        due = [observation for observation in observations if self._is_due(observation, now_s)]
+        chosen = _newest(due, count)
         for observation in chosen:
-            self._sent.put(observation.run, observation)
-            self._sent_s.put(observation.run, now_s)
+            last = self._reports.get(observation.run)
+            is_change = last is None or _value(last.observation) != _value(observation)
+            changed_s = now_s if last is None or is_change else last.changed_s
+            self._reports.put(observation.run, _Report(observation, changed_s, now_s))
         return chosen
 
     def _is_due(self, observation: LimitObservation, now_s: float) -> bool:
-        sent = self._sent.get(observation.run)
-        if sent is None or _value(sent) != _value(observation):
+        last = self._reports.get(observation.run)
+        if last is None or _value(last.observation) != _value(observation):
+            return True
+        if now_s - last.changed_s < self._repeat_s:
             return True
-        if sent.observation == observation.observation:
-            return False
-        return now_s - self._sent_s[observation.run] >= RENEWAL_INTERVAL_S
+        is_new = observation.observation != last.observation.observation
+        return is_new and now_s - last.sent_s >= RENEWAL_INTERVAL_S
 
 
 def _value(observation: LimitObservation) -> tuple[float, bool]:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/permit_issuer.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/permit_issuer.py
@@ -14,7 +14,7 @@
     import random
     from collections.abc import Callable
 
-    from ..endpoints.endpoint import EndpointRun
+    from ..endpoints.endpoint_point import RunHash
 
 MAX_BUCKETS = 4_096
 # The least rate of permits, so that an endpoint that takes nothing is asked now and then whether
@@ -55,7 +55,7 @@
 
 @dataclass(frozen=True, slots=True)
 class _BucketKey:
-    run: EndpointRun
+    run: RunHash
     role: IssuerRole
 
 
@@ -113,7 +113,7 @@
         self._lock = threading.Lock()
 
     def take(
-        self, run: EndpointRun, limit_per_s: float, role: IssuerRole, is_urgent: bool
+        self, run: RunHash, limit_per_s: float, role: IssuerRole, is_urgent: bool
     ) -> PermitDecision:
         """Issue one permit if there is one, and tell when the gateway's next turn is.
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
@@ -24,6 +24,7 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
+from ..endpoints.endpoint_point import run_hash
 from .codec import encode
 from .datagrams import PermitReply
 from .datagrams import PermitRequest
@@ -38,6 +39,7 @@
     from primroseferry_core.ids import InstanceId
 
     from ..endpoints.endpoint import EndpointRun
+    from ..endpoints.endpoint_point import RunHash
     from ..endpoints.request_limits import RequestLimits
     from .peer_table import PeerTable
 
@@ -145,15 +147,18 @@
 
     def acquire(self, run: EndpointRun, is_urgent: bool) -> bool:
         """Wait until a request may be sent to a run or is denied; return whether it may."""
-        if self.limits.limit_per_s(run) is None:
-            return True
         pending = self.ask(run, is_urgent)
+        if pending is None:
+            return True
         if not pending.done.wait(REPLY_TIMEOUT_S):
             self.time_out(pending)
         return pending.is_granted
 
-    def ask(self, run: EndpointRun, is_urgent: bool) -> PendingPermit:
-        """Ask for one permit without waiting for the reply."""
+    def ask(self, run: EndpointRun, is_urgent: bool) -> PendingPermit | None:
+        """Ask for one permit without waiting for the reply; ``None`` if no limit is known."""
+        limit_per_s = self.limits.limit_per_s(run)
+        if limit_per_s is None:
+            return None
         now_s = self._clock_s()
         role, issuer = self._choose_issuer(run, now_s)
         pending = PendingPermit(run, is_urgent, next(self._numbers), role, issuer, now_s)
@@ -162,13 +167,13 @@
         elif issuer is None:
             self._settle(pending, PermitDecision(False, UNKNOWN_WAIT_S))
         elif issuer == self._peers.own_instance:
-            self._settle(pending, self._issue(run, role, is_urgent))
+            decision = self._issue(run_hash(run), limit_per_s, role, is_urgent)
+            self._settle(pending, decision)
         else:
             with self._lock:
                 self._pending.put(pending.number, pending)
-            observation = self.limits.observation(run)
             request = PermitRequest(
-                self._own_address(), pending.number, role, is_urgent, run, observation
+                self._own_address(), pending.number, role, is_urgent, run_hash(run), limit_per_s
             )
             self._send(self._peers.report_address(issuer), encode(request))
         return pending
@@ -199,9 +204,11 @@
 
     def on_request(self, request: PermitRequest) -> None:
         """Issue a permit to another gateway, or tell it when to ask again."""
-        if request.observation is not None:
-            self.limits.merge([request.observation])
-        decision = self._issue(request.run, request.role, request.is_urgent)
+        run = self.limits.find_run(request.run)
+        own_per_s = self.limits.limit_per_s(run) if run is not None else None
+        # One of the two may not have heard yet of a change.
+        limit_per_s = min(request.limit_per_s, own_per_s or request.limit_per_s)
+        decision = self._issue(request.run, limit_per_s, request.role, request.is_urgent)
         ask_again_ms = math.ceil(decision.ask_again_s * 1000)
         reply = PermitReply(request.number, decision.is_granted, ask_again_ms)
         self._send(request.reply_to, encode(reply))
@@ -226,11 +233,10 @@
         if not is_late:
             self._settle(pending, decision)
 
-    def _issue(self, run: EndpointRun, role: IssuerRole, is_urgent: bool) -> PermitDecision:
-        limit_per_s = self.limits.limit_per_s(run)
-        if limit_per_s is None:
-            return PermitDecision(True, 0.0)
-        order = self._peers.order_by_key(run.endpoint)
+    def _issue(
+        self, run: RunHash, limit_per_s: float, role: IssuerRole, is_urgent: bool
+    ) -> PermitDecision:
+        order = self._issuer_order(run)
         own = self._peers.own_instance
         is_responsible = order[:1] == [own]
         is_standby = role is IssuerRole.STANDBY and own in order[:2]
@@ -239,10 +245,13 @@
         own_role = IssuerRole.PRIMARY if is_responsible else IssuerRole.STANDBY
         return self._issuer.take(run, limit_per_s, own_role, is_urgent)
 
+    def _issuer_order(self, run: RunHash) -> list[InstanceId]:
+        return self._peers.order_by_key(str(run))
+
     def _choose_issuer(
         self, run: EndpointRun, now_s: float
     ) -> tuple[IssuerRole, InstanceId | None]:
-        order = self._peers.order_by_key(run.endpoint)
+        order = self._issuer_order(run_hash(run))
         if not order:
             return IssuerRole.PRIMARY, None
         with self._lock:
--- a/packages/primroseferry-relay/tests/relay_tests/test_codec.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_codec.py
@@ -22,6 +22,7 @@
 from primroseferry_policy.suspicion import Suspicion
 from primroseferry_relay.endpoints.endpoint import EndpointRun
 from primroseferry_relay.endpoints.endpoint_point import endpoint_hash
+from primroseferry_relay.endpoints.endpoint_point import run_hash
 from primroseferry_relay.endpoints.request_limits import LimitObservation
 from primroseferry_relay.endpoints.request_limits import ObservationId
 from primroseferry_relay.membership import codec
@@ -107,8 +108,8 @@
     RemoteParts((RemotePart(ENGINE_HASH, PartId("ab12"), 6_300),)),
     Blame(Fingerprint("f"), "e-1@100"),
     LeavingNotice(RUN),
-    PermitRequest("10.0.0.2:82", 2**40, IssuerRole.STANDBY, True, RUN, LIMIT),
-    PermitRequest("10.0.0.2:82", 8, IssuerRole.PRIMARY, False, RUN, None),
+    PermitRequest("10.0.0.2:82", 2**40, IssuerRole.STANDBY, True, run_hash(RUN), 0.5),
+    PermitRequest("10.0.0.2:82", 8, IssuerRole.PRIMARY, False, run_hash(RUN), 20.0),
     PermitReply(8, is_granted=False, ask_again_ms=250),
     SuspicionInventory("10.0.0.2:82", b"01234567"),
     Suspicions(
--- a/packages/primroseferry-relay/tests/relay_tests/test_request_permits.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_request_permits.py
@@ -11,6 +11,7 @@
 import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_relay.endpoints.endpoint import EndpointRun
+from primroseferry_relay.endpoints.endpoint_point import run_hash
 from primroseferry_relay.endpoints.request_limits import RAMP_STEP_S
 from primroseferry_relay.endpoints.request_limits import RAMP_STEPS
 from primroseferry_relay.membership.permit_issuer import BURST_S
@@ -77,10 +78,12 @@
             gateway = self.random.choice(live)
             is_urgent = self.random.random() < self.urgent_share
             self.asked_by_urgency[is_urgent] += 1
-            if gateway.permits.limits.limit_per_s(RUN) is None:
-                self._send(gateway)
-            elif gateway.permits.wait_s(RUN, is_urgent) <= 0:
-                self.pending.append((gateway, gateway.permits.ask(RUN, is_urgent)))
+            if gateway.permits.wait_s(RUN, is_urgent) <= 0:
+                permit = gateway.permits.ask(RUN, is_urgent)
+                if permit is None:
+                    self._send(gateway)
+                else:
+                    self.pending.append((gateway, permit))
 
     def run(self, seconds: float) -> None:
         self.fleet.run(seconds, self.step, self.step_s)
@@ -120,7 +123,7 @@
 
 def _issuer(load: LimitedLoad) -> SimulatedGateway:
     any_gateway, *_ = load.fleet.region("north")
-    return load.fleet.gateways[any_gateway.peers.order_by_key(RUN.endpoint)[0]]
+    return load.fleet.gateways[any_gateway.peers.order_by_key(str(run_hash(RUN)))[0]]
 
 
 @pytest.mark.parametrize("gateways", [2, 65])
@@ -202,7 +205,9 @@
         granted += sum(permit.is_granted for permit in pending if permit.done.is_set())
         pending[:] = [permit for permit in pending if not permit.done.is_set()]
         if busy.permits.wait_s(RUN, is_urgent=True) <= 0:
-            pending.append(busy.permits.ask(RUN, is_urgent=True))
+            permit = busy.permits.ask(RUN, is_urgent=True)
+            assert permit is not None
+            pending.append(permit)
 
     load.fleet.run(10.0, step)
     assert granted >= MIN_USED_SHARE * 10.0 * (load.fleet.clock.now_s - start_s)
@@ -322,10 +327,11 @@
 
 def test_issuer_takes_over_without_a_burst() -> None:
     clock = Clock()
+    run = run_hash(RUN)
     issuer = PermitIssuer(clock, random.Random(1))
-    assert not issuer.take(RUN, 100.0, IssuerRole.PRIMARY, is_urgent=True).is_granted
+    assert not issuer.take(run, 100.0, IssuerRole.PRIMARY, is_urgent=True).is_granted
     clock.now_s += 60
     granted = 0
-    while issuer.take(RUN, 100.0, IssuerRole.PRIMARY, is_urgent=True).is_granted:
+    while issuer.take(run, 100.0, IssuerRole.PRIMARY, is_urgent=True).is_granted:
         granted += 1
     assert granted <= 100.0 * BURST_S
