--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import ipaddress
 import select
 import socket
 import threading
 import time
 from typing import TYPE_CHECKING
 
+from primroseferry_core.bounded_map import BoundedMap
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
@@ -39,6 +41,10 @@
 MAX_BATCH_SIZE = 512
 # The updates of all members of a region can arrive at once.
 RECEIVE_BUFFER_BYTES = 1024 * 1024
+MAX_TARGETS = 4_096
+MAX_PORT = 65_535
+# Host and port, as the socket takes them.
+_Target = tuple[str, int]
 
 
 class Reporter:
@@ -63,7 +69,7 @@
         self._readable = select.poll()
         self._readable.register(self._socket, select.POLLIN)
         self.address = f"{host}:{self._socket.getsockname()[1]}"
-        self._targets: dict[str, tuple[str, int]] = {}
+        self._targets: BoundedMap[str, _Target | None] = BoundedMap(MAX_TARGETS)
         self._exchange = Exchange(
             peers,
             lambda: local_state(self.address),
@@ -138,12 +144,30 @@
             self._exchange.receive(data)
 
     def _send(self, address: str, data: bytes) -> None:
+        if address not in self._targets:
+            target = _parse_target(address)
+            self._targets.put(address, target)
+            if target is None:
+                reason = "expected an IPv4 address and a port"
+                log_event(Event.PEER_EXCHANGE_FAILED, peer=address[:100], reason=reason)
         target = self._targets.get(address)
         if target is None:
-            host, _, port = address.rpartition(":")
-            target = (host, int(port) if port.isdecimal() else 0)
-            self._targets[address] = target
+            return
         try:
             self._socket.sendto(data, target)
         except OSError as error:
             log_event(Event.PEER_EXCHANGE_FAILED, peer=address, reason=f"cannot send: {error}")
+
+
+def _parse_target(address: str) -> _Target | None:
+    """Return the host and port of an address, ``None`` if it cannot get datagrams.
+
+    Addresses come in datagrams too. Host names are not valid, because a look-up could block.
+    """
+    host, _, port_text = address.rpartition(":")
+    try:
+        port = int(port_text)
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    return (host, port) if 0 < port <= MAX_PORT else None
--- a/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
@@ -2,23 +2,33 @@
 
 from __future__ import annotations
 
+import socket
 import time
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import pytest
+from primroseferry_core.events import Event
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import InstanceId
 from primroseferry_policy.endpoint_loads import OpenWork
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
+from primroseferry_relay.endpoints.endpoint import EndpointRun
 from primroseferry_relay.endpoints.endpoint_point import endpoint_hash
+from primroseferry_relay.endpoints.endpoint_point import run_hash
 from primroseferry_relay.endpoints.request_limits import RequestLimits
+from primroseferry_relay.membership.codec import decode
+from primroseferry_relay.membership.codec import encode
+from primroseferry_relay.membership.datagrams import PermitReply
+from primroseferry_relay.membership.datagrams import PermitRequest
 from primroseferry_relay.membership.exchange import LocalState
 from primroseferry_relay.membership.peer import ControlStatus
 from primroseferry_relay.membership.peer import GatewayState
 from primroseferry_relay.membership.peer_table import PeerTable
+from primroseferry_relay.membership.permit_issuer import IssuerRole
 from primroseferry_relay.membership.reporter import Reporter
 from primroseferry_relay.membership.request_permits import RequestPermits
 from primroseferry_relay.relay_policy import PlacedRequest
@@ -112,3 +122,28 @@
     north[2].reporter.send_state()
     wait_until(lambda: "n-2" not in north[0].peers.ready_in(NORTH))
     wait_until(lambda: "n-2" not in south[1].peers.ready_in(NORTH))
+
+
+@pytest.mark.parametrize(
+    "address",
+    ["127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:" + "9" * 5_000, "gateway.invalid:80", "", ":"],
+)
+def test_datagram_that_asks_for_a_reply_to_an_invalid_address_is_dropped(
+    address: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    gateway = start_gateway("n-0", NORTH)
+    gateway.reporter.start()
+    run = run_hash(EndpointRun(ENGINE, 1, "10.0.0.1:80"))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.bind(("127.0.0.1", 0))
+        sender.settimeout(5)
+        own_address = f"127.0.0.1:{sender.getsockname()[1]}"
+        host, _, port = gateway.reporter.address.rpartition(":")
+        for reply_to in (address, address, own_address):
+            request = PermitRequest(reply_to, 7, IssuerRole.PRIMARY, True, run, 1.0)
+            sender.sendto(encode(request), (host, int(port)))
+        reply = decode(sender.recv(65_536))
+    assert isinstance(reply, PermitReply)
+    messages = [record.getMessage() for record in caplog.records]
+    assert Event.BACKGROUND_TASK_FAILED.sentence not in messages
+    assert messages.count(Event.PEER_EXCHANGE_FAILED.sentence) == 1
