--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -68,7 +68,7 @@
         self._entries: dict[EndpointId, _CatalogEntry] = {}
         # Ids in order of registration; with this index, a look-up does not grow with the fleet.
         self._by_service_and_region: dict[_ServiceInRegion, dict[EndpointId, None]] = {}
-        self._by_hash: dict[EndpointHash, EndpointId] = {}
+        self._by_hash: dict[EndpointHash, dict[EndpointId, None]] = {}
         self._pending_removals: set[EndpointId] = set()
         self._evacuated: frozenset[FailureDomainId] = frozenset()
         self._store_returned_s = float("-inf")
@@ -102,7 +102,7 @@
             self._by_service_and_region.setdefault(_service_in_region(endpoint), {})[
                 endpoint.endpoint
             ] = None
-            self._by_hash[endpoint_hash(endpoint.endpoint)] = endpoint.endpoint
+            self._by_hash.setdefault(endpoint_hash(endpoint.endpoint), {})[endpoint.endpoint] = None
         if change:
             log_event(
                 Event.ENDPOINT_LISTED,
@@ -179,7 +179,8 @@
 
     def find_by_hash(self, endpoint_hash: EndpointHash) -> EndpointId | None:
         """Return the endpoint with this hash in datagrams, ``None`` if none is listed."""
-        return self._by_hash.get(endpoint_hash)
+        with self._lock:
+            return next(iter(self._by_hash.get(endpoint_hash, {})), None)
 
     def is_available(self, endpoint: Endpoint) -> bool:
         """Whether exactly this run of an endpoint still accepts new requests."""
@@ -234,7 +235,10 @@
         self._pending_removals.discard(endpoint)
         if entry is not None:
             del self._by_service_and_region[_service_in_region(entry.endpoint)][endpoint]
-            self._by_hash.pop(endpoint_hash(endpoint), None)
+            point = endpoint_hash(endpoint)
+            del self._by_hash[point][endpoint]
+            if not self._by_hash[point]:
+                del self._by_hash[point]
 
     def _expire(self) -> None:
         now_s = self._clock_s()
--- a/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
@@ -10,6 +10,7 @@
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
 from primroseferry_relay.endpoints.endpoint import Endpoint
 from primroseferry_relay.endpoints.endpoint import EndpointState
+from primroseferry_relay.endpoints.endpoint_point import endpoint_hash
 
 SERVICE = ServiceId("orders")
 NORTH = RegionId("north")
@@ -115,3 +116,16 @@
     assert catalog.find(ENDPOINT.endpoint) == moved
     catalog.remove(ENDPOINT.endpoint)
     assert catalog.find(ENDPOINT.endpoint) is None
+
+
+def test_endpoint_is_found_by_its_hash_after_another_with_the_same_hash_is_removed() -> None:
+    one, other = EndpointId("i-00005fa403"), EndpointId("i-0000a090e0")
+    assert endpoint_hash(one) == endpoint_hash(other)
+    for removed, kept in ((one, other), (other, one)):
+        catalog = EndpointCatalog()
+        for name in (one, other):
+            catalog.put(replace(ENDPOINT, endpoint=name))
+        catalog.remove(removed)
+        assert catalog.find_by_hash(endpoint_hash(kept)) == kept
+        catalog.remove(kept)
+        assert catalog.find_by_hash(endpoint_hash(kept)) is None
