--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -56,6 +56,7 @@
 
 # A hop request ends long before a gateway has received this many others.
 MAX_REMEMBERED_HOP_IDS = 20_000
+MAX_REVISION_DIGITS = 19
 # Endpoints tried for one hop request while none of them has received it.
 MAX_ENDPOINT_ATTEMPTS = 3
 
@@ -93,8 +94,7 @@
             (line.value for line in request.headers if line.name.lower() == HOP_HEADER.lower()), ""
         )
         if not header_value and request.path == CONTROL_PATH:
-            query = parse_qs(request.target.partition("?")[2])
-            channel.send(self._sync.answer(int(query.get("after", ["0"])[0])))
+            channel.send(self._control_answer(request))
             return
         hop_request = decode_hop_request(header_value)
         if hop_request is None:
@@ -113,6 +113,14 @@
             return
         _HopAttempt(self, request, hop_request, channel).run()
 
+    def _control_answer(self, request: RelayRequest) -> CompleteAnswer:
+        query = parse_qs(request.target.partition("?")[2])
+        after = query.get("after", ["0"])[0]
+        if not after.isdecimal() or len(after) > MAX_REVISION_DIGITS:
+            problem = Problem(ErrorKind.BAD_REQUEST, "expected a revision as 'after'")
+            return problem_answer(problem)
+        return self._sync.answer(int(after))
+
     def _is_duplicate(self, hop_request: HopRequest) -> bool:
         with self._lock:
             if hop_request.hop_id in self._seen_hop_ids:
--- a/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
@@ -6,10 +6,12 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import pytest
 from primroseferry_core.ids import IncarnationId
 from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import RequestId
 from primroseferry_relay.control.control_state import ControlState
+from primroseferry_relay.control.peer_sync import CONTROL_PATH
 from primroseferry_relay.control.peer_sync import PeerSync
 from primroseferry_relay.control.watch_duty import WatchDuty
 from primroseferry_relay.forwarding.hop import HOP_HEADER
@@ -30,6 +32,7 @@
 from .scripted_endpoint import answer
 from .scripted_endpoint import reset
 from .test_relay import body_of
+from .test_relay import status_of
 from .test_route_table import SERVICE
 
 if TYPE_CHECKING:
@@ -179,3 +182,17 @@
     data = send_hop(RelayHarness(loop, []), listener, HOP_REQUEST)
     assert b"X-Primroseferry-Outcome: refused" in data
     assert 0 < json.loads(body_of(data))["retry_after_s"] <= 1.1
+
+
+@pytest.mark.parametrize("after", ["x", "1.5", "-", "9" * 1_900, "9" * 5_000])
+def test_read_of_the_control_state_after_an_invalid_revision_is_refused(
+    loop: CurlLoop, after: str
+) -> None:
+    harness = RelayHarness(loop, [])
+    harness.listener = hop_listener(loop)
+    path = f"{CONTROL_PATH}?after={after}"
+    with harness.connect() as connection:
+        connection.sendall(request_bytes(path, "GET", "Connection: close\r\n"))
+        data = read_all(connection)
+    # Heads above the limit of the harness are refused before they are parsed.
+    assert status_of(data) == (431 if len(after) > LIMITS.max_head_bytes else 400)
