--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -17,7 +17,6 @@
 from .registration import GATEWAY_PREFIX
 
 if TYPE_CHECKING:
-    from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import FailureDomainId
 
     from ..endpoints.catalog import EndpointCatalog
@@ -44,6 +43,7 @@
         self._catalog = catalog
         self._peers = peers
         self._policy = policy
+        catalog.on_removed = policy.forget
         self._records = records
         self._table: RouteTable | None = None
         self._evacuated: set[FailureDomainId] = set()
@@ -71,7 +71,6 @@
                 self._catalog.put(endpoint)
             case EndpointRemoved(endpoint, _reason):
                 self._catalog.remove(endpoint)
-                self._forget_if_removed(endpoint)
             case DomainEvacuated(domain, is_closed):
                 if is_closed:
                     self._evacuated.add(domain)
@@ -81,10 +80,6 @@
             case ItemIgnored(reason):
                 log_event(Event.CONTROL_ITEM_IGNORED, key=item.key, reason=reason)
 
-    def _forget_if_removed(self, endpoint: EndpointId) -> None:
-        if self._catalog.find(endpoint) is None:
-            self._policy.forget(endpoint)
-
     def _apply_routes(self, table: RouteTable, item: StoredItem) -> None:
         if self._table is not None and table.revision < self._table.revision:
             log_event(
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -74,6 +74,8 @@
         self._store_returned_s = float("-inf")
         self._leaving: BoundedMap[EndpointRun, None] = BoundedMap(MAX_LEAVING_RUNS)
         self._lock = threading.Lock()
+        # Called with each endpoint whose removal takes effect.
+        self.on_removed: Callable[[EndpointId], None] = lambda _endpoint: None
         # Called with a run that is no longer listed, and whether it was leaving, by its own report
         # or by an entry that was not in the ready state.
         self.on_run_ended: Callable[[Endpoint, bool], None] = lambda _endpoint, _was_leaving: None
@@ -224,6 +226,7 @@
             return
         self._delete(endpoint)
         self._report_run_ended(entry.endpoint)
+        self.on_removed(endpoint)
         log_event(Event.ENDPOINT_UNLISTED, endpoint=endpoint)
 
     def _report_run_ended(self, endpoint: Endpoint) -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
@@ -63,6 +63,20 @@
     assert catalog.available_endpoints(SERVICE, NORTH) == [ENDPOINT]
 
 
+def test_delayed_removal_is_reported_when_it_takes_effect() -> None:
+    clock = Clock()
+    catalog = EndpointCatalog(clock)
+    removed: list[EndpointId] = []
+    catalog.on_removed = removed.append
+    catalog.put(ENDPOINT)
+    catalog.note_store_recovered()
+    catalog.remove(ENDPOINT.endpoint)
+    assert removed == []
+    clock.now_s += REREGISTRATION_GRACE_S
+    catalog.available_endpoints(SERVICE, NORTH)
+    assert removed == [ENDPOINT.endpoint]
+
+
 def test_entry_still_missing_after_the_grace_time_is_removed() -> None:
     clock = Clock()
     catalog = EndpointCatalog(clock)
