--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -81,6 +81,7 @@
         "warning",
         "issuer of an endpoint's permits timed out, asking the next gateway for a while",
     )
+    ENDPOINT_ANSWER_MALFORMED = (5024, "warning", "endpoint's answer could not be decoded, ignored")
     KEY_CLAIMED = (6001, "info", "idempotency key claimed in the key-value service")
     KEY_CLAIM_FAILED = (6002, "warning", "idempotency key could not be claimed")
     OPERATION_DISPATCHED = (6003, "info", "at-most-once operation dispatched")
@@ -92,6 +93,11 @@
     PLATFORM_RECOVERED = (7002, "info", "platform service is reachable again")
     STORE_HISTORY_LOST = (7004, "warning", "store history is incomplete, listing all entries")
     REGISTRATION_FAILED = (7005, "warning", "gateway could not be registered in the store")
+    PLATFORM_ANSWER_MALFORMED = (
+        7006,
+        "warning",
+        "platform service's answer could not be decoded, ignored",
+    )
     CLIENT_DIRECTORY_STALE = (
         7003,
         "warning",
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/engine_orders.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/engine_orders.py
@@ -15,6 +15,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primroseferry_core.checked_json import JsonObject
+from primroseferry_core.checked_json import MalformedJsonError
 from primroseferry_core.events import Event
 from primroseferry_core.ids import ModelId
 from primroseferry_core.logs import log_event
@@ -25,6 +27,7 @@
 from result import Ok
 
 if TYPE_CHECKING:
+    from primroseferry_core.ids import EndpointId
     from primroseferry_peers.exchanger import SelfIdentity
     from primroseferry_platform.key_value import KeyValueClient
     from primroseferry_transport.curl_loop import CurlLoop
@@ -99,7 +102,7 @@
         url = f"http://{endpoint.address}/v1/orders"
         match self._loop.call(HttpCall("GET", url, timeout_ms=ORDER_TIMEOUT_MS)):
             case Ok(HttpReply(status=200, body=body)):
-                return str(json.loads(body)["version"])
+                return _parse_version(endpoint.endpoint, body)
             case _:
                 return None
 
@@ -177,3 +180,11 @@
             case _:
                 self._fence = None
                 return False
+
+
+def _parse_version(endpoint: EndpointId, body: bytes) -> str | None:
+    try:
+        return JsonObject.parse(body).text("version")
+    except MalformedJsonError as error:
+        log_event(Event.ENDPOINT_ANSWER_MALFORMED, endpoint=endpoint, reason=str(error))
+        return None
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/load_poller.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/load_poller.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-import json
 import threading
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primroseferry_core.checked_json import JsonObject
 from primroseferry_core.events import Event
 from primroseferry_core.hashing import rendezvous_order
 from primroseferry_core.logs import log_event
@@ -127,7 +128,7 @@
     def _take_report(self, endpoint: Endpoint, answer: HttpResult) -> None:
         match answer:
             case Ok(HttpReply(status=200, body=body)):
-                report = json.loads(body)
+                report = _parse_report(endpoint.endpoint, body)
             case Err(failure):
                 log_event(Event.LOAD_POLL_FAILED, endpoint=endpoint.endpoint, reason=failure.reason)
                 if failure.stage is FailureStage.NOT_SENT:
@@ -135,15 +136,11 @@
                 return
             case _:
                 return
-        if report.get("leaving"):
+        if report is None:
+            return
+        if report.is_leaving:
             self._publish_leaving(endpoint)
-        load = LoadFact(
-            running=int(report["running"]),
-            queued=int(report["queued"]),
-            slots=int(report["slots"]),
-            step_ms=float(report["step_ms"]),
-            price=float(report["price"]),
-        )
+        load = report.load
         if self._must_publish(endpoint, load):
             self._publish(ENDPOINT_LOAD, endpoint.endpoint, load, LOAD_TTL_MS, fleet_wide=False)
         else:
@@ -213,6 +210,29 @@
                 self._publish(REGION_LOAD, subject, total, REGION_LOAD_TTL_MS, fleet_wide=True)
 
 
+@dataclass(frozen=True, slots=True)
+class _EndpointReport:
+    load: LoadFact
+    is_leaving: bool
+
+
+def _parse_report(endpoint: EndpointId, body: bytes) -> _EndpointReport | None:
+    """Return an endpoint's load report, ``None`` if it is not usable."""
+    try:
+        report = JsonObject.parse(body)
+        load = LoadFact(
+            running=report.integer("running"),
+            queued=report.integer("queued"),
+            slots=report.integer("slots"),
+            step_ms=report.number("step_ms"),
+            price=report.number("price"),
+        )
+    except ValueError as error:
+        log_event(Event.ENDPOINT_ANSWER_MALFORMED, endpoint=endpoint, reason=str(error))
+        return None
+    return _EndpointReport(load, report.flag("leaving"))
+
+
 def load_report(load: LoadFact) -> LoadReport:
     """Convert a load fact to a report for the load view."""
     return LoadReport(load.running, load.queued, load.slots, load.step_ms, load.price)
--- a/packages/primroseferry-platform/src/primroseferry_platform/client_directory.py
+++ b/packages/primroseferry-platform/src/primroseferry_platform/client_directory.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import threading
 import time
 from dataclasses import dataclass
@@ -10,6 +9,8 @@
 from urllib.parse import quote
 
 from primroseferry_core.bounded_map import BoundedMap
+from primroseferry_core.checked_json import JsonObject
+from primroseferry_core.checked_json import MalformedJsonError
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import problem_error
 from primroseferry_core.events import Event
@@ -78,9 +79,9 @@
     def _refresh(self, token: str, stale: _CachedClient | None) -> _CachedClient:
         call = HttpCall("GET", self._base_url + quote(token, safe=""), timeout_ms=LOOKUP_TIMEOUT_MS)
         match self._loop.call(call):
-            case Ok(HttpReply(status=200, body=body)):
-                row = json.loads(body)
-                client = Client(CustomerId(row["customer"]), RegionId(row["region"]))
+            case Ok(HttpReply(status=200, body=body)) if (
+                client := _parse_client(body)
+            ) is not None:
                 return self._store(token, _CachedClient(client, time.monotonic() + CLIENT_TTL_S))
             case Ok(HttpReply(status=404)):
                 return self._store(
@@ -99,3 +100,13 @@
         with self._lock:
             self._cache.put(token, cached)
         return cached
+
+
+def _parse_client(body: bytes) -> Client | None:
+    """Return the client that an answer names, ``None`` for an answer that is not usable."""
+    try:
+        row = JsonObject.parse(body)
+        return Client(CustomerId(row.text("customer")), RegionId(row.text("region")))
+    except MalformedJsonError as error:
+        log_event(Event.PLATFORM_ANSWER_MALFORMED, source="client directory", reason=str(error))
+        return None
--- a/packages/primroseferry-platform/src/primroseferry_platform/instance_list.py
+++ b/packages/primroseferry-platform/src/primroseferry_platform/instance_list.py
@@ -2,16 +2,18 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
-from typing import Any
 from urllib.parse import quote
 
+from primroseferry_core.checked_json import JsonObject
+from primroseferry_core.checked_json import MalformedJsonError
+from primroseferry_core.events import Event
 from primroseferry_core.ids import FailureDomainId
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.ids import RegionId
+from primroseferry_core.logs import log_event
 from primroseferry_transport.calls import HttpCall
 from primroseferry_transport.calls import HttpReply
 from result import Err
@@ -80,26 +82,27 @@
 
 def _parse_list(body: bytes) -> Result[list[Instance], Unreachable]:
     try:
-        rows = json.loads(body)["instances"]
-    except (ValueError, KeyError, TypeError):
-        return Err(Unreachable("the list is not valid JSON"))
+        rows = JsonObject.parse(body).items("instances")
+    except MalformedJsonError as error:
+        log_event(Event.PLATFORM_ANSWER_MALFORMED, source="instance list", reason=str(error))
+        return Err(Unreachable(f"malformed list: {error}"))
     instances = []
     for row in rows:
         try:
-            instances.append(_parse_row(row))
-        except (KeyError, ValueError, TypeError):
-            continue
+            instances.append(_parse_row(JsonObject(row)))
+        except ValueError as error:
+            log_event(Event.PLATFORM_ANSWER_MALFORMED, source="instance list", reason=str(error))
     return Ok(instances)
 
 
-def _parse_row(row: dict[str, Any]) -> Instance:
+def _parse_row(row: JsonObject) -> Instance:
     return Instance(
-        instance=InstanceId(row["instance"]),
-        kind=InstanceKind(row["kind"]),
-        state=InstanceState(row["state"]),
-        region=RegionId(row["region"]),
-        failure_domain=FailureDomainId(row["failure_domain"]),
-        address=row["address"],
-        peer_address=row.get("peer_address", ""),
-        serves=row.get("serves", ""),
+        instance=InstanceId(row.text("instance")),
+        kind=InstanceKind(row.text("kind")),
+        state=InstanceState(row.text("state")),
+        region=RegionId(row.text("region")),
+        failure_domain=FailureDomainId(row.text("failure_domain")),
+        address=row.text("address"),
+        peer_address=row.text("peer_address", ""),
+        serves=row.text("serves", ""),
     )
--- a/packages/primroseferry-platform/src/primroseferry_platform/key_value.py
+++ b/packages/primroseferry-platform/src/primroseferry_platform/key_value.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-import json
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 from urllib.parse import urlencode
 
+from primroseferry_core.checked_json import JsonObject
+from primroseferry_core.checked_json import MalformedJsonError
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
 from primroseferry_transport.calls import FailureStage
 from primroseferry_transport.calls import HttpCall
 from primroseferry_transport.calls import HttpReply
@@ -22,6 +25,7 @@
 READ_TIMEOUT_MS = 2_000
 WRITE_TIMEOUT_MS = 3_000
 WATCH_TIMEOUT_MARGIN_MS = 2_000
+MAX_REVISION_DIGITS = 19
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,7 +98,7 @@
         call = HttpCall("POST", url, body=b"", timeout_ms=self._write_timeout_ms)
         match self._loop.call(call):
             case Ok(HttpReply(status=200, body=body)):
-                return Ok(str(json.loads(body)["lease"]))
+                return _parse_lease(body)
             case Ok(reply):
                 return Err(Unreachable(f"status {reply.status}"))
             case Err(failure):
@@ -125,7 +129,7 @@
         )
         match self._loop.call(call):
             case Ok(HttpReply(status=200, body=body)):
-                return Ok(int(json.loads(body)["revision"]))
+                return _parse_revision(body)
             case Ok(HttpReply(status=409)):
                 return Err(WriteFailure.CONFLICT)
             case Ok(reply) if 400 <= reply.status < 500:
@@ -139,10 +143,34 @@
         return f"{self._base_url}/v1/{kind}/{quote(key, safe='/')}"
 
 
+def _malformed(reason: str) -> Unreachable:
+    log_event(Event.PLATFORM_ANSWER_MALFORMED, source="key-value service", reason=reason)
+    return Unreachable(f"malformed answer: {reason}")
+
+
+def _parse_lease(body: bytes) -> Result[str, Unreachable]:
+    try:
+        lease = JsonObject.parse(body).text("lease")
+    except MalformedJsonError as error:
+        return Err(_malformed(str(error)))
+    return Ok(lease) if lease else Err(_malformed("the lease has no id"))
+
+
+def _parse_revision(body: bytes) -> Result[int, WriteFailure]:
+    try:
+        return Ok(JsonObject.parse(body).integer("revision"))
+    except MalformedJsonError as error:
+        _malformed(str(error))
+        return Err(WriteFailure.UNKNOWN)
+
+
 def _parse_entry(answer: Result[HttpReply, Unreachable]) -> Result[Entry | None, Unreachable]:
     match answer:
         case Ok(HttpReply(status=200, headers=headers, body=body)):
-            return Ok(Entry(body, int(headers["x-revision"])))
+            revision = headers.get("x-revision", "")
+            if not revision.isdecimal() or len(revision) > MAX_REVISION_DIGITS:
+                return Err(_malformed("expected a revision in the headers"))
+            return Ok(Entry(body, int(revision)))
         case Ok(HttpReply(status=204) | HttpReply(status=404)):
             return Ok(None)
         case Ok(reply):
