--- a/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/chat.py
@@ -215,22 +215,19 @@
     def _run(
         self, context: RequestContext, endpoint: Endpoint, body: EngineBody, stream: AnswerStream
     ) -> AttemptOutcome:
-        self._breakers.begin(endpoint.endpoint)
-        self._loads.begin(endpoint.endpoint)
-        try:
-            outcome = run_on_engine(
-                self._loop,
-                self._settings,
-                endpoint,
-                context.request_id,
-                body,
-                stream,
-                max(1, context.remaining_ms),
-                lambda: self._record_first_token(context, endpoint.endpoint),
-            )
-        finally:
-            self._loads.end(endpoint.endpoint)
-        self._record_outcome(context, endpoint, outcome)
+        with self._breakers.attempt(endpoint.endpoint):
+            with self._loads.open_request(endpoint.endpoint):
+                outcome = run_on_engine(
+                    self._loop,
+                    self._settings,
+                    endpoint,
+                    context.request_id,
+                    body,
+                    stream,
+                    max(1, context.remaining_ms),
+                    lambda: self._record_first_token(context, endpoint.endpoint),
+                )
+            self._record_outcome(context, endpoint, outcome)
         return outcome
 
     def _record_first_token(self, context: RequestContext, circuit: EndpointId) -> None:
@@ -260,13 +257,31 @@
         region: RegionId,
         body: EngineBody,
         stream: AnswerStream,
+    ) -> AttemptOutcome | PeerProblem:
+        circuit = region_circuit_key(region)
+        with self._breakers.attempt(circuit):
+            with self._loads.open_request(region_load_key(region, demand.serves)):
+                outcome = self._forward(context, demand, region, body, stream)
+            match outcome:
+                case Broken():
+                    self._breakers.fail(circuit)
+                case Completed() | PeerProblem():
+                    self._breakers.succeed(circuit)
+                case _:
+                    self._breakers.release(circuit)
+        return outcome
+
+    def _forward(
+        self,
+        context: RequestContext,
+        demand: Demand,
+        region: RegionId,
+        body: EngineBody,
+        stream: AnswerStream,
     ) -> AttemptOutcome | PeerProblem:
         payload = ForwardPayload(CHAT, demand.serves, body.first)
         circuit = region_circuit_key(region)
         outcome: AttemptOutcome | PeerProblem = Broken("no live gateway is listed", False, False)
-        self._breakers.begin(circuit)
-        load_key = region_load_key(region, demand.serves)
-        self._loads.begin(load_key)
         for peer in self._peers.ordered(region):
             self._metrics.count_forward(region)
             context.trace.note("forwarded", f"{peer.instance} in {region}")
@@ -280,14 +295,6 @@
             context.trace.note("peer failed", f"{peer.instance}: {outcome.reason}")
             if outcome.is_sent and not self._budget.spend():
                 break
-        self._loads.end(load_key)
-        match outcome:
-            case Broken():
-                self._breakers.fail(circuit)
-            case Completed() | PeerProblem():
-                self._breakers.succeed(circuit)
-            case _:
-                self._breakers.release(circuit)
         return outcome
 
     def _is_finished(
--- a/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/services.py
@@ -108,18 +108,15 @@
         endpoint = self._targets.find_endpoint(context, demand, name)
         if endpoint is None:
             return CallFailed(f"endpoint {name} accepts no new work", is_sent=False)
-        self._breakers.begin(name)
-        self._loads.begin(name)
-        try:
-            outcome = call_service(
-                self._loop, endpoint, context.request_id, request, timeout_ms, is_repeatable
-            )
-        finally:
-            self._loads.end(name)
-        if isinstance(outcome, CallFailed):
-            self._breakers.fail(name)
-        else:
-            self._breakers.succeed(name)
+        with self._breakers.attempt(name):
+            with self._loads.open_request(name):
+                outcome = call_service(
+                    self._loop, endpoint, context.request_id, request, timeout_ms, is_repeatable
+                )
+            if isinstance(outcome, CallFailed):
+                self._breakers.fail(name)
+            else:
+                self._breakers.succeed(name)
         self._metrics.count_attempt("completed" if isinstance(outcome, StoredAnswer) else "broken")
         return outcome
 
@@ -136,12 +133,25 @@
         call, or that the call is repeatable and the retry budget allows a retry.
         """
         circuit = region_circuit_key(region)
+        with self._breakers.attempt(circuit):
+            with self._loads.open_request(region_load_key(region, payload.target)):
+                outcome = self._forward(context, region, payload, is_repeatable)
+            if isinstance(outcome, PeerFailed):
+                self._breakers.fail(circuit)
+            else:
+                self._breakers.succeed(circuit)
+        return outcome
+
+    def _forward(
+        self,
+        context: RequestContext,
+        region: RegionId,
+        payload: ForwardPayload,
+        is_repeatable: bool,
+    ) -> Answered | PeerProblem | PeerFailed:
         outcome: Answered | PeerProblem | PeerFailed = PeerFailed(
             "no gateway is listed", is_sent=False
         )
-        self._breakers.begin(circuit)
-        load_target = region_load_key(region, payload.target)
-        self._loads.begin(load_target)
         for peer in self._peers.ordered(region):
             self._metrics.count_forward(region)
             context.trace.note("forwarded", f"{peer.instance} in {region}")
@@ -152,11 +162,6 @@
             self._peers.fail(peer)
             if outcome.is_sent and not (is_repeatable and self._budget.spend()):
                 break
-        self._loads.end(load_target)
-        if isinstance(outcome, PeerFailed):
-            self._breakers.fail(circuit)
-        else:
-            self._breakers.succeed(circuit)
         return outcome
 
     def _attempt(
--- a/packages/primroseferry-policy/src/primroseferry_policy/breaker.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/breaker.py
@@ -8,6 +8,7 @@
 
 import threading
 import time
+from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -17,6 +18,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from primroseferry_core.ids import EndpointId
 
@@ -72,6 +74,16 @@
             if circuit is not None and circuit.state is BreakerState.OPEN:
                 circuit.state = BreakerState.HALF_OPEN
 
+    @contextmanager
+    def attempt(self, endpoint: EndpointId) -> Iterator[None]:
+        """Record an attempt whose result is recorded inside; an exception ends it without one."""
+        self.begin(endpoint)
+        try:
+            yield
+        except BaseException:
+            self.release(endpoint)
+            raise
+
     def succeed(self, endpoint: EndpointId) -> None:
         """Close the circuit and start the load ramp if the circuit was not closed."""
         with self._lock:
--- a/packages/primroseferry-policy/src/primroseferry_policy/load_view.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/load_view.py
@@ -7,10 +7,13 @@
 from __future__ import annotations
 
 import threading
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from primroseferry_core.ids import EndpointId
 
 
@@ -80,6 +83,15 @@
             if tracked is not None and tracked.own_open > 0:
                 tracked.own_open -= 1
 
+    @contextmanager
+    def open_request(self, endpoint: EndpointId) -> Iterator[None]:
+        """Count a request as open inside the context."""
+        self.begin(endpoint)
+        try:
+            yield
+        finally:
+            self.end(endpoint)
+
     def estimate(self, endpoint: EndpointId) -> LoadEstimate:
         """Return the corrected load of an endpoint."""
         with self._lock:
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -115,18 +115,17 @@
             plan.suspect.trial,
         )
         call = HopCall(self._loop, option.peer.address.hop, plan.request, hop_request, sink)
-        circuit = _circuit_id(option.peer)
-        self._policy.breakers.begin(circuit)
-        on_start(call)
         key = (option.region, plan.service)
-        with self._lock:
-            self._open_requests[key] += 1
-        try:
-            outcome = call.run()
-        finally:
+        with self._policy.breakers.attempt(_circuit_id(option.peer)):
             with self._lock:
-                self._open_requests[key] -= 1
-        self._record_outcome(option, outcome, call)
+                self._open_requests[key] += 1
+            try:
+                on_start(call)
+                outcome = call.run()
+            finally:
+                with self._lock:
+                    self._open_requests[key] -= 1
+            self._record_outcome(option, outcome, call)
         return outcome
 
     def _record_outcome(self, option: RegionOption, outcome: AttemptOutcome, call: HopCall) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -227,62 +227,8 @@
         if not self._permits.acquire(endpoint.run, plan.is_urgent):
             reason = "the endpoint's request limit is used up"
             return NotRun(reason, is_sent=False, is_permit_denied=True)
-        first_byte_timeout_ms = None
-        if plan.may_be_repeated:
-            first_byte_timeout_ms = int(
-                max(
-                    MIN_FIRST_BYTE_TIMEOUT_MS,
-                    plan.target_ms * MIN_FIRST_BYTE_TIMEOUT_TARGETS,
-                    option.choice.first_ms * FIRST_BYTE_TIMEOUT_RATIO,
-                )
-            )
-        attempt = EndpointAttempt(
-            endpoint,
-            plan.request,
-            plan.request_id,
-            EndpointRequestOptions(
-                endpoint.endpoint,
-                plan.remaining_ms,
-                plan.priority,
-                plan.last_event_id,
-                self._copy_address(option.choice),
-            ),
-            first_byte_timeout_ms,
-        )
-        policy = self._policy
-        choice = option.choice
-        policy.breakers.begin(endpoint.endpoint)
-        open_request = policy.loads.begin(
-            endpoint.endpoint, plan.generation, choice.uncached_tokens, choice.first_ms
-        )
-        parts = plan.generation.parts
-        if service.engine is not None:
-            policy.parts.record_prefill(endpoint.endpoint, parts, service.engine.cache_tokens)
-            policy.prefill_load.note(endpoint.endpoint, choice.uncached_tokens)
-            # Plain calls are not reported. They end before the next load report, and the other
-            # gateways would count them as in flight until it arrives.
-            work = OpenWork(1, choice.uncached_tokens, plan.generation.memory_tokens)
-            self._reporter.send_placement(PlacedRequest(endpoint.endpoint, work, parts))
-        sent_s = policy.request_limits.now_s()
-        call = EndpointCall(
-            self._loop,
-            self._adapter,
-            attempt,
-            (
-                _FirstEventSink(sink, policy.loads.first_byte, open_request)
-                if sink is not None
-                else None
-            ),
-            lambda status, metadata: self._note_reply(endpoint, status, metadata, sent_s),
-        )
-        on_start(call)
-        try:
-            outcome = call.run()
-        finally:
-            policy.loads.end(open_request)
-        self._record_outcome(option, service, call, open_request, outcome)
-        self.crash_attribution.record_outcome(endpoint, plan.suspect, plan.request_id, outcome)
-        return outcome
+        with self._policy.breakers.attempt(endpoint.endpoint):
+            return self._send(option, service, plan, sink, on_start)
 
     def earliest_send_s(self, service: Service, is_urgent: bool) -> float:
         """Return the seconds until a local endpoint of a service takes requests again.
@@ -314,6 +260,77 @@
             self._policy.prefill_load.tokens_per_s(best.endpoint),
         )
 
+    def _send(
+        self,
+        option: LocalOption,
+        service: Service,
+        plan: AttemptPlan,
+        sink: StreamSink | None,
+        on_start: Callable[[AttemptCall], None],
+    ) -> AttemptOutcome:
+        endpoint, choice = option.endpoint, option.choice
+        policy = self._policy
+        attempt = self._endpoint_attempt(option, plan)
+        open_request = policy.loads.begin(
+            endpoint.endpoint, plan.generation, choice.uncached_tokens, choice.first_ms
+        )
+        try:
+            if service.engine is not None:
+                self._report_placement(option, service.engine, plan)
+            sent_s = policy.request_limits.now_s()
+            call = EndpointCall(
+                self._loop,
+                self._adapter,
+                attempt,
+                (
+                    _FirstEventSink(sink, policy.loads.first_byte, open_request)
+                    if sink is not None
+                    else None
+                ),
+                lambda status, metadata: self._note_reply(endpoint, status, metadata, sent_s),
+            )
+            on_start(call)
+            outcome = call.run()
+        finally:
+            policy.loads.end(open_request)
+        self._record_outcome(option, service, call, open_request, outcome)
+        self.crash_attribution.record_outcome(endpoint, plan.suspect, plan.request_id, outcome)
+        return outcome
+
+    def _endpoint_attempt(self, option: LocalOption, plan: AttemptPlan) -> EndpointAttempt:
+        first_byte_timeout_ms = None
+        if plan.may_be_repeated:
+            first_byte_timeout_ms = int(
+                max(
+                    MIN_FIRST_BYTE_TIMEOUT_MS,
+                    plan.target_ms * MIN_FIRST_BYTE_TIMEOUT_TARGETS,
+                    option.choice.first_ms * FIRST_BYTE_TIMEOUT_RATIO,
+                )
+            )
+        return EndpointAttempt(
+            option.endpoint,
+            plan.request,
+            plan.request_id,
+            EndpointRequestOptions(
+                option.endpoint.endpoint,
+                plan.remaining_ms,
+                plan.priority,
+                plan.last_event_id,
+                self._copy_address(option.choice),
+            ),
+            first_byte_timeout_ms,
+        )
+
+    def _report_placement(self, option: LocalOption, engine: EngineSize, plan: AttemptPlan) -> None:
+        name, uncached_tokens = option.endpoint.endpoint, option.choice.uncached_tokens
+        parts = plan.generation.parts
+        self._policy.parts.record_prefill(name, parts, engine.cache_tokens)
+        self._policy.prefill_load.note(name, uncached_tokens)
+        # Plain calls are not reported. They end before the next load report, and the other
+        # gateways would count them as in flight until it arrives.
+        work = OpenWork(1, uncached_tokens, plan.generation.memory_tokens)
+        self._reporter.send_placement(PlacedRequest(name, work, parts))
+
     def _engine_candidates(
         self,
         holders: Sequence[PartHolder],
--- a/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
@@ -1,14 +1,17 @@
-"""Attempts that are not sent give back what they took."""
+"""Attempts that are not sent, or that fail inside the gateway, give back what they took."""
 
 from __future__ import annotations
 
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import ServiceId
 
 from .relay_harness import RelayHarness
+from .relay_harness import TestAdapter
+from .test_part_copies import ENGINES
 from .test_part_copies import plan
 from .test_relay import fixed_answer_endpoint
 from .test_relay import status_of
@@ -43,3 +46,37 @@
     while not spent:
         assert status_of(harness.call("/safe/")) in (500, 503)
     assert returned == spent
+
+
+def _raise(*_arguments: object) -> None:
+    raise _InjectedError
+
+
+class _InjectedError(Exception):
+    pass
+
+
+@pytest.mark.parametrize("step", ["placement", "headers", "start", "outcome"])
+def test_attempt_that_fails_inside_the_gateway_releases_load_and_breaker(
+    loop: CurlLoop, monkeypatch: pytest.MonkeyPatch, step: str
+) -> None:
+    harness = RelayHarness(loop, [fixed_answer_endpoint()])
+    (option,) = harness.local.rank(ENGINES, plan().generation, ())
+    name = option.endpoint.endpoint
+    breakers = harness.policy.breakers
+    breakers.fail(name, is_certain=True)
+    breakers.permit_trial_now(name)
+    with monkeypatch.context() as patch:
+        match step:
+            case "placement":
+                patch.setattr(harness, "send_placement", _raise)
+            case "headers":
+                patch.setattr(TestAdapter, "endpoint_headers", _raise)
+            case "outcome":
+                patch.setattr(harness.local, "_record_outcome", _raise)
+        on_start = _raise if step == "start" else lambda _call: None
+        for _ in range(100):
+            with pytest.raises(_InjectedError):
+                harness.local.run(option, ENGINES, plan(), None, on_start)
+    assert harness.policy.loads.own_work() == {}
+    assert breakers.permits(name)
