--- a/packages/primroseferry-gateway/src/primroseferry_gateway/settings.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/settings.py
@@ -15,7 +15,7 @@
     from primroseferry_core.ids import RegionId
 from primroseferry_policy.routing_policy import ROUTING_POLICIES
 
-_NAME = re.compile(r"^[A-Za-z0-9._-]{1,64}$")
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
 LOG_LEVELS = ("info", "warning", "error")
 
 
@@ -89,7 +89,7 @@
 
 
 def _check_name(variable: str, value: str) -> None:
-    if not _NAME.match(value):
+    if not _NAME.fullmatch(value):
         raise SettingError(variable, value, "1 to 64 letters, digits or . _ -")
 
 
--- a/packages/primroseferry-once/src/primroseferry_once/keys.py
+++ b/packages/primroseferry-once/src/primroseferry_once/keys.py
@@ -16,8 +16,8 @@
 ISSUED_PREFIX = "pf1~"
 MAX_KEY_CHARACTERS = 200
 _UNIQUE_BYTES = 6
-_ISSUED = re.compile(r"^pf1~(?P<incarnation>[0-9a-f]{16})~(?P<instance>[A-Za-z0-9._-]+)~.+$")
-_ALLOWED = re.compile(r"^[A-Za-z0-9._~-]+$")
+_ISSUED = re.compile(r"pf1~(?P<incarnation>[0-9a-f]{16})~(?P<instance>[A-Za-z0-9._-]+)~.+")
+_ALLOWED = re.compile(r"[A-Za-z0-9._~-]+")
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,12 +47,12 @@
 
 def parse_key(text: str) -> IdempotencyKey:
     """Validate a caller's key. Raises ``BAD_REQUEST`` if it is malformed."""
-    if len(text) > MAX_KEY_CHARACTERS or not _ALLOWED.match(text):
+    if len(text) > MAX_KEY_CHARACTERS or not _ALLOWED.fullmatch(text):
         raise problem_error(
             ErrorKind.BAD_REQUEST,
             f"Idempotency-Key must have 1 to {MAX_KEY_CHARACTERS} letters, digits or . _ ~ -",
         )
-    if text.startswith(ISSUED_PREFIX) and not _ISSUED.match(text):
+    if text.startswith(ISSUED_PREFIX) and not _ISSUED.fullmatch(text):
         raise problem_error(
             ErrorKind.BAD_REQUEST,
             f"Idempotency-Key starts with {ISSUED_PREFIX} but is not an issued prefix plus a text",
@@ -66,7 +66,7 @@
     >>> issued_owner(IdempotencyKey("pf1~0123456789abcdef~gateway-1~9f-order-7")).instance
     'gateway-1'
     """
-    match = _ISSUED.match(key)
+    match = _ISSUED.fullmatch(key)
     if match is None:
         return None
     return Owner(IncarnationId(match["incarnation"]), InstanceId(match["instance"]))
