--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -34,6 +34,8 @@
     from .loop_services import ReadableWatch
 
 TIMEOUT_CHECK_INTERVAL_S = 0.1
+# The loop counts as stalled when it wakes up later than this, or handles events for longer.
+MAX_DELAY_S = 0.05
 # Without active calls there are no timeouts to check; commands wake the loop.
 IDLE_WAIT_S = 5.0
 MAX_IDLE_HANDLES = 256
@@ -67,7 +69,7 @@
         self._is_head_delivered = False
         self._body = bytearray()
         self._stop_reason: HttpFailure | None = None
-        self._started_s = time.monotonic()
+        self._started_s = loop.responsive_s()
         self._last_byte_s: float | None = None
         self._handle: pycurl.Curl | None = None
 
@@ -88,7 +90,7 @@
         on_head = self.call.on_head
         return on_head is None or on_head(self._reply(b""))
 
-    def _timeout_failure(self, now_s: float) -> HttpFailure | None:
+    def _timeout_failure(self, responsive_s: float) -> HttpFailure | None:
         call = self.call
         if self._last_byte_s is None:
             limit_ms = call.first_byte_timeout_ms
@@ -96,7 +98,7 @@
         else:
             limit_ms = call.idle_timeout_ms
             since_s = self._last_byte_s
-        if limit_ms is None or (now_s - since_s) * 1000 < limit_ms:
+        if limit_ms is None or (responsive_s - since_s) * 1000 < limit_ms:
             return None
         return HttpFailure(FailureStage.TIMED_OUT, f"no byte for {limit_ms} ms")
 
@@ -129,6 +131,7 @@
         self._idle_handles: list[pycurl.Curl] = []
         self._timer_due_s: float | None = None
         self._next_timeout_check_s = time.monotonic() + TIMEOUT_CHECK_INTERVAL_S
+        self._stalled_s = 0.0
         self._is_open = True
         self._thread = threading.Thread(target=self._run, name=f"curl-{name}", daemon=True)
         self._thread.start()
@@ -180,9 +183,22 @@
         except (BlockingIOError, OSError):
             return
 
+    def responsive_s(self) -> float:
+        """Return the seconds of a clock that does not count the time in which the loop was stalled.
+
+        What arrived meanwhile has not been read yet, so that time says nothing about the other
+        side.
+        """
+        return time.monotonic() - self._stalled_s
+
     def _run(self) -> None:
         while self._is_open:
-            for key, mask in self._selector.select(self._wait_s()):
+            wait_s = self._wait_s()
+            due_s = time.monotonic() + wait_s
+            events = self._selector.select(wait_s)
+            self._note_stall(due_s)
+            started_s = time.monotonic()
+            for key, mask in events:
                 if key.data is None:
                     self._drain_wake_socket()
                 elif key.data is self:
@@ -194,6 +210,7 @@
                     self._flush_writer(key.data)
             self._run_timer()
             self._run_commands()
+            self._note_stall(started_s)
             self._stop_overdue_calls()
             self._finish_calls()
         for pending in list(self._active.values()):
@@ -204,6 +221,10 @@
         self._wake_reader.close()
         self._wake_writer.close()
 
+    def _note_stall(self, due_s: float) -> None:
+        """Count the time after ``due_s`` as stalled, but for ``MAX_DELAY_S`` of it."""
+        self._stalled_s += max(0.0, time.monotonic() - due_s - MAX_DELAY_S)
+
     def _wait_s(self) -> float:
         if self._commands:
             return 0.0
@@ -242,8 +263,9 @@
         if now_s < self._next_timeout_check_s:
             return
         self._next_timeout_check_s = now_s + TIMEOUT_CHECK_INTERVAL_S
+        responsive_s = self.responsive_s()
         for pending in list(self._active.values()):
-            failure = pending._timeout_failure(now_s)
+            failure = pending._timeout_failure(responsive_s)
             if failure is not None:
                 self._stop(pending, failure)
 
@@ -429,7 +451,7 @@
     on_chunk = call.on_chunk
 
     def on_body(chunk: bytes) -> int | None:
-        pending._last_byte_s = time.monotonic()
+        pending._last_byte_s = pending._loop.responsive_s()
         if on_chunk is not None and 200 <= pending._status < 300:
             if on_chunk(chunk):
                 return None
--- a/packages/primroseferry-transport/tests/test_curl_loop.py
+++ b/packages/primroseferry-transport/tests/test_curl_loop.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 from typing import TYPE_CHECKING
 
 from primroseferry_transport.calls import FailureStage
@@ -141,3 +142,21 @@
         loop.close()
     assert len(seen) == 2
     assert failure.stage is FailureStage.CONNECTION_LOST
+
+
+def test_answer_that_arrives_while_the_loop_is_stalled_is_not_timed_out(loop: CurlLoop) -> None:
+    server = RawServer()
+    for _ in range(3):
+        call = HttpCall("GET", server.url, first_byte_timeout_ms=200)
+        pending = loop.submit(call)
+        loop.run_soon(lambda: time.sleep(0.5))
+        assert pending.future.result(5).unwrap().body == b"ok"
+
+
+def test_silent_server_is_timed_out_after_the_loop_was_stalled(loop: CurlLoop) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}/"
+        pending = loop.submit(HttpCall("GET", url, first_byte_timeout_ms=200))
+        loop.run_soon(lambda: time.sleep(0.5))
+        failure = pending.future.result(5).unwrap_err()
+    assert failure.stage is FailureStage.TIMED_OUT
