--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/permit_issuer.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/permit_issuer.py
@@ -24,11 +24,10 @@
 # permits, because a gateway may have no request left at its turn.
 TURNS_PER_PERMIT = 1.25
 MAX_TURN_WAIT_S = 1.0
-# A permit is reserved for urgent requests until this time after one of them asked, or after its
-# next turn.
+# A permit is reserved for urgent requests until this time after the next turn of the last one.
 URGENT_RETENTION_S = 1.0
-# Less urgent requests get at least one of so many permits.
-MAX_URGENT_SHARE = 4
+# After so many urgent requests in a row, the next permit may go to any request.
+MAX_URGENT_IN_ROW = 3
 # Permits for this much time may be issued at once, and always one; the issuer, at which one may be
 # reserved, holds more, so that none is lost when the next request for it is a little late.
 BURST_S = 0.1
@@ -37,11 +36,10 @@
 
 
 class IssuerRole(Enum):
-    """Whether a gateway issues an endpoint's permits, or does so while the issuer does
-    not respond.
+    """Whether a gateway is an endpoint's issuer, or stands in while that one does not respond.
 
-    Both may issue at the same time while gateways disagree on which of them responds, so the
-    shares of the limit that they issue add up to little more than the whole.
+    Both may issue at the same time while gateways disagree on whether the issuer responds, so their
+    shares of the limit add up to little more than the whole.
     """
 
     PRIMARY = 0.95
@@ -91,8 +89,8 @@
 
     def reserved(self, now_s: float) -> float:
         """Return the permits that less urgent requests leave to urgent ones."""
-        is_share_used = self.urgent_in_row >= MAX_URGENT_SHARE - 1
-        return 1.0 if now_s < self.urgent_until_s and not is_share_used else 0.0
+        are_urgent_asking = now_s < self.urgent_until_s
+        return 1.0 if are_urgent_asking and self.urgent_in_row < MAX_URGENT_IN_ROW else 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,8 +115,8 @@
     ) -> PermitDecision:
         """Issue one permit if there is one, and tell when the gateway's next turn is.
 
-        Urgent requests go first, and others get what they leave, at least one permit in
-        ``MAX_URGENT_SHARE``.
+        Urgent requests go first; others get what these leave, and may get one permit after
+        ``MAX_URGENT_IN_ROW`` urgent ones.
         """
         rate_per_s = max(MIN_RATE_PER_S, limit_per_s * role.share)
         with self._lock:
@@ -127,17 +125,21 @@
             turns = issued.urgent_turns if is_urgent else issued.other_turns
             wait_s = issued.bucket.take(0.0 if is_urgent else issued.reserved(now_s))
             is_granted = wait_s <= 0
-            ask_again_s: float | None = 0.0
-            if not is_granted or turns.last_turn_s > now_s:
-                ask_again_s = turns.next_wait_s(now_s, wait_s, rate_per_s)
-            if ask_again_s is None:
-                ask_again_s = max(wait_s, MAX_TURN_WAIT_S) * self._rng.uniform(0.5, 1.0)
+            is_scarce = not is_granted or turns.last_turn_s > now_s
+            ask_again_s = self._next_turn_s(turns, wait_s, rate_per_s) if is_scarce else 0.0
             if is_granted:
                 issued.urgent_in_row = issued.urgent_in_row + 1 if is_urgent else 0
             if is_urgent:
                 issued.urgent_until_s = now_s + ask_again_s + URGENT_RETENTION_S
             return PermitDecision(is_granted, ask_again_s)
 
+    def _next_turn_s(self, turns: _Turns, wait_s: float, rate_per_s: float) -> float:
+        """Return the seconds until a gateway's turn; it is random if there are too many turns."""
+        turn_wait_s = turns.next_wait_s(self._clock_s(), wait_s, rate_per_s)
+        if turn_wait_s is None:
+            return max(wait_s, MAX_TURN_WAIT_S) * self._rng.uniform(0.5, 1.0)
+        return turn_wait_s
+
     def _issued_permits(self, key: _BucketKey, limit_per_s: float, rate_per_s: float) -> _Issued:
         min_burst = MIN_BURST if key.role is IssuerRole.PRIMARY else MIN_STANDBY_BURST
         capacity = max(min_burst, rate_per_s * BURST_S)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
@@ -72,8 +72,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _BlockKey:
-    """Requests that were denied a permit wait by themselves for each urgency."""
+class _DenialKey:
+    """A denial holds for requests of the same urgency."""
 
     run: EndpointRun
     is_urgent: bool
@@ -123,7 +123,7 @@
         # Replies to an earlier run of this process must not match.
         self._numbers = itertools.count(rng.getrandbits(31))
         self._pending: BoundedMap[int, PendingPermit] = BoundedMap(MAX_PENDING)
-        self._blocked_until_s: BoundedMap[_BlockKey, float] = BoundedMap(MAX_BLOCKED_RUNS)
+        self._blocked_until_s: BoundedMap[_DenialKey, float] = BoundedMap(MAX_BLOCKED_RUNS)
         self._spare_until_s: BoundedMap[EndpointRun, deque[float]] = BoundedMap(MAX_BLOCKED_RUNS)
         self._timeouts: dict[InstanceId, _IssuerTimeouts] = {}
         self._outcomes: Counter[PermitOutcome] = Counter()
@@ -142,7 +142,7 @@
         """Return the seconds until it makes sense to ask for a permit, 0 if no limit is known."""
         if self.limits.limit_per_s(run) is None:
             return 0.0
-        blocked_until_s = self._blocked_until_s.get(_BlockKey(run, is_urgent), 0.0)
+        blocked_until_s = self._blocked_until_s.get(_DenialKey(run, is_urgent), 0.0)
         return max(0.0, blocked_until_s - self._clock_s())
 
     def acquire(self, run: EndpointRun, is_urgent: bool) -> bool:
@@ -282,7 +282,7 @@
             self._finish(pending, PermitOutcome.GRANTED)
 
     def _block(self, pending: PendingPermit, wait_s: float) -> None:
-        key = _BlockKey(pending.run, pending.is_urgent)
+        key = _DenialKey(pending.run, pending.is_urgent)
         with self._lock:
             self._blocked_until_s.put(key, self._clock_s() + wait_s)
 
