--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -83,7 +83,7 @@
 class _Progress:
     """Accumulated results of the attempts of a request.
 
-    ``sends`` counts the attempts that reached an endpoint, ``tries`` all of them but
+    ``sends`` counts the attempts that reached an endpoint. ``tries`` counts all attempts except
     those that were denied a permit, which ``permits_denied`` counts.
     """
 
