--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -12,6 +12,7 @@
 from primroseferry_core.hashing import rendezvous_order
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.logs import log_event
+from primroseferry_policy.recent_maximum import RecentMaximum
 
 from .datagrams import Roster
 from .datagrams import RosterVersion
@@ -41,6 +42,8 @@
 # A gateway that finds no other one of its region within this time after its start assumes that it
 # is the only one.
 DISCOVERY_TIMEOUT_S = 2.0
+# How long the number of the region's gateways is remembered after some of them were lost.
+REGION_SIZE_RETENTION_S = 60.0
 UNKNOWN_ROSTER = RosterVersion(0)
 
 
@@ -77,6 +80,7 @@
         self._started_s = clock_s()
         self._regions: dict[RegionId, _Region] = {}
         self._candidates: set[str] = set()
+        self._region_size = RecentMaximum(REGION_SIZE_RETENTION_S, clock_s)
         self._lock = threading.Lock()
 
     def add_candidates(self, addresses: Iterable[str]) -> None:
@@ -105,6 +109,7 @@
             )
             entry.has_timed_out = False
             self._regions[roster.region] = entry
+            self._note_region_size(roster.region)
         _log_peers(Event.PEER_JOINED, roster.region, others.keys() - before.keys())
         _log_peers(Event.PEER_LOST, roster.region, before.keys() - others.keys())
 
@@ -121,6 +126,7 @@
             if known.roster.version != version:
                 return False
             known.confirmed_s = known.received_s
+            self._note_region_size(region)
             return True
 
     def put_summary(self, summary: RegionSummary) -> bool:
@@ -181,9 +187,15 @@
         """Whether rendezvous hashing assigns ``key`` to this gateway.
 
         Candidates are the ready gateways of its region. A gateway that has just started and knows
-        no other one yet is not chosen, since others may exist.
+        no other one yet is not chosen, since others may exist. The same holds for one that knows no
+        more than a third of the region's recent gateways: of the parts into which a region is
+        split, two at the most choose a gateway.
         """
-        return self.order_by_key(key)[:1] == [self.own_instance]
+        if self.order_by_key(key)[:1] != [self.own_instance]:
+            return False
+        size = len(self.live_in(self.own_region)) + 1
+        with self._lock:
+            return 3 * size > self._region_size.add(size)
 
     def order_by_key(self, key: str) -> list[InstanceId]:
         """Return the ready gateways of the own region in the rendezvous order of ``key``.
@@ -200,6 +212,10 @@
             names = [self.own_instance, *(peer.instance for peer in others)]
         return [InstanceId(name) for name in rendezvous_order(key, list(map(str, names)))]
 
+    def _note_region_size(self, region: RegionId) -> None:
+        if region == self.own_region:
+            self._region_size.add(len(self._regions[region].by_name) + 1)
+
     def report_address(self, instance: InstanceId) -> str:
         """Return the datagram address of a live gateway of the own region, or an empty string."""
         known = self._confirmed().get(self.own_region)
--- a/packages/primroseferry-relay/tests/relay_tests/test_chosen_gateway.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_chosen_gateway.py
@@ -29,6 +29,38 @@
     assert chosen(fleet) == 1
 
 
+@pytest.mark.parametrize("gateways", [3, 65])
+@pytest.mark.parametrize("seed", range(2))
+def test_gateways_that_lost_each_other_are_not_all_chosen(seed: int, gateways: int) -> None:
+    fleet = FleetSimulation(seed)
+    fleet.start_regions({"north": gateways, "south": 3})
+    fleet.run(5.0)
+    fleet.is_cut = lambda sender, receiver: sender.startswith("north") or receiver.startswith(
+        "north"
+    )
+    max_chosen = [0]
+
+    def record_chosen() -> None:
+        max_chosen[0] = max(max_chosen[0], chosen(fleet))
+
+    # Rosters time out after 2 s.
+    fleet.run(3.0)
+    fleet.run(3.0, record_chosen)
+    fleet.is_cut = lambda _sender, _receiver: False
+    fleet.run(4.0, record_chosen)
+    assert max_chosen[0] <= MAX_CHOSEN
+    assert chosen(fleet) == 1
+
+
+def test_gateway_that_is_left_alone_of_two_is_chosen() -> None:
+    fleet = FleetSimulation()
+    fleet.start_regions({"north": 2})
+    fleet.run(5.0)
+    fleet.stop("north-0")
+    fleet.run(4.0)
+    assert chosen(fleet) == 1
+
+
 def test_only_gateway_of_a_region_is_chosen_after_a_while() -> None:
     fleet = FleetSimulation()
     fleet.start("north-0", "north", ["north-0:82"])
