--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -39,8 +39,8 @@
 # Peers named in one log line. Joined peers are logged together, so that a starting fleet does not
 # write one line per pair of gateways.
 MAX_LOGGED_NAMES = 5
-# A gateway that finds no other one of its region within this time after its start assumes that it
-# is the only one.
+# A gateway knows the others of its region within this time after its start. If it finds none, it
+# assumes that it is the only one.
 DISCOVERY_TIMEOUT_S = 2.0
 # How long the number of the region's gateways is remembered after some of them were lost.
 REGION_SIZE_RETENTION_S = 60.0
@@ -186,12 +186,12 @@
     def is_chosen(self, key: str) -> bool:
         """Whether rendezvous hashing assigns ``key`` to this gateway.
 
-        Candidates are the ready gateways of its region. A gateway that has just started and knows
-        no other one yet is not chosen, since others may exist. The same holds for one that knows no
-        more than a third of the region's recent gateways: of the parts into which a region is
-        split, two at the most choose a gateway.
+        Candidates are the ready gateways of its region. A gateway that has just started is not
+        chosen, since it may not know all others yet. The same holds for one that knows no more than
+        a third of the region's recent gateways: of the parts into which a region is split, two at
+        the most choose a gateway.
         """
-        if self.order_by_key(key)[:1] != [self.own_instance]:
+        if self._is_discovering or self.order_by_key(key)[:1] != [self.own_instance]:
             return False
         size = len(self.live_in(self.own_region)) + 1
         with self._lock:
@@ -204,14 +204,17 @@
         gateway is ready, all live ones are returned.
         """
         others = self.live_in(self.own_region)
-        is_discovering = self._clock_s() - self._started_s < DISCOVERY_TIMEOUT_S
-        if is_discovering and not others:
+        if self._is_discovering and not others:
             return []
         names = self.ready_in(self.own_region)
         if not names:
             names = [self.own_instance, *(peer.instance for peer in others)]
         return [InstanceId(name) for name in rendezvous_order(key, list(map(str, names)))]
 
+    @property
+    def _is_discovering(self) -> bool:
+        return self._clock_s() - self._started_s < DISCOVERY_TIMEOUT_S
+
     def _note_region_size(self, region: RegionId) -> None:
         if region == self.own_region:
             self._region_size.add(len(self._regions[region].by_name) + 1)
--- a/packages/primroseferry-relay/tests/relay_tests/test_chosen_gateway.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_chosen_gateway.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from .fleet_simulation import FleetSimulation
@@ -29,6 +31,31 @@
     assert chosen(fleet) == 1
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_gateways_of_a_region_that_starts_again_one_after_another_are_not_all_chosen(
+    seed: int,
+) -> None:
+    fleet = FleetSimulation(seed)
+    fleet.start_regions({"north": 65, "south": 3})
+    fleet.run(5.0)
+    names = [gateway.name for gateway in fleet.region("north")]
+    for name in names:
+        fleet.stop(name)
+    fleet.run(6.0)
+    random.Random(seed).shuffle(names)
+    max_chosen = 0
+    seeds = ["north-0:82", "north-1:82", "south-0:82"]
+    for name in names:
+        fleet.start(name, "north", seeds, incarnation="two")
+        fleet.run(0.01)
+        max_chosen = max(max_chosen, chosen(fleet))
+    for _ in range(400):
+        fleet.run(0.01)
+        max_chosen = max(max_chosen, chosen(fleet))
+    assert max_chosen <= MAX_CHOSEN
+    assert chosen(fleet) == 1
+
+
 @pytest.mark.parametrize("gateways", [3, 65])
 @pytest.mark.parametrize("seed", range(2))
 def test_gateways_that_lost_each_other_are_not_all_chosen(seed: int, gateways: int) -> None:
