--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
@@ -204,10 +204,12 @@
 
     def on_request(self, request: PermitRequest) -> None:
         """Issue a permit to another gateway, or tell it when to ask again."""
+        limit_per_s = request.limit_per_s
         run = self.limits.find_run(request.run)
         own_per_s = self.limits.limit_per_s(run) if run is not None else None
-        # One of the two may not have heard yet of a change.
-        limit_per_s = min(request.limit_per_s, own_per_s or request.limit_per_s)
+        if own_per_s is not None:
+            # One of the two may not have heard yet of a change.
+            limit_per_s = min(limit_per_s, own_per_s)
         decision = self._issue(request.run, limit_per_s, request.role, request.is_urgent)
         ask_again_ms = math.ceil(decision.ask_again_s * 1000)
         reply = PermitReply(request.number, decision.is_granted, ask_again_ms)
--- a/packages/primroseferry-relay/tests/relay_tests/test_request_permits.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_request_permits.py
@@ -10,14 +10,24 @@
 
 import pytest
 from primroseferry_core.ids import EndpointId
+from primroseferry_core.ids import InstanceId
+from primroseferry_core.ids import RegionId
 from primroseferry_relay.endpoints.endpoint import EndpointRun
 from primroseferry_relay.endpoints.endpoint_point import run_hash
 from primroseferry_relay.endpoints.request_limits import RAMP_STEP_S
 from primroseferry_relay.endpoints.request_limits import RAMP_STEPS
+from primroseferry_relay.endpoints.request_limits import RequestLimits
+from primroseferry_relay.membership.codec import decode
+from primroseferry_relay.membership.datagrams import PermitReply
+from primroseferry_relay.membership.datagrams import PermitRequest
+from primroseferry_relay.membership.peer import GatewayState
+from primroseferry_relay.membership.peer_table import DISCOVERY_TIMEOUT_S
+from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.membership.permit_issuer import BURST_S
 from primroseferry_relay.membership.permit_issuer import IssuerRole
 from primroseferry_relay.membership.permit_issuer import PermitIssuer
 from primroseferry_relay.membership.request_permits import REPLY_TIMEOUT_S
+from primroseferry_relay.membership.request_permits import RequestPermits
 
 from .fleet_simulation import Clock
 from .fleet_simulation import FleetSimulation
@@ -25,6 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from primroseferry_relay.membership.datagrams import Datagram
     from primroseferry_relay.membership.request_permits import PendingPermit
 
     from .fleet_simulation import SimulatedGateway
@@ -321,6 +332,30 @@
     assert 2 <= load.count_since(start_s) <= 5
 
 
+@pytest.mark.parametrize(("own_per_s", "told_per_s"), [(0.0, 100.0), (100.0, 0.0)])
+def test_issuer_keeps_to_the_lower_of_its_own_limit_and_the_one_that_it_is_told(
+    own_per_s: float, told_per_s: float
+) -> None:
+    clock = Clock()
+    peers = PeerTable(InstanceId("g-1"), RegionId("north"), clock)
+    peers.own_state = GatewayState.READY
+    limits = RequestLimits(clock)
+    limits.note_answer(RUN, own_per_s, clock())
+    replies: list[Datagram | None] = []
+    permits = RequestPermits(limits, peers)
+    permits.connect(lambda: "g-1:82", lambda _address, data: replies.append(decode(data)))
+    request = PermitRequest("g-2:82", 1, IssuerRole.PRIMARY, True, run_hash(RUN), told_per_s)
+    clock.now_s += DISCOVERY_TIMEOUT_S
+    permits.on_request(request)
+    for _ in range(100):
+        clock.now_s += 0.05
+        permits.on_request(request)
+    granted = [reply for reply in replies if isinstance(reply, PermitReply) and reply.is_granted]
+    assert len(replies) == 101
+    # An endpoint that takes nothing gets one request in ten seconds.
+    assert len(granted) <= 1
+
+
 def test_roles_together_issue_less_than_the_rule_allows() -> None:
     assert sum(role.share for role in IssuerRole) < ALLOWED_RATIO
 
