--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/limit_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/limit_sync.py
@@ -60,6 +60,14 @@
     changed_s: float
     sent_s: float
 
+    def agrees_with(self, observation: LimitObservation) -> bool:
+        """Whether an observation says the same."""
+        last = self.observation
+        return (last.limit_per_s, last.is_lifted) == (
+            observation.limit_per_s,
+            observation.is_lifted,
+        )
+
 
 class _ReportLog:
     """What was reported on each run. A change is repeated for ``repeat_s``."""
@@ -76,14 +84,15 @@
         chosen = _newest(due, count)
         for observation in chosen:
             last = self._reports.get(observation.run)
-            is_change = last is None or _value(last.observation) != _value(observation)
-            changed_s = now_s if last is None or is_change else last.changed_s
+            changed_s = (
+                last.changed_s if last is not None and last.agrees_with(observation) else now_s
+            )
             self._reports.put(observation.run, _Report(observation, changed_s, now_s))
         return chosen
 
     def _is_due(self, observation: LimitObservation, now_s: float) -> bool:
         last = self._reports.get(observation.run)
-        if last is None or _value(last.observation) != _value(observation):
+        if last is None or not last.agrees_with(observation):
             return True
         if now_s - last.changed_s < self._repeat_s:
             return True
@@ -91,9 +100,5 @@
         return is_new and now_s - last.sent_s >= RENEWAL_INTERVAL_S
 
 
-def _value(observation: LimitObservation) -> tuple[float, bool]:
-    return observation.limit_per_s, observation.is_lifted
-
-
 def _newest(observations: list[LimitObservation], count: int) -> tuple[LimitObservation, ...]:
     return tuple(sorted(observations, key=lambda observation: observation.age_s)[:count])
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/request_permits.py
@@ -160,20 +160,21 @@
         if limit_per_s is None:
             return None
         now_s = self._clock_s()
-        role, issuer = self._choose_issuer(run, now_s)
+        hashed_run = run_hash(run)
+        role, issuer = self._choose_issuer(hashed_run, now_s)
         pending = PendingPermit(run, is_urgent, next(self._numbers), role, issuer, now_s)
         if self._take_spare(run, now_s):
             self._finish(pending, PermitOutcome.TAKEN_FROM_SPARE)
         elif issuer is None:
             self._settle(pending, PermitDecision(False, UNKNOWN_WAIT_S))
         elif issuer == self._peers.own_instance:
-            decision = self._issue(run_hash(run), limit_per_s, role, is_urgent)
+            decision = self._issuer.take(hashed_run, limit_per_s, role, is_urgent)
             self._settle(pending, decision)
         else:
             with self._lock:
                 self._pending.put(pending.number, pending)
             request = PermitRequest(
-                self._own_address(), pending.number, role, is_urgent, run_hash(run), limit_per_s
+                self._own_address(), pending.number, role, is_urgent, hashed_run, limit_per_s
             )
             self._send(self._peers.report_address(issuer), encode(request))
         return pending
@@ -250,10 +251,8 @@
     def _issuer_order(self, run: RunHash) -> list[InstanceId]:
         return self._peers.order_by_key(str(run))
 
-    def _choose_issuer(
-        self, run: EndpointRun, now_s: float
-    ) -> tuple[IssuerRole, InstanceId | None]:
-        order = self._issuer_order(run_hash(run))
+    def _choose_issuer(self, run: RunHash, now_s: float) -> tuple[IssuerRole, InstanceId | None]:
+        order = self._issuer_order(run)
         if not order:
             return IssuerRole.PRIMARY, None
         with self._lock:
