--- a/packages/primroseferry-transport/tests/test_curl_loop.py
+++ b/packages/primroseferry-transport/tests/test_curl_loop.py
@@ -146,7 +146,16 @@
 
 def test_answer_that_arrives_while_the_loop_is_stalled_is_not_timed_out(loop: CurlLoop) -> None:
     server = RawServer()
-    call = HttpCall("GET", server.url, first_byte_timeout_ms=600)
+    call = HttpCall("GET", server.url, connect_timeout_ms=8_000, first_byte_timeout_ms=600)
+    for _ in range(3):
+        pending = loop.submit(call)
+        loop.run_soon(lambda: time.sleep(1.2))
+        assert pending.future.result(8).unwrap().body == b"ok"
+
+
+def test_connection_that_is_made_while_the_loop_is_stalled_is_not_timed_out(loop: CurlLoop) -> None:
+    server = RawServer()
+    call = HttpCall("GET", server.url, connect_timeout_ms=1_000, first_byte_timeout_ms=600)
     for _ in range(3):
         pending = loop.submit(call)
         loop.run_soon(lambda: time.sleep(1.2))
