--- a/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
@@ -193,6 +193,74 @@
     assert count_crashing_requests(endpoints) == 2
 
 
+def unframed_head(request: Received) -> bytes:
+    """Return a signed head without a length or chunks: the answer ends with the connection."""
+    return (f"HTTP/1.1 200 OK\r\nX-Id: {request.header('x-id')}\r\nX-Signed: yes\r\n\r\n").encode()
+
+
+def crash_after_unframed_answer(
+    endpoint: ScriptedEndpoint, connection: socket.socket, request: Received
+) -> None:
+    connection.sendall(unframed_head(request) + b"id: 1\ndata: a\n\n")
+    endpoint.close()
+
+
+@pytest.mark.parametrize("path", ["/stream/", "/resumable/", "/once/", "/safe/"])
+def test_answer_without_length_that_ends_with_its_endpoint_does_not_clear_a_request(
+    loop: CurlLoop, path: str
+) -> None:
+    endpoints = [endpoint_with_failure(crash_after_unframed_answer) for _ in range(8)]
+    harness = RelayHarness(loop, endpoints)
+    for _ in range(8):
+        harness.call(path, "POST", body=CRASHING_BODY)
+    assert count_crashing_requests(endpoints) <= 3
+
+
+def test_answer_without_length_that_ends_with_its_endpoint_is_not_forwarded_as_complete(
+    loop: CurlLoop,
+) -> None:
+    harness = RelayHarness(loop, [endpoint_with_failure(crash_after_unframed_answer)])
+    assert status_of(harness.call("/once/", "POST", body=CRASHING_BODY)) == 502
+    stream = RelayHarness(loop, [endpoint_with_failure(crash_after_unframed_answer)])
+    data = stream.call("/stream/", "POST", body=CRASHING_BODY)
+    assert b"data: a" in data
+    assert not data.endswith(b"0\r\n\r\n")
+
+
+def test_answer_without_length_of_an_endpoint_found_ended_later_does_not_clear_a_request(
+    loop: CurlLoop,
+) -> None:
+    def answer_unframed(
+        _endpoint: ScriptedEndpoint, connection: socket.socket, request: Received
+    ) -> None:
+        connection.sendall(unframed_head(request) + b"done")
+
+    endpoints = [endpoint_with_failure(answer_unframed) for _ in range(6)]
+    harness = RelayHarness(loop, endpoints)
+    for _ in range(6):
+        before = [bool(endpoint.requests) for endpoint in endpoints]
+        harness.call("/once/", "POST", body=CRASHING_BODY)
+        for number, endpoint in enumerate(endpoints):
+            if endpoint.requests and not before[number]:
+                harness.catalog.remove(EndpointId(f"e-{number}"))
+    assert count_crashing_requests(endpoints) <= 3
+
+
+@pytest.mark.parametrize("path", ["/stream/", "/once/"])
+def test_answer_without_length_of_a_live_endpoint_is_complete(loop: CurlLoop, path: str) -> None:
+    def answer_unframed(
+        _endpoint: ScriptedEndpoint, connection: socket.socket, request: Received
+    ) -> None:
+        connection.sendall(unframed_head(request) + b"id: 1\ndata: a\n\n")
+
+    harness = RelayHarness(loop, [endpoint_with_failure(answer_unframed)])
+    for _ in range(5):
+        data = harness.call(path, "POST", body=CRASHING_BODY)
+        assert status_of(data) == 200
+        assert b"data: a" in data
+    assert {record.outcome for record in harness.wait_records(5)} == {"answered"}
+
+
 def test_same_request_of_another_caller_is_not_rejected(loop: CurlLoop) -> None:
     endpoints = crashing_endpoints(3)
     harness = RelayHarness(loop, endpoints)
--- a/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
@@ -98,6 +98,11 @@
             for item in list(self.store.items.values()):
                 records.apply(item)
 
+    def return_older_copy(self) -> None:
+        """Let the store return without any record; the watching gateway lists it again."""
+        self.store.items.clear()
+        self.records[-1].apply_listing(())
+
     def advance(self, seconds: float) -> None:
         until_s = self.clock.now_s + seconds
         while self.clock.now_s < until_s:
@@ -129,6 +134,18 @@
     assert fleet.store.calls <= 5
 
 
+def test_record_that_an_older_copy_of_the_store_lacks_is_written_again() -> None:
+    fleet = Fleet()
+    for quarantine in fleet.quarantines:
+        quarantine.blame(DEADLY, ["e-1@100", "e-2@110"])
+    fleet.advance(2.0)
+    fleet.return_older_copy()
+    fleet.advance(4.0)
+    assert len(fleet.store.items) == 1
+    fleet.restart()
+    assert all(quarantine.is_quarantined(DEADLY) for quarantine in fleet.quarantines)
+
+
 def test_old_record_does_not_quarantine_a_cleared_request() -> None:
     fleet = Fleet()
     for quarantine in fleet.quarantines:
