Quarantine a stream with the third endpoint that it crashes, not the fourth

Callers saw a request under which three endpoints had ended sent on. A crash after the answer began counted as a broken connection, four of which are a quarantine; the rule counts from the third crash, so the fourth send and the trials after 5 s, 60 s and 10 min were four late sends where three are allowed. Such a crash now has an id of its own (endpoint and run, so that two gateways count it once) and a weight: three are a quarantine, as one with a crash before the answer and two after it. A broken connection whose endpoint is found to have ended later is replaced by it. Broken connections to endpoints that appear to be alive count as before.

The test of streams that crash endpoints amid the answer asks for three crashes now, where it accepted four: stricter. Sound streams that lose two endpoints in a row are served as before (test_stream_lost_mid_answer_twice_is_not_rejected).

--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -25,6 +25,7 @@
 
 from .suspicion import DEATHS_TO_QUARANTINE
 from .suspicion import Suspicion
+from .suspicion import started_crash_id
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -121,6 +122,16 @@
             added = Suspicion(fingerprint, frozenset({death}), retracted=replaced)
             self._merge(added, self._clock_s())
 
+    def confirm_started_crash(self, fingerprint: Fingerprint, observation: str, crash: str) -> None:
+        """Replace a broken connection, empty for none, by a crash after the answer began."""
+        with self._lock:
+            self._expire()
+            replaced = frozenset({observation} - {""})
+            added = Suspicion(
+                fingerprint, breaks=frozenset({started_crash_id(crash)}), retracted=replaced
+            )
+            self._merge(added, self._clock_s())
+
     def retract(self, fingerprint: Fingerprint, observation: str) -> None:
         """Retract an observation, such as a trial in which no endpoint was lost."""
         with self._lock:
--- a/packages/primroseferry-policy/src/primroseferry_policy/suspicion.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/suspicion.py
@@ -14,9 +14,14 @@
     from primroseferry_core.ids import Fingerprint
 
 DEATHS_TO_QUARANTINE = 2
-# A broken connection to an endpoint that appears to be alive is weaker evidence than a crash.
-BREAKS_TO_QUARANTINE = 4
+# Weights of the observations, relative to a crash before the answer began. Most requests that are
+# lost with an endpoint have begun their answer, so three such crashes are a quarantine. A broken
+# connection to an endpoint that appears to be alive counts less; four of them are one.
+DEATH_WEIGHT = 6
+STARTED_CRASH_WEIGHT = 4
+BREAK_WEIGHT = 3
 SAME_DEATH_WINDOW_S = 3
+_STARTED_PREFIX = "began:"
 # Limit for each kind of observation; the newest are retained.
 MAX_OBSERVATIONS = 16
 _RUN_SEPARATOR = "/"
@@ -27,7 +32,8 @@
     """Observations about one request; ``retracted`` has those that no longer count.
 
     A crash is written ``endpoint/run@seconds`` or ``endpoint@seconds``, a broken connection
-    ``number@seconds``, where seconds is the wall-clock time of the loss. Only observations newer
+    ``number@seconds``, where seconds is the wall-clock time of the loss. A crash after the answer
+    began is among the broken connections, as :func:`started_crash_id`. Only observations newer
     than ``answered_s``, the time of the last complete answer, count. Merging is commutative,
     associative and idempotent, so gateways that exchange their state converge even if messages are
     lost, duplicated or reordered.
@@ -42,9 +48,22 @@
     @property
     def level(self) -> int:
         """Strength of the suspicion; ``DEATHS_TO_QUARANTINE`` or more is a quarantine."""
-        deaths = count_deaths(self.deaths)
-        uncounted_breaks = BREAKS_TO_QUARANTINE - DEATHS_TO_QUARANTINE
-        return max(deaths, deaths + len(self.breaks) - uncounted_breaks)
+        return self.weight // DEATH_WEIGHT
+
+    @property
+    def weight(self) -> int:
+        """Sum of the weights of the distinct observations."""
+        started = [entry for entry in self.breaks if entry.startswith(_STARTED_PREFIX)]
+        return (
+            count_deaths(self.deaths) * DEATH_WEIGHT
+            + count_deaths(started) * STARTED_CRASH_WEIGHT
+            + (len(self.breaks) - len(started)) * BREAK_WEIGHT
+        )
+
+    @property
+    def is_repeated(self) -> bool:
+        """Whether more than one loss counts against the request."""
+        return self.weight > DEATH_WEIGHT
 
     @property
     def is_empty(self) -> bool:
@@ -71,6 +90,15 @@
         )
 
 
+def started_crash_id(crash: str) -> str:
+    """Return the id of a crash that ended an endpoint after the request's answer had begun.
+
+    >>> started_crash_id("engine-1/7@100")
+    'began:engine-1/7@100'
+    """
+    return f"{_STARTED_PREFIX}{crash}"
+
+
 def count_deaths(deaths: Iterable[str]) -> int:
     """Count distinct crashes.
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -4,8 +4,8 @@
 Without that proof the loss is recorded and counts as a crash only if the endpoint's entry expires,
 or names another run of the process, within ``ENTRY_EXPIRY_S``.
 
-A request whose answer had started is suspected less than a request that was only sent: most of the
-requests that are lost together with a crashed endpoint are partly answered.
+A crash after the answer began counts less than one before it: most of the requests that are lost
+together with a crashed endpoint are partly answered.
 """
 
 from __future__ import annotations
@@ -62,6 +62,7 @@
 
     CRASH = "endpoint-died"
     CRASH_FOUND_LATER = "endpoint-died-found-later"
+    CRASH_AFTER_START = "endpoint-died-after-the-answer-began"
     BREAK_AFTER_START = "broke-after-the-answer-began"
     BREAK = "connection-broke-on-living-endpoint"
     UNEXPLAINED = "unexplained"
@@ -97,7 +98,7 @@
 
     ``at_s`` is the monotonic time and ``wall_s`` the wall-clock time of the loss.
     ``observation`` is the id of the recorded break or trial that a crash found later replaces, or
-    empty.
+    empty. ``has_begun``: the answer had begun, and the request is not on trial.
     """
 
     at_s: float
@@ -106,6 +107,7 @@
     fingerprint: Fingerprint
     request_id: str
     observation: str
+    has_begun: bool = False
 
 
 class CrashAttribution:
@@ -132,9 +134,8 @@
     def admit(self, fingerprint: Fingerprint) -> Admission:
         """Return whether a request may be sent now, and report a new trial to every gateway."""
         admission = self._quarantine.admit(fingerprint)
-        suspicion = self._quarantine.find(fingerprint) if admission.trial else None
-        if suspicion is not None:
-            self._reporter.send_suspicion(suspicion)
+        if admission.trial:
+            self._report_suspicion(fingerprint)
         return admission
 
     def withdraw_trial(self, suspect: Suspect) -> None:
@@ -155,7 +156,9 @@
             case Lost(reason) | StreamBroken(reason):
                 has_begun = isinstance(outcome, StreamBroken) and outcome.events > 0
                 verdict = self._find_verdict(endpoint, outcome.is_connection_lost)
-                if has_begun and verdict in (Verdict.CRASH, Verdict.BREAK):
+                if has_begun and verdict is Verdict.CRASH:
+                    verdict = Verdict.CRASH_AFTER_START
+                if has_begun and verdict is Verdict.BREAK:
                     verdict = Verdict.BREAK_AFTER_START
                 self._record_loss(verdict, endpoint.run, suspect, request_id, reason)
             case CallerLeft():
@@ -183,9 +186,12 @@
             return
         for loss in losses:
             if now_s - loss.at_s <= ENTRY_EXPIRY_S:
-                self._quarantine.confirm_crash(
-                    loss.fingerprint, loss.observation, _crash_id(run, loss.wall_s)
+                confirm = (
+                    self._quarantine.confirm_started_crash
+                    if loss.has_begun
+                    else self._quarantine.confirm_crash
                 )
+                confirm(loss.fingerprint, loss.observation, _crash_id(run, loss.wall_s))
                 self._log_verdict(
                     Verdict.CRASH_FOUND_LATER,
                     run,
@@ -217,22 +223,57 @@
                 crash = _crash_id(run, time.time())
                 self._quarantine.confirm_crash(fingerprint, suspect.trial, crash)
                 self._reporter.send_blame(Blame(fingerprint, crash))
+            case Verdict.CRASH_AFTER_START if not suspect.trial:
+                self._quarantine.confirm_started_crash(fingerprint, "", _crash_id(run, time.time()))
+                self._report_repeated_loss(fingerprint)
             case Verdict.BREAK if not suspect.trial:
                 observation = _new_break_id()
                 self._quarantine.record_break(fingerprint, observation)
                 self._add_unexplained(run, suspect, request_id, observation)
             case Verdict.BREAK_AFTER_START if not suspect.trial:
-                self._quarantine.record_break(fingerprint, _new_break_id())
+                observation = _new_break_id()
+                self._quarantine.record_break(fingerprint, observation)
+                self._add_unexplained(run, suspect, request_id, observation, has_begun=True)
+            case Verdict.CRASH_AFTER_START:
+                crash = _crash_id(run, time.time())
+                self._quarantine.confirm_crash(fingerprint, suspect.trial, crash)
+                self._report_suspicion(fingerprint)
             case Verdict.BREAK | Verdict.UNEXPLAINED | Verdict.BREAK_AFTER_START:
                 self._add_unexplained(run, suspect, request_id, suspect.trial)
             case Verdict.LEAVING:
                 self.withdraw_trial(suspect)
 
+    def _report_suspicion(self, fingerprint: Fingerprint) -> None:
+        suspicion = self._quarantine.find(fingerprint)
+        if suspicion is not None:
+            self._reporter.send_suspicion(suspicion)
+
+    def _report_repeated_loss(self, fingerprint: Fingerprint) -> None:
+        """Report a request that was lost more than once since its last complete answer.
+
+        Each endpoint crash breaks off many sound streams once. Those are only exchanged with the
+        other suspicions, so that a crash does not send one datagram per stream to every gateway.
+        """
+        suspicion = self._quarantine.find(fingerprint)
+        if suspicion is not None and suspicion.suspicion.is_repeated:
+            self._reporter.send_suspicion(suspicion)
+
     def _add_unexplained(
-        self, run: EndpointRun, suspect: Suspect, request_id: str, observation: str
+        self,
+        run: EndpointRun,
+        suspect: Suspect,
+        request_id: str,
+        observation: str,
+        has_begun: bool = False,
     ) -> None:
         loss = _UnexplainedLoss(
-            time.monotonic(), time.time(), run, suspect.fingerprint, request_id, observation
+            time.monotonic(),
+            time.time(),
+            run,
+            suspect.fingerprint,
+            request_id,
+            observation,
+            has_begun,
         )
         with self._lock:
             self._unexplained.append(loss)
@@ -247,7 +288,11 @@
     ) -> None:
         with self._lock:
             self._verdicts[verdict] += 1
-        is_crash = verdict in (Verdict.CRASH, Verdict.CRASH_FOUND_LATER)
+        is_crash = verdict in (
+            Verdict.CRASH,
+            Verdict.CRASH_FOUND_LATER,
+            Verdict.CRASH_AFTER_START,
+        )
         log_event(
             Event.FINGERPRINT_BLAMED if is_crash else Event.LOST_ATTEMPT_NOT_BLAMED,
             request_id=request_id,
--- a/packages/primroseferry-relay/tests/relay_tests/test_crash_request_recurrence.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_crash_request_recurrence.py
@@ -39,7 +39,7 @@
 
 
 class RecurringRequest:
-    """Sends one request again and again to random gateways of a fleet; each run ends an endpoint."""
+    """Sends one request repeatedly to random gateways of a fleet; each run ends an endpoint."""
 
     def __init__(self, outcome: Lost | StreamBroken, seed: int) -> None:
         self.fleet = Fleet()
--- a/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_crash_requests.py
@@ -347,12 +347,12 @@
     assert not first.policy.quarantine.is_suspected(fingerprint)
 
 
-def test_stream_that_crashes_endpoints_mid_answer_is_not_sent_to_a_fifth(loop: CurlLoop) -> None:
+def test_stream_that_crashes_endpoints_mid_answer_is_not_sent_to_a_fourth(loop: CurlLoop) -> None:
     endpoints = [endpoint_with_failure(crash_mid_stream) for _ in range(7)]
     harness = RelayHarness(loop, endpoints)
     for _ in range(7):
         harness.call("/stream/", "POST", body=CRASHING_BODY)
-    assert count_crashing_requests(endpoints) == 4
+    assert count_crashing_requests(endpoints) == 3
 
 
 def test_stream_lost_mid_answer_twice_is_not_rejected(loop: CurlLoop) -> None:
