Store requests that were lost twice, and write again what the store lost

Callers saw a request under which three endpoints had ended sent on after all gateways had been restarted. Only quarantines were written to the store: a fleet that was killed before the third crash was a quarantine, or after the store had returned from an older copy without the record, forgot the crashes and let the request crash as many again. Two changes of one cause, that what outlives the gateways was taken for stored or for not worth storing: - a request that was lost more than once since its last complete answer has a record. A single loss has none, since each crash of an endpoint breaks off many sound streams once; - a listing of the store that lacks a record makes it due again. The gateway that lists is any gateway, so those that stand in for the first writer no longer wait one second for each gateway before them, but one for each doubling of the group (8 s at 195 gateways, where it was up to 194 s).

--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -262,6 +262,16 @@
                 if suspect.suspicion.level >= DEATHS_TO_QUARANTINE
             ]
 
+    def repeated(self) -> list[SuspicionReport]:
+        """Return the suspicions with more than one loss, including all at quarantine level."""
+        with self._lock:
+            self._expire()
+            return [
+                self._report(suspect)
+                for suspect in self._suspects.values()
+                if suspect.suspicion.is_repeated
+            ]
+
     def find(self, fingerprint: Fingerprint) -> SuspicionReport | None:
         """Return the suspicion of a request, ``None`` if there is none."""
         with self._lock:
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -17,6 +17,8 @@
 from .registration import GATEWAY_PREFIX
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from primroseferry_core.ids import FailureDomainId
 
     from ..endpoints.catalog import EndpointCatalog
@@ -80,6 +82,11 @@
             case ItemIgnored(reason):
                 log_event(Event.CONTROL_ITEM_IGNORED, key=item.key, reason=reason)
 
+    def apply_listing(self, prefix: str, keys: Collection[str]) -> None:
+        """Apply the keys of a complete listing of a prefix."""
+        if QUARANTINE_PREFIX.startswith(prefix):
+            self._records.apply_listing(keys)
+
     def _apply_routes(self, table: RouteTable, item: StoredItem) -> None:
         if self._table is not None and table.revision < self._table.revision:
             log_event(
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
@@ -13,14 +13,24 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
 
 
 class ControlState:
-    """Items by key. ``on_change`` is called with each new item, in the order of arrival."""
+    """Items by key.
 
-    def __init__(self, on_change: Callable[[StoredItem], None]) -> None:
+    ``on_change`` is called with each new item, in the order of arrival, and ``on_listing`` after
+    each complete listing with its prefix and keys.
+    """
+
+    def __init__(
+        self,
+        on_change: Callable[[StoredItem], None],
+        on_listing: Callable[[str, Collection[str]], None] = lambda _prefix, _keys: None,
+    ) -> None:
         self._on_change = on_change
+        self._on_listing = on_listing
         self._items: dict[str, StoredItem] = {}
         self._revision = 0
         self._lock = threading.RLock()
@@ -54,6 +64,7 @@
                 is_missing = key.startswith(prefix) and key not in listed
                 if is_missing and current.value is not None and current.revision <= as_of:
                     self._remove(current, as_of)
+            self._on_listing(prefix, listed.keys())
 
     def items_after(self, revision: int) -> list[StoredItem]:
         """Return the items, removals included, that are newer than a revision."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
@@ -1,10 +1,11 @@
-"""Stores quarantines in the platform's store, so that they outlive all gateway processes.
+"""Stores suspicions in the platform's store, so that they outlive all gateway processes.
 
 Gateways keep suspicions in memory and exchange them. If all gateways end within seconds, the
-quarantines are restored from the listing that each gateway reads at its start. A record is written
-for each quarantine, written again when its suspicion changes or is cleared, and expires with its
-lease. For each request, the gateways are ordered by a hash: the first gateway writes the record,
-and the next one writes it only if the first one fails.
+suspicions are restored from the listing that each gateway reads at its start. A record is written
+for each request that was lost more than once, written again when its suspicion grows or its
+quarantine ends, and expires with its lease. A single loss is not written: each crash of an endpoint
+breaks off many sound requests once. For each request, the gateways are ordered by a hash: the first
+gateway writes the record, and the others, ever more of them, only if those before fail.
 """
 
 from __future__ import annotations
@@ -29,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
 
     from primroseferry_policy.quarantine import Quarantine
     from primroseferry_policy.suspicion import Suspicion
@@ -42,7 +44,8 @@
 # The longest lease that the platform grants. A quarantine that lasts longer is written again.
 LEASE_MS = 600_000
 CHECK_INTERVAL_S = 0.25
-# How long each gateway waits for the one before it in the order to write a record.
+# How long a group of gateways waits for those before it in the order to write a record. Each group
+# is twice as large as the one before it, so that the wait does not grow with the fleet.
 WRITER_FAILOVER_S = 1.0
 RETRY_S = 1.0
 
@@ -78,6 +81,18 @@
             self._stored[fingerprint] = record.suspicion
         self._quarantine.merge([record])
 
+    def apply_listing(self, keys: Collection[str]) -> None:
+        """Forget that records were stored which a complete listing of the store lacks.
+
+        A store that returned from an older copy has lost its newest records. They are written again.
+        """
+        with self._lock:
+            self._stored = {
+                fingerprint: suspicion
+                for fingerprint, suspicion in self._stored.items()
+                if f"{QUARANTINE_PREFIX}{fingerprint}" in keys
+            }
+
     def tick(self) -> None:
         """Start to write a record if this gateway is to write one.
 
@@ -95,18 +110,21 @@
         unrecorded = {entry.suspicion.fingerprint: entry for entry in self._unrecorded()}
         self._due_since_s = {name: self._due_since_s.get(name, now_s) for name in unrecorded}
         for name, record in unrecorded.items():
-            if now_s - self._due_since_s[name] >= self._writer_rank(name) * WRITER_FAILOVER_S:
+            group = self._writer_rank(name).bit_length()
+            if now_s - self._due_since_s[name] >= group * WRITER_FAILOVER_S:
                 return record
         return None
 
     def _unrecorded(self) -> list[SuspicionReport]:
         with self._lock:
             stored = dict(self._stored)
-        quarantined = [
+        grown = [
             entry
-            for entry in self._quarantine.at_quarantine_level()
+            for entry in self._quarantine.repeated()
             if stored.get(entry.suspicion.fingerprint) != entry.suspicion
         ]
+        # Quarantines first: a write takes two calls, and only one is in progress at a time.
+        grown.sort(key=lambda entry: -entry.suspicion.weight)
         cleared = [
             record
             for fingerprint, suspicion in stored.items()
@@ -114,7 +132,7 @@
             and (record := self._quarantine.find(fingerprint)) is not None
             and record.suspicion.level < DEATHS_TO_QUARANTINE
         ]
-        return [*quarantined, *cleared]
+        return [*grown, *cleared]
 
     def _writer_rank(self, fingerprint: Fingerprint) -> int:
         own = str(self._peers.own_instance)
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -130,7 +130,7 @@
         self._permits = RequestPermits(self._policy.request_limits, self._peers)
         records = QuarantineRecords(self._store, self._policy.quarantine, self._peers)
         self._feed = ControlFeed(control_adapter, self._catalog, self._peers, self._policy, records)
-        self._state = ControlState(self._feed.apply)
+        self._state = ControlState(self._feed.apply, self._feed.apply_listing)
         self._duty = WatchDuty(self._peers)
         self._sync = PeerSync(self._loop, self._peers, self._state, self._duty)
         peer_feed = PeerFeed(self._catalog, self._policy, self._sync, self._feed.table, records)
--- a/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
@@ -10,12 +10,18 @@
 from primroseferry_core.ids import Fingerprint
 from primroseferry_core.ids import InstanceId
 from primroseferry_policy.quarantine import Quarantine
+from primroseferry_policy.shared_budget import SharedRetryBudget
+from primroseferry_relay.control.changes import ItemIgnored
+from primroseferry_relay.control.control_feed import ControlFeed
+from primroseferry_relay.control.control_state import ControlState
 from primroseferry_relay.control.metadata_store import LeaseId
 from primroseferry_relay.control.metadata_store import StoredItem
 from primroseferry_relay.control.metadata_store import StoreFailure
 from primroseferry_relay.control.quarantine_records import WRITER_FAILOVER_S
 from primroseferry_relay.control.quarantine_records import QuarantineRecords
+from primroseferry_relay.endpoints.catalog import EndpointCatalog
 from primroseferry_relay.membership.peer_table import PeerTable
+from primroseferry_relay.relay_policy import RelayPolicy
 from result import Err
 from result import Ok
 
@@ -40,6 +46,15 @@
         return self.now_s
 
 
+class IgnoringAdapter:
+    """Decodes no item: the records need none."""
+
+    prefixes = ("",)
+
+    def decode(self, item: StoredItem) -> ItemIgnored:
+        return ItemIgnored(item.key)
+
+
 class InMemoryStore:
     """Keeps what is put, and refuses the next ``refused`` lease requests."""
 
@@ -99,9 +114,16 @@
                 records.apply(item)
 
     def return_older_copy(self) -> None:
-        """Let the store return without any record; the watching gateway lists it again."""
+        """Let the store return without any record; the watching gateway lists all keys again."""
         self.store.items.clear()
-        self.records[-1].apply_listing(())
+        feed = ControlFeed(
+            IgnoringAdapter(),
+            EndpointCatalog(),
+            PeerTable(InstanceId("g-3"), NORTH, self.clock),
+            RelayPolicy(SharedRetryBudget(10, 0.2, 50)),
+            self.records[-1],
+        )
+        ControlState(feed.apply, feed.apply_listing).apply_listing("", (), 1)
 
     def advance(self, seconds: float) -> None:
         until_s = self.clock.now_s + seconds
@@ -158,10 +180,12 @@
     assert not any(quarantine.is_suspected(DEADLY) for quarantine in fleet.quarantines)
 
 
-def test_suspicions_below_the_quarantine_level_are_not_written() -> None:
+def test_single_losses_are_not_written() -> None:
     fleet = Fleet()
     for number in range(60):
         fleet.quarantines[0].blame(Fingerprint(f"f{number}"), ["e-1@100"])
+        fleet.quarantines[1].confirm_started_crash(Fingerprint(f"s{number}"), "", "e-1@100")
+        fleet.quarantines[2].record_break(Fingerprint(f"b{number}"), "1@100")
     fleet.advance(3.0)
     assert fleet.store.calls == 0
 
