Take an answer without a length or chunks for complete only if its endpoint outlives it

An answer without a length or chunks ends with its connection, and a crash of the endpoint closes the connection the same way. It counted as a complete answer: the caller got a cut answer as a whole one, and every earlier crash of the request was forgotten, so it was never quarantined.

After such an answer the endpoint is now asked whether it still runs: a refused connection, or an entry that is gone, makes it a broken answer (aborted, resumed where the route permits, 502 else) and a crash of the request. Where the endpoint still listens the caller gets the answer as before, but it clears nothing until the run has outlived it by 10 s, the time in which an ended process is found by its entry; if the run ends in that time, it is a crash. An endpoint that is leaving is taken to have finished. Framed answers are not affected and cost nothing more.

The log of a cleared request has the time of the answer.

--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -137,10 +137,15 @@
         with self._lock:
             self._merge(Suspicion(fingerprint, retracted=frozenset({observation})), self._clock_s())
 
-    def clear(self, fingerprint: Fingerprint) -> None:
-        """Record a complete answer; observations up to its time no longer count."""
+    def clear(self, fingerprint: Fingerprint, answered_s: int | None = None) -> None:
+        """Record a complete answer; observations up to its time no longer count.
+
+        ``answered_s`` is its wall-clock time, ``None`` for now.
+        """
         with self._lock:
-            answered_s = int(self._wall_clock_s())
+            if answered_s is None:
+                answered_s = int(self._wall_clock_s())
+            answered_s = max(answered_s, self._last_answer_s.get(fingerprint) or 0)
             self._last_answer_s.put(fingerprint, answered_s)
             suspect = self._suspects.get(fingerprint)
             if suspect is None or suspect.suspicion.is_empty:
@@ -148,7 +153,12 @@
             before = suspect.suspicion
             self._merge(Suspicion(fingerprint, answered_s=answered_s), self._clock_s())
             cleared_count = len(before.deaths | before.breaks)
-        log_event(Event.FINGERPRINT_CLEARED, fingerprint=fingerprint, observations=cleared_count)
+        log_event(
+            Event.FINGERPRINT_CLEARED,
+            fingerprint=fingerprint,
+            observations=cleared_count,
+            answered_s=answered_s,
+        )
 
     def admit(self, fingerprint: Fingerprint) -> Admission:
         """Return whether the request may be sent now, and as which trial.
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -14,6 +14,7 @@
 from result import Err
 from result import Ok
 
+from ..messages import BODILESS_STATUSES
 from ..messages import AnswerHead
 from ..messages import CompleteAnswer
 from ..messages import end_to_end_headers
@@ -131,16 +132,16 @@
 
     def _outcome_of_stream(self, reply: HttpReply) -> AttemptOutcome:
         incomplete_event = self._splitter.incomplete_event
-        has_framing = "content-length" in reply.headers or "transfer-encoding" in reply.headers
-        if incomplete_event and not has_framing:
+        if incomplete_event and not is_framed(reply):
             return self._interrupted(
                 "the stream ended in the middle of an event", is_connection_lost=True
             )
         if incomplete_event and not self._forward_events(incomplete_event, 0, ""):
             return CallerLeft()
         if not self._has_sent_head:
-            return Answered(CompleteAnswer(self._forwarded_head(reply), b""), is_failure=False)
-        return StreamEnded(self._event_count)
+            answer = CompleteAnswer(self._forwarded_head(reply), b"")
+            return Answered(answer, is_failure=False, is_framed=is_framed(reply))
+        return StreamEnded(self._event_count, is_framed(reply))
 
     def _outcome_of_failure(self, failure: HttpFailure) -> AttemptOutcome:
         if self._is_event_too_long:
@@ -155,6 +156,12 @@
         return StreamBroken(reason, self._last_event_id, self._event_count, is_connection_lost)
 
 
+def is_framed(reply: HttpReply) -> bool:
+    """Whether the end of an answer can be told from the end of its connection."""
+    is_chunked = "chunked" in reply.headers.get("transfer-encoding", "").lower()
+    return is_chunked or "content-length" in reply.headers or reply.status in BODILESS_STATUSES
+
+
 def answer_head(reply: HttpReply) -> AnswerHead:
     """Return the head of an answer without the headers of its connection."""
     return AnswerHead(reply.status, reply.reason, end_to_end_headers(reply.header_lines))
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -16,6 +16,7 @@
 from ..messages import end_to_end_headers
 from .attempt_call import AttemptCall
 from .attempt_call import answer_head
+from .attempt_call import is_framed
 from .outcome import Answered
 from .outcome import Lost
 from .outcome import NotRun
@@ -59,7 +60,8 @@
     """An attempt on an endpoint of this region.
 
     ``on_reply`` gets the status and the parsed headers of an answer to this request, before its
-    body.
+    body. ``has_ended`` returns whether the endpoint's process has just ended. It is asked after an
+    answer without a length or chunks, which then was broken off.
     """
 
     def __init__(
@@ -69,11 +71,13 @@
         attempt: EndpointAttempt,
         sink: StreamSink | None,
         on_reply: Callable[[int, ReplyMetadata], None],
+        has_ended: Callable[[], bool],
     ) -> None:
         super().__init__(loop, sink)
         self._adapter = adapter
         self._attempt = attempt
         self._on_reply = on_reply
+        self._has_ended = has_ended
         self._metadata: ReplyMetadata | None = None
         self._has_other_request_id = False
 
@@ -113,6 +117,9 @@
         if metadata is None:
             return Lost("the endpoint's answer has no head")
         is_success = 200 <= reply.status < 300
+        is_end_known = is_framed(reply) or self._attempt.request.method == "HEAD"
+        if not is_end_known and self._has_ended():
+            return self._interrupted("the endpoint ended with its answer", is_connection_lost=True)
         if metadata.is_not_run and not is_success:
             return NotRun(f"status {reply.status}, the request did not run", is_sent=True)
         if is_success and not metadata.is_signed:
@@ -122,7 +129,7 @@
         if reply.status in NOT_RUN_STATUSES:
             return Lost(f"status {reply.status} without proof that the request did not run")
         answer = CompleteAnswer(answer_head(reply), reply.body)
-        return Answered(answer, is_failure=reply.status >= 500)
+        return Answered(answer, is_failure=reply.status >= 500, is_framed=is_end_known)
 
     def _outcome_of_failure(self, failure: HttpFailure) -> AttemptOutcome:
         if self._has_other_request_id:
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/outcome.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/outcome.py
@@ -13,18 +13,25 @@
 class Answered:
     """A complete answer was received.
 
-    ``is_failure``: the answer reports a failure, and another endpoint may succeed.
+    ``is_failure``: the answer reports a failure, and another endpoint may succeed. ``is_framed``:
+    the answer had a length or chunks; otherwise it ended with its connection, which is also what a
+    crash of the endpoint looks like.
     """
 
     answer: CompleteAnswer
     is_failure: bool
+    is_framed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
 class StreamEnded:
-    """The stream was forwarded to its end. ``events`` is the number of forwarded events."""
+    """The stream was forwarded to its end.
+
+    ``events`` is the number of forwarded events, ``is_framed`` as in ``Answered``.
+    """
 
     events: int
+    is_framed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
@@ -84,7 +84,8 @@
     def apply_listing(self, keys: Collection[str]) -> None:
         """Forget that records were stored which a complete listing of the store lacks.
 
-        A store that returned from an older copy has lost its newest records. They are written again.
+        A store that returned from an older copy has lost its newest records. They are written
+        again.
         """
         with self._lock:
             self._stored = {
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -98,7 +98,8 @@
 
     ``at_s`` is the monotonic time and ``wall_s`` the wall-clock time of the loss.
     ``observation`` is the id of the recorded break or trial that a crash found later replaces, or
-    empty. ``has_begun``: the answer had begun, and the request is not on trial.
+    empty. ``has_begun``: the answer had begun, and the request is not on trial. ``is_answered``: an
+    answer without a length or chunks ended; it counts as complete once the run has outlived it.
     """
 
     at_s: float
@@ -108,6 +109,7 @@
     request_id: str
     observation: str
     has_begun: bool = False
+    is_answered: bool = False
 
 
 class CrashAttribution:
@@ -133,6 +135,7 @@
 
     def admit(self, fingerprint: Fingerprint) -> Admission:
         """Return whether a request may be sent now, and report a new trial to every gateway."""
+        self._accept_unframed_answers()
         admission = self._quarantine.admit(fingerprint)
         if admission.trial:
             self._report_suspicion(fingerprint)
@@ -165,9 +168,23 @@
                 self._add_unexplained(endpoint.run, suspect, request_id, suspect.trial)
             case Answered(answer) if not 200 <= answer.head.status < 300:
                 self.withdraw_trial(suspect)
+            case Answered(is_framed=False) | StreamEnded(is_framed=False):
+                self._add_unexplained(
+                    endpoint.run, suspect, request_id, suspect.trial, is_answered=True
+                )
             case Answered() | StreamEnded():
                 self._quarantine.clear(suspect.fingerprint)
 
+    def has_ended(self, endpoint: Endpoint) -> bool:
+        """Whether a run has ended unannounced: its port refuses or its entry is gone."""
+        if self._catalog.is_leaving(endpoint.run):
+            return False
+        with self._lock:
+            was_leaving = self._ended_runs.get(endpoint.run)
+        if was_leaving is not None:
+            return not was_leaving
+        return probe_port(endpoint.address) is PortState.REFUSED
+
     def note_run_ended(self, endpoint: Endpoint, was_leaving: bool) -> None:
         """Record that a run left the catalog and blame the requests lost on it shortly before.
 
@@ -188,7 +205,7 @@
             if now_s - loss.at_s <= ENTRY_EXPIRY_S:
                 confirm = (
                     self._quarantine.confirm_started_crash
-                    if loss.has_begun
+                    if loss.has_begun or (loss.is_answered and not loss.observation)
                     else self._quarantine.confirm_crash
                 )
                 confirm(loss.fingerprint, loss.observation, _crash_id(run, loss.wall_s))
@@ -200,6 +217,17 @@
                     "entry expired",
                 )
 
+    def _accept_unframed_answers(self) -> None:
+        """Clear requests whose endpoint still ran ``ENTRY_EXPIRY_S`` after an unframed answer."""
+        limit_s = time.monotonic() - ENTRY_EXPIRY_S
+        with self._lock:
+            expired = []
+            while self._unexplained and self._unexplained[0].at_s < limit_s:
+                expired.append(self._unexplained.popleft())
+        for loss in expired:
+            if loss.is_answered:
+                self._quarantine.clear(loss.fingerprint, int(loss.wall_s))
+
     def _find_verdict(self, endpoint: Endpoint, is_connection_broken: bool) -> Verdict:
         run = endpoint.run
         with self._lock:
@@ -265,6 +293,7 @@
         request_id: str,
         observation: str,
         has_begun: bool = False,
+        is_answered: bool = False,
     ) -> None:
         loss = _UnexplainedLoss(
             time.monotonic(),
@@ -274,6 +303,7 @@
             request_id,
             observation,
             has_begun,
+            is_answered,
         )
         with self._lock:
             self._unexplained.append(loss)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -288,6 +288,7 @@
                     else None
                 ),
                 lambda status, metadata: self._note_reply(endpoint, status, metadata, sent_s),
+                lambda: self.crash_attribution.has_ended(endpoint),
             )
             on_start(call)
             outcome = call.run()
