Do not store a service's cut answer as the answer of an at-most-once call

The same cause elsewhere: an answer without a length or chunks that ends with its endpoint was taken for complete by the product's own service calls, stored under its key and returned to the caller from then on. The endpoint's port is now probed after such an answer, as in the relay; refused, the call counts as sent without an answer, and its outcome is found by the service's look-up. Whether a reply is framed is told by the reply itself, for both interfaces, and the probe moves to the transport package.

Before: test_unframed_answer_that_ends_with_its_endpoint_is_not_stored_as_complete[True] failed; after: passes. The chats of the same interface end with a marker of their own and were not affected.

--- a/packages/primroseferry-gateway/src/primroseferry_gateway/service_call.py
+++ b/packages/primroseferry-gateway/src/primroseferry_gateway/service_call.py
@@ -9,6 +9,8 @@
 from primroseferry_transport.calls import FailureStage
 from primroseferry_transport.calls import Header
 from primroseferry_transport.calls import HttpCall
+from primroseferry_transport.port_probe import PortState
+from primroseferry_transport.port_probe import probe_port
 from result import Err
 from result import Ok
 
@@ -46,7 +48,11 @@
     timeout_ms: int,
     is_repeatable: bool,
 ) -> StoredAnswer | CallFailed:
-    """Run one call and wait until it completes, fails or times out after ``timeout_ms``."""
+    """Run one call and wait until it completes, fails or times out after ``timeout_ms``.
+
+    An answer without a length or chunks ends with its connection. If the endpoint ended too, the
+    answer was broken off.
+    """
     headers = [Header("X-Request-Id", request_id)]
     if request.content_type:
         headers.append(Header("Content-Type", request.content_type))
@@ -62,6 +68,10 @@
         is_repeatable=is_repeatable,
     )
     match loop.call(call):
+        case Ok(reply) if not reply.is_framed and (
+            probe_port(endpoint.address) is PortState.REFUSED
+        ):
+            return CallFailed("the endpoint ended with its answer", is_sent=True)
         case Ok(reply):
             return StoredAnswer(reply.status, reply.headers.get("content-type", ""), reply.body)
         case Err(failure):
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -14,7 +14,6 @@
 from result import Err
 from result import Ok
 
-from ..messages import BODILESS_STATUSES
 from ..messages import AnswerHead
 from ..messages import CompleteAnswer
 from ..messages import end_to_end_headers
@@ -132,7 +131,7 @@
 
     def _outcome_of_stream(self, reply: HttpReply) -> AttemptOutcome:
         incomplete_event = self._splitter.incomplete_event
-        if incomplete_event and not is_framed(reply):
+        if incomplete_event and not reply.is_framed:
             return self._interrupted(
                 "the stream ended in the middle of an event", is_connection_lost=True
             )
@@ -140,8 +139,8 @@
             return CallerLeft()
         if not self._has_sent_head:
             answer = CompleteAnswer(self._forwarded_head(reply), b"")
-            return Answered(answer, is_failure=False, is_framed=is_framed(reply))
-        return StreamEnded(self._event_count, is_framed(reply))
+            return Answered(answer, is_failure=False, is_framed=reply.is_framed)
+        return StreamEnded(self._event_count, reply.is_framed)
 
     def _outcome_of_failure(self, failure: HttpFailure) -> AttemptOutcome:
         if self._is_event_too_long:
@@ -156,12 +155,6 @@
         return StreamBroken(reason, self._last_event_id, self._event_count, is_connection_lost)
 
 
-def is_framed(reply: HttpReply) -> bool:
-    """Whether the end of an answer can be told from the end of its connection."""
-    is_chunked = "chunked" in reply.headers.get("transfer-encoding", "").lower()
-    return is_chunked or "content-length" in reply.headers or reply.status in BODILESS_STATUSES
-
-
 def answer_head(reply: HttpReply) -> AnswerHead:
     """Return the head of an answer without the headers of its connection."""
     return AnswerHead(reply.status, reply.reason, end_to_end_headers(reply.header_lines))
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -16,7 +16,6 @@
 from ..messages import end_to_end_headers
 from .attempt_call import AttemptCall
 from .attempt_call import answer_head
-from .attempt_call import is_framed
 from .outcome import Answered
 from .outcome import Lost
 from .outcome import NotRun
@@ -117,7 +116,7 @@
         if metadata is None:
             return Lost("the endpoint's answer has no head")
         is_success = 200 <= reply.status < 300
-        is_end_known = is_framed(reply) or self._attempt.request.method == "HEAD"
+        is_end_known = reply.is_framed or self._attempt.request.method == "HEAD"
         if not is_end_known and self._has_ended():
             return self._interrupted("the endpoint ended with its answer", is_connection_lost=True)
         if metadata.is_not_run and not is_success:
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -26,14 +26,14 @@
 from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
 from primroseferry_policy.suspicion import DEATHS_TO_QUARANTINE
+from primroseferry_transport.port_probe import PortState
+from primroseferry_transport.port_probe import probe_port
 
 from .attempts.outcome import Answered
 from .attempts.outcome import CallerLeft
 from .attempts.outcome import Lost
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
-from .endpoints.probe import PortState
-from .endpoints.probe import probe_port
 from .membership.datagrams import Blame
 
 if TYPE_CHECKING:
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/answer_channel.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/answer_channel.py
@@ -7,10 +7,10 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from primroseferry_transport.calls import BODILESS_STATUSES
 from primroseferry_transport.calls import Header
 from primroseferry_transport.socket_writer import SocketWriter
 
-from ..messages import BODILESS_STATUSES
 from ..messages import AnswerHead
 from ..messages import CompleteAnswer
 from ..messages import head_bytes
--- a/packages/primroseferry-relay/src/primroseferry_relay/messages.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/messages.py
@@ -28,7 +28,6 @@
         "upgrade",
     }
 )
-BODILESS_STATUSES = frozenset({204, 304})
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-transport/src/primroseferry_transport/calls.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/calls.py
@@ -13,6 +13,8 @@
 DEFAULT_CONNECT_TIMEOUT_MS = 1_000
 DEFAULT_TIMEOUT_MS = 10_000
 DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024
+# Statuses of replies that never have a body.
+BODILESS_STATUSES = frozenset({204, 304})
 
 
 class FailureStage(Enum):
@@ -80,6 +82,12 @@
     header_lines: tuple[Header, ...] = ()
     reason: str = ""
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether a length or chunks tell the end of the body from a broken connection."""
+        is_chunked = "chunked" in self.headers.get("transfer-encoding", "").lower()
+        return is_chunked or "content-length" in self.headers or self.status in BODILESS_STATUSES
+
     @property
     def content_type(self) -> str:
         """The reply's content type in lower case, or an empty string."""
