--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -25,6 +25,7 @@
 from primroseferry_core.hashing import request_fingerprint
 from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
+from primroseferry_policy.part_key import part_key
 from primroseferry_policy.suspicion import DEATHS_TO_QUARANTINE
 from primroseferry_transport.port_probe import PortState
 from primroseferry_transport.port_probe import probe_port
@@ -39,6 +40,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from primroseferry_core.ids import ServiceId
+    from primroseferry_policy.prompt import Generation
     from primroseferry_policy.quarantine import Admission
     from primroseferry_policy.quarantine import Quarantine
     from primroseferry_policy.quarantine import SuspicionReport
@@ -53,6 +56,7 @@
 ENTRY_EXPIRY_S = 10.0
 MAX_UNEXPLAINED = 4_096
 MAX_ENDED_RUNS = 1_024
+MAX_LOGGED_PARTS = 8
 CRASHED_DETAIL = "endpoints that ran this request crashed"
 _CREDENTIAL_HEADER = "authorization"
 
@@ -79,17 +83,29 @@
         """Report to every gateway all observations recorded against a request."""
 
 
+@dataclass(frozen=True, slots=True)
+class SuspectPart:
+    """A part of a request's prompt that other prompts may contain too.
+
+    ``key`` names it in the quarantine. ``depth`` is the number of parts before it.
+    """
+
+    key: Fingerprint
+    depth: int
+
+
 @dataclass(frozen=True, slots=True)
 class Suspect:
     """Identity and quarantine state of a request.
 
     ``trial`` is the id of the trial that the request is sent in, or empty. ``admitted_level`` is
-    its suspicion level at the time of admission.
+    its suspicion level at the time of admission. ``parts`` are the shared parts of its prompt.
     """
 
     fingerprint: Fingerprint
     trial: str = ""
     admitted_level: int = 0
+    parts: tuple[SuspectPart, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +121,7 @@
     at_s: float
     wall_s: float
     run: EndpointRun
-    fingerprint: Fingerprint
+    suspect: Suspect
     request_id: str
     observation: str
     has_begun: bool = False
@@ -208,11 +224,11 @@
                     if loss.has_begun or (loss.is_answered and not loss.observation)
                     else self._quarantine.confirm_crash
                 )
-                confirm(loss.fingerprint, loss.observation, _crash_id(run, loss.wall_s))
+                confirm(loss.suspect.fingerprint, loss.observation, _crash_id(run, loss.wall_s))
                 self._log_verdict(
                     Verdict.CRASH_FOUND_LATER,
                     run,
-                    loss.fingerprint,
+                    loss.suspect,
                     loss.request_id,
                     "entry expired",
                 )
@@ -226,7 +242,7 @@
                 expired.append(self._unexplained.popleft())
         for loss in expired:
             if loss.is_answered:
-                self._quarantine.clear(loss.fingerprint, int(loss.wall_s))
+                self._quarantine.clear(loss.suspect.fingerprint, int(loss.wall_s))
 
     def _find_verdict(self, endpoint: Endpoint, is_connection_broken: bool) -> Verdict:
         run = endpoint.run
@@ -245,7 +261,7 @@
         self, verdict: Verdict, run: EndpointRun, suspect: Suspect, request_id: str, reason: str
     ) -> None:
         fingerprint = suspect.fingerprint
-        self._log_verdict(verdict, run, fingerprint, request_id, reason)
+        self._log_verdict(verdict, run, suspect, request_id, reason)
         match verdict:
             case Verdict.CRASH:
                 crash = _crash_id(run, time.time())
@@ -299,7 +315,7 @@
             time.monotonic(),
             time.time(),
             run,
-            suspect.fingerprint,
+            suspect,
             request_id,
             observation,
             has_begun,
@@ -312,7 +328,7 @@
         self,
         verdict: Verdict,
         run: EndpointRun,
-        fingerprint: Fingerprint,
+        suspect: Suspect,
         request_id: str,
         reason: str,
     ) -> None:
@@ -326,13 +342,31 @@
         log_event(
             Event.FINGERPRINT_BLAMED if is_crash else Event.LOST_ATTEMPT_NOT_BLAMED,
             request_id=request_id,
-            fingerprint=fingerprint,
+            fingerprint=suspect.fingerprint,
+            parts=" ".join(part.key for part in suspect.parts[:MAX_LOGGED_PARTS]),
             endpoint=run.endpoint,
             verdict=verdict.value,
             reason=reason,
         )
 
 
+def suspect_of_request(
+    request: RelayRequest,
+    service: ServiceId,
+    generation: Generation,
+    fingerprint: Fingerprint | None = None,
+) -> Suspect:
+    """Return the identity of a request and of the shared parts of its prompt.
+
+    ``fingerprint`` is its fingerprint at the gateway that received it, ``None`` to derive it.
+    """
+    parts = tuple(
+        SuspectPart(part_key(service, part.part), depth)
+        for depth, part in enumerate(generation.shared_parts)
+    )
+    return Suspect(fingerprint or fingerprint_of_request(request), parts=parts)
+
+
 def fingerprint_of_request(request: RelayRequest) -> Fingerprint:
     """Return a hash of caller, target and body, equal when the caller repeats the request.
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -26,8 +26,7 @@
 from ..attempts.outcome import StreamEnded
 from ..control.peer_sync import CONTROL_PATH
 from ..crash_attribution import CRASHED_DETAIL
-from ..crash_attribution import Suspect
-from ..crash_attribution import fingerprint_of_request
+from ..crash_attribution import suspect_of_request
 from ..ingress.channel_sink import ChannelSink
 from ..local_attempts import AttemptPlan
 from ..messages import AnswerHead
@@ -179,19 +178,21 @@
         hop_request = self._hop_request
         service = table.services[hop_request.service]
         metadata = self._server._adapter.read_request(self._request.headers)
-        fingerprint = hop_request.fingerprint or fingerprint_of_request(self._request)
+        suspect = suspect_of_request(
+            self._request, hop_request.service, metadata.generation, hop_request.fingerprint
+        )
         crash_attribution = self._server._local.crash_attribution
         admission = (
             Admission(trial=hop_request.trial)
             if hop_request.trial
-            else crash_attribution.admit(fingerprint)
+            else crash_attribution.admit(suspect.fingerprint)
         )
         if admission.wait_s > 0:
             return NotRun(CRASHED_DETAIL, is_sent=False)
         plan = AttemptPlan(
             self._request,
             hop_request.request_id,
-            Suspect(fingerprint, admission.trial),
+            replace(suspect, trial=admission.trial),
             hop_request.service,
             metadata.generation,
             self._request.received_s + hop_request.deadline_ms / 1000,
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -20,8 +20,7 @@
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
 from .crash_attribution import CRASHED_DETAIL
-from .crash_attribution import Suspect
-from .crash_attribution import fingerprint_of_request
+from .crash_attribution import suspect_of_request
 from .ingress.answer_channel import ChannelState
 from .ingress.channel_sink import ChannelSink
 from .local_attempts import BASE_PRIORITY
@@ -125,11 +124,12 @@
         limit_ms = route.timeout_ms
         if metadata.deadline_ms is not None:
             limit_ms = min(limit_ms, metadata.deadline_ms)
-        record.fingerprint = fingerprint_of_request(request)
+        suspect = suspect_of_request(request, service.name, metadata.generation)
+        record.fingerprint = suspect.fingerprint
         self._plan = AttemptPlan(
             request,
             metadata.request_id,
-            Suspect(record.fingerprint),
+            suspect,
             service.name,
             metadata.generation,
             request.received_s + limit_ms / 1000,
@@ -185,7 +185,8 @@
             self._give_up_quarantined()
             return False
         level = self._policy.quarantine.level(fingerprint)
-        self._plan = replace(self._plan, suspect=Suspect(fingerprint, admission.trial, level))
+        suspect = replace(self._plan.suspect, trial=admission.trial, admitted_level=level)
+        self._plan = replace(self._plan, suspect=suspect)
         return True
 
     def _choose_option(self) -> LocalOption | RegionOption | None:
