Admit a request with everything it is suspected by in one call

No change of behaviour: the quarantine is asked by CrashAttribution.admit alone, which takes clocks and the port probe as arguments, so that tests can play crashes in simulated time.

--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -16,6 +16,7 @@
 from collections import Counter
 from collections import deque
 from dataclasses import dataclass
+from dataclasses import replace
 from enum import Enum
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -38,11 +39,11 @@
 from .membership.datagrams import Blame
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.prompt import Generation
-    from primroseferry_policy.quarantine import Admission
     from primroseferry_policy.quarantine import Quarantine
     from primroseferry_policy.quarantine import SuspicionReport
 
@@ -108,6 +109,14 @@
     parts: tuple[SuspectPart, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class Admittance:
+    """A request with its trial, and the seconds until it may be sent, 0 for now."""
+
+    suspect: Suspect
+    wait_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class _UnexplainedLoss:
     """A lost attempt without a proved cause.
@@ -132,8 +141,17 @@
     """Blames requests for endpoint crashes and counts the verdicts."""
 
     def __init__(
-        self, quarantine: Quarantine, catalog: EndpointCatalog, reporter: BlameReporter
+        self,
+        quarantine: Quarantine,
+        catalog: EndpointCatalog,
+        reporter: BlameReporter,
+        clock_s: Callable[[], float] = time.monotonic,
+        wall_clock_s: Callable[[], float] = time.time,
+        probe: Callable[[str], PortState] = probe_port,
     ) -> None:
+        self._clock_s = clock_s
+        self._wall_clock_s = wall_clock_s
+        self._probe = probe
         self._quarantine = quarantine
         self._catalog = catalog
         self._reporter = reporter
@@ -149,13 +167,21 @@
         with self._lock:
             return dict(self._verdicts)
 
-    def admit(self, fingerprint: Fingerprint) -> Admission:
-        """Return whether a request may be sent now, and report a new trial to every gateway."""
+    def admit(self, suspect: Suspect) -> Admittance:
+        """Return whether a request may be sent now, and report a new trial to every gateway.
+
+        A request that comes with the trial of another gateway was admitted there.
+        """
         self._accept_unframed_answers()
-        admission = self._quarantine.admit(fingerprint)
+        if suspect.trial:
+            return Admittance(suspect)
+        admission = self._quarantine.admit(suspect.fingerprint)
+        if admission.wait_s > 0:
+            return Admittance(suspect, admission.wait_s)
         if admission.trial:
-            self._report_suspicion(fingerprint)
-        return admission
+            self._report_suspicion(suspect.fingerprint)
+        level = self._quarantine.level(suspect.fingerprint)
+        return Admittance(replace(suspect, trial=admission.trial, admitted_level=level))
 
     def withdraw_trial(self, suspect: Suspect) -> None:
         """Withdraw the trial of a request, if it has one, because no endpoint was lost in it."""
@@ -199,7 +225,7 @@
             was_leaving = self._ended_runs.get(endpoint.run)
         if was_leaving is not None:
             return not was_leaving
-        return probe_port(endpoint.address) is PortState.REFUSED
+        return self._probe(endpoint.address) is PortState.REFUSED
 
     def note_run_ended(self, endpoint: Endpoint, was_leaving: bool) -> None:
         """Record that a run left the catalog and blame the requests lost on it shortly before.
@@ -208,7 +234,7 @@
         leaving causes no blame.
         """
         run = endpoint.run
-        now_s = time.monotonic()
+        now_s = self._clock_s()
         with self._lock:
             self._ended_runs.put(run, was_leaving)
             losses = [loss for loss in self._unexplained if loss.run == run]
@@ -235,7 +261,7 @@
 
     def _accept_unframed_answers(self) -> None:
         """Clear requests whose endpoint still ran ``ENTRY_EXPIRY_S`` after an unframed answer."""
-        limit_s = time.monotonic() - ENTRY_EXPIRY_S
+        limit_s = self._clock_s() - ENTRY_EXPIRY_S
         with self._lock:
             expired = []
             while self._unexplained and self._unexplained[0].at_s < limit_s:
@@ -254,7 +280,7 @@
             return Verdict.CRASH
         if not is_connection_broken:
             return Verdict.UNEXPLAINED
-        is_refused = probe_port(endpoint.address) is PortState.REFUSED
+        is_refused = self._probe(endpoint.address) is PortState.REFUSED
         return Verdict.CRASH if is_refused else Verdict.BREAK
 
     def _record_loss(
@@ -264,22 +290,24 @@
         self._log_verdict(verdict, run, suspect, request_id, reason)
         match verdict:
             case Verdict.CRASH:
-                crash = _crash_id(run, time.time())
+                crash = _crash_id(run, self._wall_clock_s())
                 self._quarantine.confirm_crash(fingerprint, suspect.trial, crash)
                 self._reporter.send_blame(Blame(fingerprint, crash))
             case Verdict.CRASH_AFTER_START if not suspect.trial:
-                self._quarantine.confirm_started_crash(fingerprint, "", _crash_id(run, time.time()))
+                self._quarantine.confirm_started_crash(
+                    fingerprint, "", _crash_id(run, self._wall_clock_s())
+                )
                 self._report_repeated_loss(fingerprint)
             case Verdict.BREAK if not suspect.trial:
-                observation = _new_break_id()
+                observation = _new_break_id(self._wall_clock_s())
                 self._quarantine.record_break(fingerprint, observation)
                 self._add_unexplained(run, suspect, request_id, observation)
             case Verdict.BREAK_AFTER_START if not suspect.trial:
-                observation = _new_break_id()
+                observation = _new_break_id(self._wall_clock_s())
                 self._quarantine.record_break(fingerprint, observation)
                 self._add_unexplained(run, suspect, request_id, observation, has_begun=True)
             case Verdict.CRASH_AFTER_START:
-                crash = _crash_id(run, time.time())
+                crash = _crash_id(run, self._wall_clock_s())
                 self._quarantine.confirm_crash(fingerprint, suspect.trial, crash)
                 self._report_suspicion(fingerprint)
             case Verdict.BREAK | Verdict.UNEXPLAINED | Verdict.BREAK_AFTER_START:
@@ -312,8 +340,8 @@
         is_answered: bool = False,
     ) -> None:
         loss = _UnexplainedLoss(
-            time.monotonic(),
-            time.time(),
+            self._clock_s(),
+            self._wall_clock_s(),
             run,
             suspect,
             request_id,
@@ -380,8 +408,8 @@
     return Fingerprint(request_fingerprint(caller, request.target, request.body))
 
 
-def _new_break_id() -> str:
-    return f"{secrets.token_hex(4)}@{int(time.time())}"
+def _new_break_id(wall_s: float) -> str:
+    return f"{secrets.token_hex(4)}@{int(wall_s)}"
 
 
 def _crash_id(run: EndpointRun, wall_s: float) -> str:
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -13,7 +13,6 @@
 from primroseferry_core.errors import Problem
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
-from primroseferry_policy.quarantine import Admission
 from primroseferry_transport.calls import Header
 from primroseferry_transport.disconnect_watch import watch_disconnect
 
@@ -182,17 +181,13 @@
             self._request, hop_request.service, metadata.generation, hop_request.fingerprint
         )
         crash_attribution = self._server._local.crash_attribution
-        admission = (
-            Admission(trial=hop_request.trial)
-            if hop_request.trial
-            else crash_attribution.admit(suspect.fingerprint)
-        )
-        if admission.wait_s > 0:
+        admittance = crash_attribution.admit(replace(suspect, trial=hop_request.trial))
+        if admittance.wait_s > 0:
             return NotRun(CRASHED_DETAIL, is_sent=False)
         plan = AttemptPlan(
             self._request,
             hop_request.request_id,
-            replace(suspect, trial=admission.trial),
+            admittance.suspect,
             hop_request.service,
             metadata.generation,
             self._request.received_s + hop_request.deadline_ms / 1000,
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -179,14 +179,11 @@
 
     def _is_admitted(self) -> bool:
         """Return whether the quarantine admits the request; answer it if not."""
-        fingerprint = self._plan.suspect.fingerprint
-        admission = self._context.local.crash_attribution.admit(fingerprint)
-        if admission.wait_s > 0:
+        admittance = self._context.local.crash_attribution.admit(self._plan.suspect)
+        if admittance.wait_s > 0:
             self._give_up_quarantined()
             return False
-        level = self._policy.quarantine.level(fingerprint)
-        suspect = replace(self._plan.suspect, trial=admission.trial, admitted_level=level)
-        self._plan = replace(self._plan, suspect=suspect)
+        self._plan = replace(self._plan, suspect=admittance.suspect)
         return True
 
     def _choose_option(self) -> LocalOption | RegionOption | None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_crash_request_recurrence.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_crash_request_recurrence.py
@@ -64,12 +64,11 @@
         """Send the request to a random gateway, which runs it if its quarantine admits it."""
         number = self._random.randrange(len(self._attributions))
         attribution = self._attributions[number]
-        admission = attribution.admit(DEADLY)
-        if admission.wait_s > 0:
+        admittance = attribution.admit(Suspect(DEADLY))
+        if admittance.wait_s > 0:
             return
         self.crash_times_s.append(self.fleet.clock.now_s)
-        suspect = Suspect(DEADLY, admission.trial)
-        attribution.record_outcome(self._endpoint(), suspect, "r", self._outcome)
+        attribution.record_outcome(self._endpoint(), admittance.suspect, "r", self._outcome)
 
     def exchange(self) -> None:
         """Let each gateway receive what the others hold."""
