--- a/packages/primroseferry-relay/tests/relay_tests/fleet_simulation.py
+++ b/packages/primroseferry-relay/tests/relay_tests/fleet_simulation.py
@@ -37,6 +37,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from primroseferry_core.ids import Fingerprint
     from primroseferry_policy.prompt import PromptPart
@@ -85,13 +86,15 @@
 class RecordingFeed:
     """Records what an exchange passes to its feed."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self, clock: Callable[[], float] = time.monotonic, trial_waits_s: Sequence[float] = ()
+    ) -> None:
         self.loads: dict[EndpointHash, OpenWork] = {}
         self.own: Mapping[EndpointHash, OpenWork] = {}
         self.parts: list[tuple[EndpointHash, tuple[PromptPart, ...]]] = []
         self.remote_parts: list[object] = []
         self.blames: list[Blame] = []
-        self.quarantine = Quarantine(clock)
+        self.quarantine = Quarantine(clock, trial_waits_s=trial_waits_s, wall_clock_s=clock)
         self.leaving: list[EndpointRun] = []
         self.lost = 0
 
@@ -122,8 +125,11 @@
 class FleetSimulation:
     """Gateways in regions on a network with delays, losses and partitions."""
 
-    def __init__(self, seed: int = 1, loss: float = 0.002) -> None:
+    def __init__(
+        self, seed: int = 1, loss: float = 0.002, trial_waits_s: Sequence[float] = ()
+    ) -> None:
         self.clock = Clock()
+        self._trial_waits_s = trial_waits_s
         self.gateways: dict[str, SimulatedGateway] = {}
         self.sent: Counter[str] = Counter()
         self.sent_bytes: Counter[str] = Counter()
@@ -144,7 +150,7 @@
         peers = PeerTable(InstanceId(name), RegionId(region), self.clock)
         peers.own_state = GatewayState.READY
         peers.add_candidates(seeds)
-        feed = RecordingFeed(self.clock)
+        feed = RecordingFeed(self.clock, self._trial_waits_s)
         base = Peer(
             InstanceId(name),
             IncarnationId(incarnation),
@@ -234,13 +240,18 @@
                 each()
 
     def _run_until(self, until_s: float) -> None:
+        running = {
+            member.name: member
+            for member in self.gateways.values()
+            if member.is_running and not member.is_frozen
+        }
+        # A tick that has moved leaves an outdated entry, which is skipped.
+        ticks = [(member.next_tick_s, name) for name, member in running.items()]
+        heapq.heapify(ticks)
         while True:
-            running = [
-                member
-                for member in self.gateways.values()
-                if member.is_running and not member.is_frozen
-            ]
-            tick = min((member.next_tick_s for member in running), default=until_s)
+            while ticks and ticks[0][0] != running[ticks[0][1]].next_tick_s:
+                heapq.heappop(ticks)
+            tick = ticks[0][0] if ticks else until_s
             arrival = self._events[0][0] if self._events else until_s
             now_s = min(tick, arrival, until_s)
             self.clock.now_s = max(self.clock.now_s, now_s)
@@ -248,20 +259,20 @@
                 return
             if arrival <= tick:
                 _, _, receiver, data = heapq.heappop(self._events)
-                gateway = self.gateways.get(receiver.partition(":")[0])
-                if gateway is not None and gateway.is_running:
-                    if gateway.is_frozen:
-                        continue
-                    self.received[gateway.name] += 1
-                    gateway.exchange.receive(data)
-                    gateway.next_tick_s = min(
-                        gateway.next_tick_s, self.clock.now_s + gateway.exchange.due_in_s()
-                    )
+                gateway = running.get(receiver.partition(":")[0])
+                if gateway is None:
+                    continue
+                self.received[gateway.name] += 1
+                gateway.exchange.receive(data)
+                due_s = self.clock.now_s + gateway.exchange.due_in_s()
+                if due_s < gateway.next_tick_s:
+                    gateway.next_tick_s = due_s
+                    heapq.heappush(ticks, (due_s, gateway.name))
                 continue
-            for member in running:
-                if member.next_tick_s <= now_s:
-                    member.exchange.tick()
-                    member.next_tick_s = self.clock.now_s + max(0.001, member.exchange.due_in_s())
+            member = running[heapq.heappop(ticks)[1]]
+            member.exchange.tick()
+            member.next_tick_s = self.clock.now_s + max(0.001, member.exchange.due_in_s())
+            heapq.heappush(ticks, (member.next_tick_s, member.name))
 
     def _send(self, sender: str, receiver: str, data: bytes) -> None:
         name = sender.partition(":")[0]
