Hold back a part of prompts that crashes endpoints, and no other

Callers: requests that share one part of their prompts, each of them new, ended one endpoint after the other, and the sound streams on it with them. Cause: suspicions were kept by request only, so each such request had one or two crashes against it and was never sent again, while the next one was.

Each crash is now held against all shared parts of the prompts that were lost in it, by the same kind of record that requests have, exchanged and stored in the same way; a complete answer clears all parts of its prompt. Which parts are held is a function of the records alone (crashing_parts.py): the part that explains the crashes best since its last complete answer, the deepest of those that explain the same, at least three crashes over two seconds (or six), and none where two parts at the same depth cannot be told apart. Crashes that it explains are no longer held against others. So the part that begins every prompt, and parts that ran beside, are served. A request with a held part is refused at once with 503 and the time of the next trial. Evidence that is not yet two crashes is exchanged by digests only, the rest by at most five datagrams a second to each gateway. Records of parts have a table of their own (512).

--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -82,6 +82,12 @@
         "issuer of an endpoint's permits timed out, asking the next gateway for a while",
     )
     ENDPOINT_ANSWER_MALFORMED = (5024, "warning", "endpoint's answer could not be decoded, ignored")
+    PROMPT_PART_HELD = (
+        5025,
+        "error",
+        "part of prompts crashes endpoints, requests with it refused",
+    )
+    PROMPT_PART_RELEASED = (5026, "info", "part of prompts no longer held to crash endpoints")
     KEY_CLAIMED = (6001, "info", "idempotency key claimed in the key-value service")
     KEY_CLAIM_FAILED = (6002, "warning", "idempotency key could not be claimed")
     OPERATION_DISPATCHED = (6003, "info", "at-most-once operation dispatched")
--- /dev/null
+++ b/packages/primroseferry-policy/src/primroseferry_policy/crashing_parts.py
@@ -0,0 +1,111 @@
+"""Finds the parts of prompts that crash endpoints, among those that were lost in crashes.
+
+Each crash is held against all shared parts of the prompts that ran on the endpoint, and a complete
+answer clears all parts of its prompt. Sound parts collect crashes too: they precede the part that
+crashes endpoints, or ran beside it. What distinguishes that part is that it was there in every
+crash and never had a complete answer since.
+"""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from typing import TYPE_CHECKING
+
+from .suspicion import DEATHS_TO_QUARANTINE
+from .suspicion import MAX_OBSERVATIONS
+from .suspicion import crash_seconds
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from primroseferry_core.ids import Fingerprint
+
+    from .suspicion import Suspicion
+
+MIN_CRASHES = 3
+# Endpoints that fail together, as in the loss of a failure domain, are no evidence against a part:
+# its crashes span this time, unless there are very many.
+MIN_SPAN_S = 2
+BURST_CRASHES = 6
+# Two parts that cannot be told apart are both held after this many crashes over this time.
+INDISTINCT_CRASHES = 5
+INDISTINCT_SPAN_S = 5
+# A part may have crashes that the part behind it does not explain, by other causes.
+MAX_UNRELATED_CRASHES = 1
+# A crash this long after the one before it is the result of a trial.
+MIN_TRIAL_GAP_S = 5
+
+
+def find_crashing_parts(suspicions: Iterable[Suspicion]) -> dict[Fingerprint, int]:
+    """Return the parts that explain the crashes, each with its suspicion level.
+
+    The result depends on the set of suspicions only, so gateways that hold the same ones agree. Of
+    parts that explain the same crashes, the one deepest in its prompts counts: a part that begins
+    every prompt of a service is not held for the crashes of a part behind it.
+    """
+    known = {suspicion.fingerprint: suspicion for suspicion in suspicions}
+    crashes = {key: crash_seconds(suspicion.deaths) for key, suspicion in known.items()}
+    unexplained = {key: set(found) for key, found in crashes.items() if len(found) >= MIN_CRASHES}
+    levels: dict[Fingerprint, int] = {}
+    while candidates := [
+        key for key, open_crashes in unexplained.items() if _is_enough(open_crashes, crashes[key])
+    ]:
+        most = max(candidates, key=lambda key: (len(unexplained[key]), known[key].depth, key))
+        related = [
+            key
+            for key in candidates
+            if len(unexplained[key]) >= len(unexplained[most]) - MAX_UNRELATED_CRASHES
+            and unexplained[key] & unexplained[most]
+        ]
+        culprit = max(related, key=lambda key: (known[key].depth, len(unexplained[key]), key))
+        explained = unexplained[culprit]
+        indistinct = [
+            key
+            for key in unexplained
+            if known[key].depth == known[culprit].depth and unexplained[key] >= explained
+        ]
+        if len(indistinct) == 1 or _is_persistent(explained, crashes[culprit]):
+            for key in indistinct:
+                levels[key] = _level(crashes[key].values())
+        for key in indistinct:
+            del unexplained[key]
+        for key in list(unexplained):
+            _remove_explained(unexplained[key], crashes[key], explained, crashes[culprit])
+    return levels
+
+
+def _remove_explained(
+    unexplained: set[str],
+    seconds: dict[str, int],
+    explained: set[str],
+    explained_seconds: dict[str, int],
+) -> None:
+    unexplained -= explained
+    if len(explained_seconds) < MAX_OBSERVATIONS:
+        return
+    # The culprit's older crashes are no longer held.
+    oldest_s = min(explained_seconds.values())
+    unexplained -= {crash for crash in unexplained if seconds[crash] <= oldest_s}
+
+
+def _is_enough(crashes: set[str], seconds: dict[str, int]) -> bool:
+    if len(crashes) < MIN_CRASHES:
+        return False
+    return len(crashes) >= BURST_CRASHES or _span_s(crashes, seconds) >= MIN_SPAN_S
+
+
+def _is_persistent(crashes: set[str], seconds: dict[str, int]) -> bool:
+    is_long = _span_s(crashes, seconds) >= INDISTINCT_SPAN_S
+    return len(crashes) >= INDISTINCT_CRASHES and is_long
+
+
+def _span_s(crashes: set[str], seconds: dict[str, int]) -> int:
+    times_s = [seconds[crash] for crash in crashes]
+    return max(times_s) - min(times_s)
+
+
+def _level(times_s: Iterable[int]) -> int:
+    """Return the level of a held part: it grows with each trial that ended in a crash."""
+    later = sorted(times_s)[MIN_CRASHES - 1 :]
+    trials = sum(after - before >= MIN_TRIAL_GAP_S for before, after in pairwise(later))
+    return DEATHS_TO_QUARANTINE + trials
--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -23,6 +23,8 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
+from .crashing_parts import find_crashing_parts
+from .part_key import is_part_key
 from .suspicion import DEATHS_TO_QUARANTINE
 from .suspicion import Suspicion
 from .suspicion import started_crash_id
@@ -40,9 +42,12 @@
 # gateway or the store keeps a retracted observation; otherwise the observation would come back.
 CLEARED_TTL_S = 600.0
 MAX_SUSPECTS = 1_024
+# The same for parts of prompts, which have records of their own beside those of requests.
+MAX_SUSPECT_PARTS = 512
 # Requests whose last complete answer is remembered. Crashes before that answer may be reported
 # after it and must not count.
 MAX_ANSWERED_REQUESTS = 2_048
+MAX_ANSWERED_PARTS = 4_096
 EXPIRY_INTERVAL_S = 1.0
 _HASH_FORMAT = struct.Struct(">Q")
 
@@ -63,11 +68,21 @@
     trial: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class PartLoss:
+    """A part of a prompt that was lost, its depth, and the trial that it was on, empty for none."""
+
+    key: Fingerprint
+    depth: int
+    trial: str = ""
+
+
 @dataclass(slots=True)
 class _Suspect:
     suspicion: Suspicion
     content_hash: int
     updated_s: float
+    weight: int = 0
 
 
 class Quarantine:
@@ -91,7 +106,11 @@
         self._trial_waits_s = tuple(trial_waits_s)
         self._wall_clock_s = wall_clock_s
         self._last_answer_s: BoundedMap[Fingerprint, int] = BoundedMap(MAX_ANSWERED_REQUESTS)
+        self._part_last_answer_s: BoundedMap[Fingerprint, int] = BoundedMap(MAX_ANSWERED_PARTS)
         self._suspects: dict[Fingerprint, _Suspect] = {}
+        self._parts: set[Fingerprint] = set()
+        self._part_levels: dict[Fingerprint, int] = {}
+        self._has_changed_parts = False
         self._version = 0
         self._next_expiry_s = float("-inf")
         self._lock = threading.Lock()
@@ -122,6 +141,25 @@
             added = Suspicion(fingerprint, frozenset({death}), retracted=replaced)
             self._merge(added, self._clock_s())
 
+    def blame_parts(self, losses: Sequence[PartLoss], crash: str) -> list[SuspicionReport]:
+        """Add a crash in which a prompt with these parts was lost; return their suspicions.
+
+        Parts that had a complete answer since the crash are left out.
+        """
+        with self._lock:
+            self._expire()
+            for loss in losses:
+                replaced = frozenset({loss.trial} - {""})
+                deaths = frozenset({crash})
+                added = Suspicion(loss.key, deaths, retracted=replaced, depth=loss.depth)
+                self._merge(added, self._clock_s())
+            suspects = [self._suspects.get(loss.key) for loss in losses]
+            return [
+                self._report(suspect)
+                for suspect in suspects
+                if suspect is not None and crash in suspect.suspicion.deaths
+            ]
+
     def confirm_started_crash(self, fingerprint: Fingerprint, observation: str, crash: str) -> None:
         """Replace a broken connection, empty for none, by a crash after the answer began."""
         with self._lock:
@@ -145,8 +183,9 @@
         with self._lock:
             if answered_s is None:
                 answered_s = int(self._wall_clock_s())
-            answered_s = max(answered_s, self._last_answer_s.get(fingerprint) or 0)
-            self._last_answer_s.put(fingerprint, answered_s)
+            last_answer_s = self._last_answers(fingerprint)
+            answered_s = max(answered_s, last_answer_s.get(fingerprint) or 0)
+            last_answer_s.put(fingerprint, answered_s)
             suspect = self._suspects.get(fingerprint)
             if suspect is None or suspect.suspicion.is_empty:
                 return
@@ -170,14 +209,15 @@
         with self._lock:
             self._expire()
             suspect = self._suspects.get(fingerprint)
-            if suspect is None or suspect.suspicion.level < DEATHS_TO_QUARANTINE:
+            if suspect is None or self._level(suspect.suspicion) < DEATHS_TO_QUARANTINE:
                 return Admission()
             remaining_s = self._remaining_wait_s(suspect)
             if remaining_s > 0:
                 return Admission(remaining_s)
             trial = f"trial-{secrets.token_hex(4)}@{int(self._wall_clock_s())}"
             after = self._merge(Suspicion(fingerprint, frozenset({trial})), self._clock_s())
-        log_event(Event.FINGERPRINT_ON_TRIAL, fingerprint=fingerprint, level=after.level)
+            level = self._level(after)
+        log_event(Event.FINGERPRINT_ON_TRIAL, fingerprint=fingerprint, level=level)
         return Admission(trial=trial)
 
     def level(self, fingerprint: Fingerprint) -> int:
@@ -185,7 +225,7 @@
         with self._lock:
             self._expire()
             suspect = self._suspects.get(fingerprint)
-            return suspect.suspicion.level if suspect is not None else 0
+            return self._level(suspect.suspicion) if suspect is not None else 0
 
     def is_quarantined(self, fingerprint: Fingerprint) -> bool:
         """Whether the request must not be sent to a further endpoint now."""
@@ -194,11 +234,14 @@
             suspect = self._suspects.get(fingerprint)
             return suspect is not None and self._remaining_wait_s(suspect) > 0
 
-    def wait_s(self, fingerprint: Fingerprint) -> float:
-        """Return the seconds until the next trial of a quarantined request, 0 for all others."""
+    def wait_s(self, fingerprint: Fingerprint, trial_delay_s: float = 0.0) -> float:
+        """Return the seconds until the next trial of a quarantined request, 0 for all others.
+
+        ``trial_delay_s`` is how much later than the first gateway the asking one may try it.
+        """
         with self._lock:
             suspect = self._suspects.get(fingerprint)
-            return self._remaining_wait_s(suspect) if suspect is not None else 0.0
+            return self._remaining_wait_s(suspect, trial_delay_s) if suspect is not None else 0.0
 
     def is_suspected(self, fingerprint: Fingerprint) -> bool:
         """Whether any observation counts against the request."""
@@ -217,9 +260,16 @@
             return sorted(
                 fingerprint
                 for fingerprint, suspect in self._suspects.items()
-                if self._remaining_wait_s(suspect) > 0
+                if fingerprint not in self._parts and self._remaining_wait_s(suspect) > 0
             )
 
+    def held_parts(self) -> list[Fingerprint]:
+        """Return the parts of prompts that crash endpoints, on trial or not, sorted."""
+        with self._lock:
+            self._expire()
+            self._update_part_levels()
+            return sorted(self._part_levels)
+
     @property
     def version(self) -> int:
         """A hash of all records, 0 if there are none; equal for gateways with the same records."""
@@ -269,17 +319,19 @@
             return [
                 self._report(suspect)
                 for suspect in suspects
-                if suspect.suspicion.level >= DEATHS_TO_QUARANTINE
+                if self._level(suspect.suspicion) >= DEATHS_TO_QUARANTINE
             ]
 
     def repeated(self) -> list[SuspicionReport]:
-        """Return the suspicions with more than one loss, including all at quarantine level."""
+        """Return requests that were lost more than once, and the parts that are held."""
         with self._lock:
             self._expire()
+            self._update_part_levels()
             return [
                 self._report(suspect)
-                for suspect in self._suspects.values()
-                if suspect.suspicion.is_repeated
+                for name, suspect in self._suspects.items()
+                if name in self._part_levels
+                or (name not in self._parts and suspect.suspicion.is_repeated)
             ]
 
     def find(self, fingerprint: Fingerprint) -> SuspicionReport | None:
@@ -294,7 +346,7 @@
     def _merge(self, added: Suspicion, updated_s: float) -> Suspicion:
         suspect = self._suspects.get(added.fingerprint)
         before = suspect.suspicion if suspect is not None else Suspicion(added.fingerprint)
-        answered_s = self._last_answer_s.get(added.fingerprint)
+        answered_s = self._last_answers(added.fingerprint).get(added.fingerprint)
         if answered_s is not None:
             added = added.merged_with(Suspicion(added.fingerprint, answered_s=answered_s))
         after = before.merged_with(added)
@@ -303,11 +355,15 @@
         if suspect is None:
             suspect = self._suspects[added.fingerprint] = _Suspect(after, 0, updated_s)
         suspect.suspicion = after
+        suspect.weight = after.weight
         suspect.updated_s = max(suspect.updated_s, updated_s)
         self._version ^= suspect.content_hash
         suspect.content_hash = after.content_hash
         self._version ^= suspect.content_hash
-        if before.level < after.level and after.level >= DEATHS_TO_QUARANTINE:
+        if is_part_key(added.fingerprint):
+            self._parts.add(added.fingerprint)
+            self._has_changed_parts |= before.deaths != after.deaths
+        elif before.level < after.level and after.level >= DEATHS_TO_QUARANTINE:
             log_event(
                 Event.FINGERPRINT_QUARANTINED,
                 fingerprint=added.fingerprint,
@@ -316,17 +372,64 @@
                 breaks=len(after.breaks),
                 wait_s=self._wait_s(after.level),
             )
-        if len(self._suspects) > MAX_SUSPECTS:
-            weakest = min(
-                self._suspects.values(), key=lambda item: (item.suspicion.level, item.updated_s)
-            )
-            self._forget(weakest.suspicion.fingerprint)
+        self._evict_weakest()
         return after
 
+    def _evict_weakest(self) -> None:
+        requests = len(self._suspects) - len(self._parts)
+        if requests <= MAX_SUSPECTS and len(self._parts) <= MAX_SUSPECT_PARTS:
+            return
+        names = self._parts if requests <= MAX_SUSPECTS else self._suspects.keys() - self._parts
+        weakest = min(
+            (self._suspects[name] for name in names),
+            key=lambda item: (
+                self._part_levels.get(item.suspicion.fingerprint, 0),
+                item.weight,
+                item.updated_s,
+            ),
+        )
+        self._forget(weakest.suspicion.fingerprint)
+
+    def _update_part_levels(self) -> None:
+        """Find the parts that crash endpoints anew, if a crash or an answer has changed them."""
+        if not self._has_changed_parts:
+            return
+        self._has_changed_parts = False
+        before = self._part_levels
+        self._part_levels = find_crashing_parts(
+            self._suspects[name].suspicion for name in self._parts
+        )
+        for key, level in self._part_levels.items():
+            if level > before.get(key, 0):
+                crashes = sorted(self._suspects[key].suspicion.deaths)
+                log_event(
+                    Event.PROMPT_PART_HELD,
+                    part=key,
+                    level=level,
+                    crashes=" ".join(crashes),
+                    wait_s=self._wait_s(level),
+                )
+        for key in before.keys() - self._part_levels.keys():
+            log_event(Event.PROMPT_PART_RELEASED, part=key)
+
+    def _last_answers(self, fingerprint: Fingerprint) -> BoundedMap[Fingerprint, int]:
+        return self._part_last_answer_s if is_part_key(fingerprint) else self._last_answer_s
+
+    def _level(self, suspicion: Suspicion) -> int:
+        """Return the level of a request, or of a part, which depends on all suspected parts."""
+        if is_part_key(suspicion.fingerprint):
+            self._update_part_levels()
+            return self._part_levels.get(suspicion.fingerprint, 0)
+        return suspicion.level
+
     def _forget(self, fingerprint: Fingerprint) -> None:
         suspect = self._suspects.pop(fingerprint, None)
-        if suspect is not None:
-            self._version ^= suspect.content_hash
+        if suspect is None:
+            return
+        self._version ^= suspect.content_hash
+        if fingerprint in self._parts:
+            self._parts.discard(fingerprint)
+            self._has_changed_parts |= bool(suspect.suspicion.deaths)
 
     def _expire(self) -> None:
         now_s = self._clock_s()
@@ -345,7 +448,7 @@
         ttl_s = self._ttl_s
         if suspicion.is_empty:
             ttl_s = min(CLEARED_TTL_S, ttl_s)
-        elif suspicion.level >= DEATHS_TO_QUARANTINE:
+        elif self._level(suspicion) >= DEATHS_TO_QUARANTINE:
             ttl_s = max(ttl_s, *self._trial_waits_s, 0.0)
         return now_s - updated_s > ttl_s
 
@@ -355,12 +458,13 @@
         step = min(level - DEATHS_TO_QUARANTINE, len(self._trial_waits_s) - 1)
         return self._trial_waits_s[step]
 
-    def _remaining_wait_s(self, suspect: _Suspect) -> float:
+    def _remaining_wait_s(self, suspect: _Suspect, trial_delay_s: float = 0.0) -> float:
         """Return the seconds until the next trial, 0 if the request need not wait."""
-        level = suspect.suspicion.level
+        level = self._level(suspect.suspicion)
         if level < DEATHS_TO_QUARANTINE:
             return 0.0
-        return max(0.0, suspect.updated_s + self._wait_s(level) - self._clock_s())
+        trial_s = suspect.updated_s + self._wait_s(level) + trial_delay_s
+        return max(0.0, trial_s - self._clock_s())
 
 
 def _unpack_hashes(content_hashes: bytes) -> set[int]:
--- a/packages/primroseferry-policy/src/primroseferry_policy/suspicion.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/suspicion.py
@@ -21,6 +21,7 @@
 STARTED_CRASH_WEIGHT = 4
 BREAK_WEIGHT = 3
 SAME_DEATH_WINDOW_S = 3
+UNKNOWN_RUN_WINDOW_S = 5
 _STARTED_PREFIX = "began:"
 # Limit for each kind of observation; the newest are retained.
 MAX_OBSERVATIONS = 16
@@ -29,7 +30,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Suspicion:
-    """Observations about one request; ``retracted`` has those that no longer count.
+    """Observations about one request, or about one part of prompts.
+
+    ``retracted`` has those that no longer count. ``depth`` is how many parts precede a part in a
+    prompt, at most; 0 for a request.
 
     A crash is written ``endpoint/run@seconds`` or ``endpoint@seconds``, a broken connection
     ``number@seconds``, where seconds is the wall-clock time of the loss. A crash after the answer
@@ -44,6 +48,7 @@
     breaks: frozenset[str] = field(default=frozenset())
     retracted: frozenset[str] = field(default=frozenset())
     answered_s: int = 0
+    depth: int = 0
 
     @property
     def level(self) -> int:
@@ -74,7 +79,10 @@
     def content_hash(self) -> int:
         """A 63-bit hash of the content; equal suspicions have equal hashes."""
         parts = [self.fingerprint, *sorted(self.deaths), "", *sorted(self.breaks), ""]
-        content = "\0".join([*parts, *sorted(self.retracted), "", str(self.answered_s)])
+        parts += [*sorted(self.retracted), "", str(self.answered_s)]
+        if self.depth:  # Earlier releases hash suspicions without it.
+            parts.append(str(self.depth))
+        content = "\0".join(parts)
         return xxhash.xxh3_64_intdigest(content.encode()) >> 1
 
     def merged_with(self, other: Suspicion) -> Suspicion:
@@ -87,6 +95,7 @@
             _newest(_newer_than(self.breaks | other.breaks, answered_s) - retracted),
             retracted,
             answered_s,
+            max(self.depth, other.depth),
         )
 
 
@@ -122,6 +131,24 @@
     return count
 
 
+def crash_seconds(deaths: Iterable[str]) -> dict[str, int]:
+    """Return the distinct crashes, each with the second of its first observation.
+
+    The names are equal for all requests and parts that were lost in one crash. Crashes of an
+    endpoint whose runs are unknown are one if they fall into the same few seconds.
+
+    >>> crash_seconds(["engine-1/7@102", "engine-1/7@101", "engine-2/1@101"])
+    {'engine-1/7': 101, 'engine-2/1': 101}
+    """
+    seconds: dict[str, int] = {}
+    for death in sorted(deaths):
+        source, second = _source_and_second(death)
+        if _RUN_SEPARATOR not in source:
+            source = f"{source}@{second // UNKNOWN_RUN_WINDOW_S}"
+        seconds[source] = min(second, seconds.get(source, second))
+    return seconds
+
+
 def _newer_than(observations: frozenset[str], answered_s: int) -> frozenset[str]:
     return frozenset(
         observation
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -27,7 +27,9 @@
 from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
 from primroseferry_policy.part_key import part_key
+from primroseferry_policy.quarantine import PartLoss
 from primroseferry_policy.suspicion import DEATHS_TO_QUARANTINE
+from primroseferry_policy.token_bucket import TokenBucket
 from primroseferry_transport.port_probe import PortState
 from primroseferry_transport.port_probe import probe_port
 
@@ -37,10 +39,12 @@
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
 from .membership.datagrams import Blame
+from .membership.suspicion_sync import SUSPICIONS_PER_DATAGRAM
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.prompt import Generation
@@ -58,6 +62,11 @@
 MAX_UNEXPLAINED = 4_096
 MAX_ENDED_RUNS = 1_024
 MAX_LOGGED_PARTS = 8
+TRIAL_STAGGER_S = 1.0
+# Suspicions against parts that this gateway sends to all others by itself. Where many endpoints end
+# at once, the rest is exchanged with the other suspicions.
+MAX_PART_REPORTS_PER_S = 5.0
+HELD_PART_DETAIL = "endpoints that ran prompts with one of its parts crashed"
 CRASHED_DETAIL = "endpoints that ran this request crashed"
 _CREDENTIAL_HEADER = "authorization"
 
@@ -80,19 +89,22 @@
     def send_blame(self, blame: Blame) -> None:
         """Report to every gateway that an endpoint crashed while it ran a request."""
 
-    def send_suspicion(self, report: SuspicionReport) -> None:
-        """Report to every gateway all observations recorded against a request."""
+    def send_suspicions(self, reports: Sequence[SuspicionReport]) -> None:
+        """Report to every gateway all observations recorded against requests or parts."""
 
 
 @dataclass(frozen=True, slots=True)
 class SuspectPart:
     """A part of a request's prompt that other prompts may contain too.
 
-    ``key`` names it in the quarantine. ``depth`` is the number of parts before it.
+    ``key`` names it in the quarantine. ``depth`` is the number of parts before it. ``trial`` and
+    ``admitted_level`` are as in ``Suspect``.
     """
 
     key: Fingerprint
     depth: int
+    trial: str = ""
+    admitted_level: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,13 +120,35 @@
     admitted_level: int = 0
     parts: tuple[SuspectPart, ...] = ()
 
+    @property
+    def is_on_trial(self) -> bool:
+        """Whether the request is a trial of itself or of a part of its prompt."""
+        return bool(self.trial) or any(part.trial for part in self.parts)
+
+    def with_trials(self, trial: str, part_trials: Mapping[Fingerprint, str]) -> Suspect:
+        """Return the request on the given trials; parts that have none keep no trial."""
+        parts = tuple(replace(part, trial=part_trials.get(part.key, "")) for part in self.parts)
+        return replace(self, trial=trial, parts=parts)
+
+    def without_trials_of(self, other: Suspect) -> Suspect:
+        """Return the request without the trials that ``other``, the same request, is on."""
+        own = {part.key: part.trial for part in self.parts}
+        for part in other.parts:
+            if part.trial:
+                own[part.key] = ""
+        return self.with_trials("" if other.trial else self.trial, own)
+
 
 @dataclass(frozen=True, slots=True)
 class Admittance:
-    """A request with its trial, and the seconds until it may be sent, 0 for now."""
+    """A request with its trials, and the seconds until it may be sent, 0 for now.
+
+    ``held_part`` is the part of its prompt for which it must wait, empty for none.
+    """
 
     suspect: Suspect
     wait_s: float = 0.0
+    held_part: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +182,13 @@
         clock_s: Callable[[], float] = time.monotonic,
         wall_clock_s: Callable[[], float] = time.time,
         probe: Callable[[str], PortState] = probe_port,
+        trial_rank: Callable[[str], int | None] = lambda _key: 0,
     ) -> None:
+        """``trial_rank`` returns this gateway's place among all for trials of a part."""
+        self._trial_rank = trial_rank
+        self._part_reports = TokenBucket(
+            MAX_PART_REPORTS_PER_S, MAX_PART_REPORTS_PER_S, clock_s, MAX_PART_REPORTS_PER_S
+        )
         self._clock_s = clock_s
         self._wall_clock_s = wall_clock_s
         self._probe = probe
@@ -168,15 +208,18 @@
             return dict(self._verdicts)
 
     def admit(self, suspect: Suspect) -> Admittance:
-        """Return whether a request may be sent now, and report a new trial to every gateway.
+        """Return whether a request may be sent now, and report new trials to every gateway.
 
         A request that comes with the trial of another gateway was admitted there.
         """
         self._accept_unframed_answers()
-        if suspect.trial:
-            return Admittance(suspect)
+        admittance = self._admit_parts(suspect)
+        suspect = admittance.suspect
+        if admittance.wait_s > 0 or suspect.trial:
+            return admittance
         admission = self._quarantine.admit(suspect.fingerprint)
         if admission.wait_s > 0:
+            self.withdraw_trial(suspect)
             return Admittance(suspect, admission.wait_s)
         if admission.trial:
             self._report_suspicion(suspect.fingerprint)
@@ -184,14 +227,65 @@
         return Admittance(replace(suspect, trial=admission.trial, admitted_level=level))
 
     def withdraw_trial(self, suspect: Suspect) -> None:
-        """Withdraw the trial of a request, if it has one, because no endpoint was lost in it."""
+        """Withdraw the trials that a request is on, because no endpoint was lost in them."""
         if suspect.trial:
             self._quarantine.retract(suspect.fingerprint, suspect.trial)
+        for part in suspect.parts:
+            if part.trial:
+                self._quarantine.retract(part.key, part.trial)
 
     def is_quarantined_since(self, suspect: Suspect) -> bool:
-        """Whether a request's suspicion level rose after admission and reached quarantine."""
-        level = self._quarantine.level(suspect.fingerprint)
-        return level >= DEATHS_TO_QUARANTINE and level > suspect.admitted_level
+        """Whether the request, or a part of it, reached quarantine or a higher level of it.
+
+        What counts is the level since the request was admitted.
+        """
+        admitted = [(suspect.fingerprint, suspect.admitted_level)]
+        admitted += [(part.key, part.admitted_level) for part in suspect.parts]
+        return any(
+            (level := self._quarantine.level(key)) >= DEATHS_TO_QUARANTINE and level > before
+            for key, before in admitted
+        )
+
+    def held_part(self, suspect: Suspect) -> SuspectPart | None:
+        """Return a part of the request's prompt that is held back now, ``None`` if none is."""
+        for part in suspect.parts:
+            if self._quarantine.is_quarantined(part.key):
+                return part
+        return None
+
+    def _admit_parts(self, suspect: Suspect) -> Admittance:
+        """Admit the shared parts of a prompt, all or none of them."""
+        held = [
+            part
+            for part in suspect.parts
+            if not part.trial and self._quarantine.level(part.key) >= DEATHS_TO_QUARANTINE
+        ]
+        for part in held:
+            wait_s = self._part_wait_s(part)
+            if wait_s > 0:
+                return Admittance(suspect, wait_s, part.key)
+        on_trial: dict[Fingerprint, SuspectPart] = {}
+        for part in held:
+            admission = self._quarantine.admit(part.key)
+            if admission.wait_s > 0:
+                self.withdraw_trial(replace(suspect, trial="", parts=tuple(on_trial.values())))
+                return Admittance(suspect, admission.wait_s, part.key)
+            level = self._quarantine.level(part.key)
+            on_trial[part.key] = replace(part, trial=admission.trial, admitted_level=level)
+            self._report_suspicion(part.key)
+        parts = tuple(on_trial.get(part.key, part) for part in suspect.parts)
+        return Admittance(replace(suspect, parts=parts))
+
+    def _part_wait_s(self, part: SuspectPart) -> float:
+        """Return the seconds until this gateway may send a prompt with a held part on trial.
+
+        Prompts with the part come to all gateways at once. They may try it one after the other, in
+        groups that double, so that two trials at the same time are rare.
+        """
+        rank = self._trial_rank(part.key)
+        if rank is None:
+            return max(TRIAL_STAGGER_S, self._quarantine.wait_s(part.key))
+        return self._quarantine.wait_s(part.key, rank.bit_length() * TRIAL_STAGGER_S)
 
     def record_outcome(
         self, endpoint: Endpoint, suspect: Suspect, request_id: str, outcome: AttemptOutcome
@@ -215,7 +309,7 @@
                     endpoint.run, suspect, request_id, suspect.trial, is_answered=True
                 )
             case Answered() | StreamEnded():
-                self._quarantine.clear(suspect.fingerprint)
+                self._clear(suspect, None)
 
     def has_ended(self, endpoint: Endpoint) -> bool:
         """Whether a run has ended unannounced: its port refuses or its entry is gone."""
@@ -250,7 +344,9 @@
                     if loss.has_begun or (loss.is_answered and not loss.observation)
                     else self._quarantine.confirm_crash
                 )
-                confirm(loss.suspect.fingerprint, loss.observation, _crash_id(run, loss.wall_s))
+                crash = _crash_id(run, loss.wall_s)
+                confirm(loss.suspect.fingerprint, loss.observation, crash)
+                self._blame_parts(loss.suspect, crash)
                 self._log_verdict(
                     Verdict.CRASH_FOUND_LATER,
                     run,
@@ -268,7 +364,7 @@
                 expired.append(self._unexplained.popleft())
         for loss in expired:
             if loss.is_answered:
-                self._quarantine.clear(loss.suspect.fingerprint, int(loss.wall_s))
+                self._clear(loss.suspect, int(loss.wall_s))
 
     def _find_verdict(self, endpoint: Endpoint, is_connection_broken: bool) -> Verdict:
         run = endpoint.run
@@ -288,6 +384,8 @@
     ) -> None:
         fingerprint = suspect.fingerprint
         self._log_verdict(verdict, run, suspect, request_id, reason)
+        if verdict in (Verdict.CRASH, Verdict.CRASH_AFTER_START):
+            self._blame_parts(suspect, _crash_id(run, self._wall_clock_s()))
         match verdict:
             case Verdict.CRASH:
                 crash = _crash_id(run, self._wall_clock_s())
@@ -315,10 +413,25 @@
             case Verdict.LEAVING:
                 self.withdraw_trial(suspect)
 
+    def _clear(self, suspect: Suspect, answered_s: int | None) -> None:
+        self._quarantine.clear(suspect.fingerprint, answered_s)
+        for part in suspect.parts:
+            self._quarantine.clear(part.key, answered_s)
+
+    def _blame_parts(self, suspect: Suspect, crash: str) -> None:
+        """Hold a crash against the shared parts of a prompt; report those that had one before."""
+        if not suspect.parts:
+            return
+        losses = [PartLoss(part.key, part.depth, part.trial) for part in suspect.parts]
+        reports = self._quarantine.blame_parts(losses, crash)
+        repeated = [report for report in reports if report.suspicion.is_repeated]
+        if repeated and self._part_reports.take() == 0:
+            self._reporter.send_suspicions(repeated[:SUSPICIONS_PER_DATAGRAM])
+
     def _report_suspicion(self, fingerprint: Fingerprint) -> None:
         suspicion = self._quarantine.find(fingerprint)
         if suspicion is not None:
-            self._reporter.send_suspicion(suspicion)
+            self._reporter.send_suspicions([suspicion])
 
     def _report_repeated_loss(self, fingerprint: Fingerprint) -> None:
         """Report a request that was lost more than once since its last complete answer.
@@ -328,7 +441,7 @@
         """
         suspicion = self._quarantine.find(fingerprint)
         if suspicion is not None and suspicion.suspicion.is_repeated:
-            self._reporter.send_suspicion(suspicion)
+            self._reporter.send_suspicions([suspicion])
 
     def _add_unexplained(
         self,
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
@@ -49,7 +49,8 @@
 
     ``deadline_ms`` is the time in ms that remains when the request is sent. ``excluded`` are the
     endpoints that must not be tried. ``fingerprint`` identifies the request in the quarantine.
-    ``trial`` is the quarantine trial that admits the request, empty for none.
+    ``trial`` is the quarantine trial that admits the request, empty for none. ``part_trials`` are
+    those of parts of its prompt, as pairs of the part's key and the trial.
     """
 
     hop_id: str
@@ -65,6 +66,7 @@
     excluded: tuple[EndpointId, ...]
     fingerprint: Fingerprint = Fingerprint("")
     trial: str = ""
+    part_trials: tuple[tuple[str, str], ...] = ()
 
     def encode(self) -> str:
         """Return the value of the ``X-Primroseferry-Hop`` header as JSON."""
@@ -89,11 +91,18 @@
             excluded=_decode_endpoints(data["excluded"]),
             fingerprint=Fingerprint(str(data.get("fingerprint", ""))),
             trial=str(data.get("trial", "")),
+            part_trials=_decode_part_trials(data.get("part_trials", [])),
         )
     except (ValueError, KeyError, TypeError):
         return None
 
 
+def _decode_part_trials(value: object) -> tuple[tuple[str, str], ...]:
+    if not isinstance(value, list):
+        raise TypeError("the trials of parts are not a list")
+    return tuple((str(key), str(trial)) for key, trial in value)
+
+
 def _decode_endpoints(value: object) -> tuple[EndpointId, ...]:
     if not isinstance(value, list):
         raise TypeError("the excluded endpoints are not a list")
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -12,6 +12,7 @@
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import Problem
 from primroseferry_core.events import Event
+from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
 from primroseferry_transport.calls import Header
 from primroseferry_transport.disconnect_watch import watch_disconnect
@@ -181,7 +182,9 @@
             self._request, hop_request.service, metadata.generation, hop_request.fingerprint
         )
         crash_attribution = self._server._local.crash_attribution
-        admittance = crash_attribution.admit(replace(suspect, trial=hop_request.trial))
+        part_trials = {Fingerprint(key): trial for key, trial in hop_request.part_trials}
+        suspect = suspect.with_trials(hop_request.trial, part_trials)
+        admittance = crash_attribution.admit(suspect)
         if admittance.wait_s > 0:
             return NotRun(CRASHED_DETAIL, is_sent=False)
         plan = AttemptPlan(
@@ -227,8 +230,7 @@
             attempts += not outcome.is_permit_denied
             permits_denied += outcome.is_permit_denied
         if isinstance(outcome, NotRun):
-            if not hop_request.trial:
-                crash_attribution.withdraw_trial(plan.suspect)
+            crash_attribution.withdraw_trial(plan.suspect.without_trials_of(suspect))
             send_s = self._server._local.earliest_send_s(service, plan.is_urgent)
             return replace(outcome, retry_after_s=send_s or None)
         return outcome
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -113,6 +113,7 @@
             excluded,
             plan.suspect.fingerprint,
             plan.suspect.trial,
+            tuple((part.key, part.trial) for part in plan.suspect.parts if part.trial),
         )
         call = HopCall(self._loop, option.peer.address.hop, plan.request, hop_request, sink)
         key = (option.region, plan.service)
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -341,6 +341,7 @@
             self._store.counts(),
             self._local.crash_attribution.verdicts(),
             len(self._policy.quarantine.quarantined()),
+            len(self._policy.quarantine.held_parts()),
             {
                 run.endpoint: limit_per_s
                 for run, limit_per_s in self._policy.request_limits.in_force().items()
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
@@ -53,6 +53,7 @@
     store_calls: Mapping[StoreCallLabels, int]
     crash_verdicts: Mapping[Verdict, int]
     quarantined: int
+    held_parts: int
     request_limits: Mapping[str, float]
     permits: Mapping[PermitOutcome, int]
 
@@ -113,6 +114,7 @@
             ("store_age_seconds", "Since the store last answered.", gauges.store_age_ms / 1000),
             ("collected_members", "Gateways that tell this one.", gauges.collected_members),
             ("quarantined_requests", "Requests that are given no endpoint.", gauges.quarantined),
+            ("held_prompt_parts", "Parts of prompts that crash endpoints.", gauges.held_parts),
             ("log_lines_dropped", "Log lines dropped lately.", gauges.log_lines_dropped),
         ):
             gauge = Gauge(f"primroseferry_{name}", text, registry=registry)
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/state_dump.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/state_dump.py
@@ -34,17 +34,18 @@
     return {
         "circuits": circuits,
         "quarantined": policy.quarantine.quarantined(),
+        "held_parts": policy.quarantine.held_parts(),
         "suspicions": [
-            _suspicion_fields(record) for record in policy.quarantine.at_quarantine_level()
+            _suspicion_fields(policy, record) for record in policy.quarantine.at_quarantine_level()
         ],
     }
 
 
-def _suspicion_fields(record: SuspicionReport) -> dict[str, object]:
+def _suspicion_fields(policy: RelayPolicy, record: SuspicionReport) -> dict[str, object]:
     suspicion = record.suspicion
     return {
         "fingerprint": suspicion.fingerprint,
-        "level": suspicion.level,
+        "level": policy.quarantine.level(suspicion.fingerprint),
         "deaths": sorted(suspicion.deaths),
         "breaks": len(suspicion.breaks),
         "age_s": round(record.age_s, 1),
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -155,7 +155,9 @@
         self._policy = policy
         self._reporter = reporter
         self._permits = permits
-        self.crash_attribution = CrashAttribution(policy.quarantine, catalog, reporter)
+        self.crash_attribution = CrashAttribution(
+            policy.quarantine, catalog, reporter, trial_rank=peers.own_rank
+        )
 
     def rank(
         self,
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -491,7 +491,7 @@
 def encode_suspicion(entry: SuspicionReport) -> list[Any]:
     """Return the fields of a suspicion, as sent and as written to the store."""
     suspicion = entry.suspicion
-    return [
+    fields: list[Any] = [
         suspicion.fingerprint,
         sorted(suspicion.deaths),
         sorted(suspicion.breaks),
@@ -499,6 +499,7 @@
         round(max(0.0, entry.age_s), 1),
         suspicion.answered_s,
     ]
+    return [*fields, suspicion.depth] if suspicion.depth else fields
 
 
 def decode_suspicion(fields: Any) -> SuspicionReport:
@@ -513,6 +514,7 @@
             frozenset(map(_string, breaks)),
             frozenset(map(_string, retracted)),
             _non_negative_int(answered_s),
+            _optional_int(fields, 6) or 0,
         ),
         float(age_s),
     )
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -50,6 +50,7 @@
     from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import InstanceId
@@ -267,9 +268,9 @@
         for address in self._peers.report_addresses() * 2:
             self._send(address, data)
 
-    def send_suspicion(self, suspicion: SuspicionReport) -> None:
-        """Send a suspicion to every gateway, twice because datagrams can be lost."""
-        data = encode(Suspicions((suspicion,)))
+    def send_suspicions(self, suspicions: Sequence[SuspicionReport]) -> None:
+        """Send a few suspicions to every gateway, twice because datagrams can be lost."""
+        data = encode(Suspicions(tuple(suspicions)))
         for address in self._peers.report_addresses() * 2:
             self._send(address, data)
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -197,6 +197,16 @@
         with self._lock:
             return 3 * size > self._region_size.add(size)
 
+    def own_rank(self, key: str) -> int | None:
+        """Return this gateway's place among all live ones in the rendezvous order of ``key``.
+
+        The result is ``None`` if this gateway has just started and may not know all others yet.
+        """
+        if self._is_discovering:
+            return None
+        names = [*(str(peer.instance) for peer in self.live()), str(self.own_instance)]
+        return rendezvous_order(key, names).index(str(self.own_instance))
+
     def order_by_key(self, key: str) -> list[InstanceId]:
         """Return the ready gateways of the own region in the rendezvous order of ``key``.
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.quarantine import Quarantine
@@ -107,9 +108,9 @@
         """Send a blame to every gateway."""
         self._exchange.send_blame(blame)
 
-    def send_suspicion(self, suspicion: SuspicionReport) -> None:
+    def send_suspicions(self, suspicions: Sequence[SuspicionReport]) -> None:
         """Send a suspicion to every gateway."""
-        self._exchange.send_suspicion(suspicion)
+        self._exchange.send_suspicions(suspicions)
 
     def send_endpoint_leaving(self, run: EndpointRun) -> None:
         """Send a leaving endpoint to the region's gateways."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -20,6 +20,7 @@
 from .attempts.outcome import StreamBroken
 from .attempts.outcome import StreamEnded
 from .crash_attribution import CRASHED_DETAIL
+from .crash_attribution import HELD_PART_DETAIL
 from .crash_attribution import suspect_of_request
 from .ingress.answer_channel import ChannelState
 from .ingress.channel_sink import ChannelSink
@@ -251,7 +252,7 @@
     def _must_stop_sending(self) -> bool:
         """Whether the request has used its trial or was quarantined after its admission."""
         suspect = self._plan.suspect
-        is_trial_used = bool(suspect.trial) and self._progress.may_have_run
+        is_trial_used = suspect.is_on_trial and self._progress.may_have_run
         return is_trial_used or self._context.local.crash_attribution.is_quarantined_since(suspect)
 
     def _may_send_again(self) -> bool:
@@ -374,7 +375,15 @@
         if self._progress.last_failure is not None:
             self._send_answer(self._progress.last_failure)
             return
-        wait_s = self._policy.quarantine.wait_s(self._plan.suspect.fingerprint)
+        suspect = self._plan.suspect
+        wait_s = self._policy.quarantine.wait_s(suspect.fingerprint)
+        part = self._context.local.crash_attribution.held_part(suspect)
+        if part is not None:
+            self._record.held_part = part.key
+            wait_s = max(wait_s, self._policy.quarantine.wait_s(part.key))
+        if part is not None and not self._progress.may_have_run:
+            self._give_up(Problem(ErrorKind.NO_ENDPOINT, HELD_PART_DETAIL), wait_s)
+            return
         self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, CRASHED_DETAIL), wait_s or None)
 
     def _give_up_after_failure(self, detail: str) -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/crashing_part_world.py
+++ b/packages/primroseferry-relay/tests/relay_tests/crashing_part_world.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from primroseferry_policy.quarantine import SuspicionReport
     from primroseferry_relay.membership.datagrams import Blame
@@ -220,6 +221,7 @@
             self.fleet.clock,
             self.fleet.clock,
             self._probe,
+            gateway.peers.own_rank,
         )
 
     def _probe(self, address: str) -> PortState:
@@ -251,6 +253,8 @@
         fingerprint = Fingerprint(f"request-{next(self._numbers)}")
         admittance = self._attributions[name].admit(Suspect(fingerprint, parts=parts))
         has_begun = admittance.wait_s <= 0 and self._attempt(prompt, name, admittance.suspect, 1)
+        if admittance.wait_s <= 0 and not has_begun:
+            self._attributions[name].withdraw_trial(admittance.suspect)
         if not prompt.crashing:
             self.sound.append(SoundRequest(self.now_s, prompt.parts[0], has_begun))
 
@@ -324,5 +328,5 @@
     def send_blame(self, blame: Blame) -> None:
         self._exchange.send_blame(blame)
 
-    def send_suspicion(self, report: SuspicionReport) -> None:
-        self._exchange.send_suspicion(report)
+    def send_suspicions(self, reports: Sequence[SuspicionReport]) -> None:
+        self._exchange.send_suspicions(reports)
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -178,8 +178,8 @@
     def send_blame(self, blame: Blame) -> None:
         self.blames.append(blame)
 
-    def send_suspicion(self, report: SuspicionReport) -> None:
-        self.suspicions.append(report)
+    def send_suspicions(self, reports: Sequence[SuspicionReport]) -> None:
+        self.suspicions += reports
 
     def send_endpoint_leaving(self, run: EndpointRun) -> None:
         self.leaving.append(run)
--- a/packages/primroseferry-relay/tests/relay_tests/test_relay_metrics.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_relay_metrics.py
@@ -7,7 +7,7 @@
 from primroseferry_relay.lifecycle.relay_metrics import RelayMetrics
 from primroseferry_relay.membership.request_permits import PermitOutcome
 
-GAUGES = RelayGauges(3, 4, 5, 6, 7.0, 0, 2, {}, {}, 0, {"e-1": 1.5}, {PermitOutcome.DENIED: 2})
+GAUGES = RelayGauges(3, 4, 5, 6, 7.0, 0, 2, {}, {}, 0, 0, {"e-1": 1.5}, {PermitOutcome.DENIED: 2})
 
 
 def test_metrics_page_is_served_after_the_first_scrape() -> None:
