Join only events that go on after the last one to a stream, and forward no unsigned one

Reported by other operators: a stream had begun and broke off, the next endpoint answered with an error, and callers found its text in the midst of their stream, or the stream ended as if it were complete. Statuses other than 2xx were handled here, but the events of a 2xx answer are forwarded as they arrive, before the answer is evaluated: a signed 200 that is no event stream, one that starts anew at the first event, and an unsigned stream (also as the first answer) reached the caller.

The first events of a resumed attempt must have an id above the one that it resumes after, else the attempt is lost and nothing of it is forwarded; a stream without a signature is stopped at its head.

--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -18,6 +18,7 @@
 from ..messages import CompleteAnswer
 from ..messages import end_to_end_headers
 from .event_splitter import EventSplitter
+from .event_splitter import parse_events
 from .outcome import Answered
 from .outcome import AttemptOutcome
 from .outcome import CallerLeft
@@ -31,6 +32,13 @@
     from primroseferry_transport.curl_loop import CurlLoop
     from primroseferry_transport.curl_loop import PendingCall
 
+    from .event_splitter import CompleteEvents
+
+
+OTHER_STREAM_REASON = "the answer does not continue the stream"
+# Longer ids are compared as text only.
+MAX_ID_DIGITS = 18
+
 
 class StreamSink(Protocol):
     """Receives the events of a stream.
@@ -49,12 +57,16 @@
     """Runs one HTTP call and returns its outcome.
 
     With a ``sink``, the answer is a stream and each complete event is forwarded as it arrives.
-    Without one, the answer is buffered. ``first_byte_s`` is the monotonic time of the answer's
-    head, ``None`` before it. ``ended_by_deadline`` is set when the call failed at its time limit.
+    Without one, the answer is buffered. ``resumed_after`` is the id after which a resumed stream
+    must go on, empty for none; an answer that does not is not forwarded. ``first_byte_s`` is the
+    monotonic time of the answer's head, ``None`` before it. ``ended_by_deadline`` is set when the
+    call failed at its time limit.
     """
 
-    def __init__(self, loop: CurlLoop, sink: StreamSink | None) -> None:
+    def __init__(self, loop: CurlLoop, sink: StreamSink | None, resumed_after: str = "") -> None:
         self._loop = loop
+        self._resumed_after = resumed_after
+        self._is_other_stream = False
         self._sink = sink
         self._splitter = EventSplitter()
         self._head: HttpReply | None = None
@@ -113,18 +125,21 @@
         if complete is None:
             self._is_event_too_long = self._splitter.is_event_too_long
             return not self._is_event_too_long
-        return self._forward_events(complete.data, complete.count, complete.last_event_id)
+        return self._forward_events(complete)
 
-    def _forward_events(self, data: bytes, count: int, last_event_id: str) -> bool:
+    def _forward_events(self, events: CompleteEvents) -> bool:
         if self._is_cancelled or self._sink is None or self._head is None:
             return False
+        if not self._has_sent_head and not _continues(events, self._resumed_after):
+            self._is_other_stream = True
+            return False
         if not self._has_sent_head and not self._sink.begin(self._forwarded_head(self._head)):
             self._is_stopped_by_sink = True
             return False
         self._has_sent_head = True
-        self._event_count += count
-        self._last_event_id = last_event_id or self._last_event_id
-        if not self._sink.write(data):
+        self._event_count += events.count
+        self._last_event_id = events.last_event_id or self._last_event_id
+        if not self._sink.write(events.data):
             self._is_stopped_by_sink = True
             return False
         return True
@@ -135,7 +150,9 @@
             return self._interrupted(
                 "the stream ended in the middle of an event", is_connection_lost=True
             )
-        if incomplete_event and not self._forward_events(incomplete_event, 0, ""):
+        if incomplete_event and not self._forward_events(parse_events(incomplete_event)):
+            if self._is_other_stream:
+                return self._interrupted(OTHER_STREAM_REASON)
             return CallerLeft()
         if not self._has_sent_head:
             answer = CompleteAnswer(self._forwarded_head(reply), b"")
@@ -143,6 +160,8 @@
         return StreamEnded(self._event_count, reply.is_framed)
 
     def _outcome_of_failure(self, failure: HttpFailure) -> AttemptOutcome:
+        if self._is_other_stream:
+            return self._interrupted(OTHER_STREAM_REASON)
         if self._is_event_too_long:
             return self._interrupted("an event of the answer exceeds the size limit")
         if failure.stage is FailureStage.NOT_SENT:
@@ -155,6 +174,20 @@
         return StreamBroken(reason, self._last_event_id, self._event_count, is_connection_lost)
 
 
+def _continues(events: CompleteEvents, resumed_after: str) -> bool:
+    """Whether the first events of an answer follow the event with the id ``resumed_after``."""
+    if not resumed_after:
+        return True
+    first = events.first_event_id
+    if all(_is_number(event_id) for event_id in (first, resumed_after)):
+        return int(first) > int(resumed_after)
+    return first not in ("", resumed_after)
+
+
+def _is_number(event_id: str) -> bool:
+    return event_id.isascii() and event_id.isdecimal() and len(event_id) <= MAX_ID_DIGITS
+
+
 def answer_head(reply: HttpReply) -> AnswerHead:
     """Return the head of an answer without the headers of its connection."""
     return AnswerHead(reply.status, reply.reason, end_to_end_headers(reply.header_lines))
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primroseferry_transport.calls import FailureStage
 from primroseferry_transport.calls import HttpCall
 
 from ..messages import CompleteAnswer
@@ -37,6 +38,7 @@
 
 # Endpoints are in the same region: a connection that takes longer is unlikely to succeed soon.
 CONNECT_TIMEOUT_MS = 400
+UNSIGNED_REASON = "the answer is not signed by the endpoint"
 # Statuses that assure the caller that its request has not run and will not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -72,7 +74,7 @@
         on_reply: Callable[[int, ReplyMetadata], None],
         has_ended: Callable[[], bool],
     ) -> None:
-        super().__init__(loop, sink)
+        super().__init__(loop, sink, attempt.options.last_event_id)
         self._adapter = adapter
         self._attempt = attempt
         self._on_reply = on_reply
@@ -109,7 +111,8 @@
         if self._has_other_request_id:
             return False
         self._on_reply(head.status, self._metadata)
-        return True
+        # The events of a stream are forwarded before its answer is evaluated.
+        return self._sink is None or self._metadata.is_signed or not 200 <= head.status < 300
 
     def _outcome_of_reply(self, reply: HttpReply) -> AttemptOutcome:
         metadata = self._metadata
@@ -122,7 +125,7 @@
         if metadata.is_not_run and not is_success:
             return NotRun(f"status {reply.status}, the request did not run", is_sent=True)
         if is_success and not metadata.is_signed:
-            return Lost("the answer is not signed by the endpoint")
+            return Lost(UNSIGNED_REASON)
         if is_success and self._sink is not None:
             return self._outcome_of_stream(reply)
         if reply.status in NOT_RUN_STATUSES:
@@ -130,7 +133,13 @@
         answer = CompleteAnswer(answer_head(reply), reply.body)
         return Answered(answer, is_failure=reply.status >= 500, is_framed=is_end_known)
 
+    @property
+    def _is_signed(self) -> bool:
+        return self._metadata is not None and self._metadata.is_signed
+
     def _outcome_of_failure(self, failure: HttpFailure) -> AttemptOutcome:
         if self._has_other_request_id:
             return Lost("the endpoint's answer belongs to another request")
+        if failure.stage is FailureStage.STOPPED_BY_CALLER and not self._is_signed:
+            return Lost(UNSIGNED_REASON)
         return super()._outcome_of_failure(failure)
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/event_splitter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/event_splitter.py
@@ -14,12 +14,14 @@
 class CompleteEvents:
     """One or more complete events as bytes.
 
-    ``count`` is their number. ``last_event_id`` is the last id among them, empty for none.
+    ``count`` is their number. ``last_event_id`` is the last id among them, ``first_event_id`` that
+    of the first of them; both are empty for none.
     """
 
     data: bytes
     count: int
     last_event_id: str
+    first_event_id: str
 
 
 class EventSplitter:
@@ -27,7 +29,7 @@
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2")
-    CompleteEvents(data=b'id: 1\ndata: a\n\n', count=1, last_event_id='1')
+    CompleteEvents(data=b'id: 1\ndata: a\n\n', count=1, last_event_id='1', first_event_id='1')
     >>> splitter.incomplete_event
     b'id: 2'
     """
@@ -54,16 +56,16 @@
             return None
         complete = bytes(self._pending[:end])
         del self._pending[:end]
-        count, last_id = _count_events(complete)
-        return CompleteEvents(complete, count, last_id)
+        return parse_events(complete)
 
     def _end_after(self, terminator: bytes, start: int) -> int:
         at = self._pending.rfind(terminator, start)
         return -1 if at < 0 else at + len(terminator)
 
 
-def _count_events(complete: bytes) -> tuple[int, str]:
-    last_id = ""
+def parse_events(complete: bytes) -> CompleteEvents:
+    """Return complete events, or the last one of a stream without its end, with their ids."""
+    first_id = last_id = ""
     count = 0
     is_inside = False
     for line in complete.splitlines():
@@ -75,4 +77,6 @@
         name, _, value = line.partition(b":")
         if name == b"id":
             last_id = value.strip().decode("latin-1")
-    return count, last_id
+            if count == 0:
+                first_id = last_id
+    return CompleteEvents(complete, count, last_id, first_id)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
@@ -50,7 +50,7 @@
         hop_request: HopRequest,
         sink: StreamSink | None,
     ) -> None:
-        super().__init__(loop, sink)
+        super().__init__(loop, sink, hop_request.last_event_id)
         self._address = address
         self._request = request
         self._hop_request = hop_request
