Order what gateways know of the store by era and revision

A store that returned from an older copy gives out lower revisions again. Everything that gateways compare is ordered by revision: control state dropped whatever was written after the return, and peers gave the old items to those that had listed anew. None of six gateways served a route that was added afterwards.

Releases without eras send and read the revision alone. An answer of an earlier era is ignored; a watch whose answer is of another era lists again. In a new era, what was known stays in force for 2.5 s (operators and endpoints have written again after about two) unless it was written in the new one; then watchers list once more and take the listing as it is. What a listing reveals has the listing's position, with a step that lies between two revisions, so that peers at the same revision fetch removals too. Gateways that do not watch compare what they kept with the items of a peer that has compared its own; a peer that did not know the store before returns all its items, as a listing. Event 7007, store_era in /state.

--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -104,6 +104,11 @@
         "warning",
         "platform service's answer could not be decoded, ignored",
     )
+    STORE_ERA_CHANGED = (
+        7007,
+        "warning",
+        "store has returned from an older copy, items are kept until they are written again",
+    )
     CLIENT_DIRECTORY_STALE = (
         7003,
         "warning",
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
@@ -1,21 +1,35 @@
 """This gateway's copy of the control items that operators and endpoints keep in the store.
 
-Items come from the store's listings and watches or from a peer. Revisions order them: an older item
-never replaces a newer one, whatever its source.
+Items come from the store's listings and watches or from a peer. Their positions in the store's
+history order them: an older item never replaces a newer one, whatever its source.
+
+A store that returns from an older copy begins a new era. Its first listing has old values of items
+that were written since the copy, and lacks others, until their writers have written them again.
+What was known before therefore stays in force for ``REWRITE_GRACE_S``, except for items that were
+written in the new era. Then a listing is taken as it is.
 """
 
 from __future__ import annotations
 
 import threading
+import time
 from typing import TYPE_CHECKING
 
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+
+from .metadata_store import START
 from .metadata_store import StoredItem
+from .metadata_store import StorePosition
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Iterable
 
+# Operators and endpoints have written their items again about two seconds after the store's return.
+REWRITE_GRACE_S = 2.5
+
 
 class ControlState:
     """Items by key.
@@ -28,56 +42,153 @@
         self,
         on_change: Callable[[StoredItem], None],
         on_listing: Callable[[str, Collection[str]], None] = lambda _prefix, _keys: None,
+        clock_s: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock_s = clock_s
         self._on_change = on_change
         self._on_listing = on_listing
         self._items: dict[str, StoredItem] = {}
-        self._revision = 0
+        self._position = START
+        self._removals_known_from = START
+        self._era_since_s = float("-inf")
+        # Keys whose items are of an earlier era and were not confirmed in the current one.
+        self._unconfirmed: set[str] = set()
         self._lock = threading.RLock()
 
+    @property
+    def position(self) -> StorePosition:
+        """The latest position of any item, removals included."""
+        return self._position
+
     @property
     def revision(self) -> int:
-        """The highest revision of any item, removals included."""
-        return self._revision
+        """The revision of the latest position."""
+        return self._position.revision
+
+    @property
+    def era(self) -> int:
+        """The era of the latest position."""
+        return self._position.era
+
+    @property
+    def has_unconfirmed(self) -> bool:
+        """Whether any item of an earlier era is kept until it is written again."""
+        return bool(self._unconfirmed)
+
+    @property
+    def must_list_again(self) -> bool:
+        """Whether the items of an earlier era have to be compared with a listing now."""
+        with self._lock:
+            return bool(self._unconfirmed) and self._is_settled
+
+    def enter_era(self, era: int) -> None:
+        """Keep the items of earlier eras until they are written again, if ``era`` is a new one."""
+        with self._lock:
+            if era <= self.era:
+                return
+            previous, is_first = self.era, self._position == START
+            self._position = StorePosition(era, 0)
+            if is_first:
+                return
+            self._era_since_s = self._clock_s()
+            self._unconfirmed = set(self._items)
+        log_event(Event.STORE_ERA_CHANGED, era=era, previous=previous, kept=len(self._items))
 
     def apply(self, item: StoredItem) -> bool:
         """Store one item; return ``False`` if it is not newer than the current one."""
         with self._lock:
+            self.enter_era(item.era)
             current = self._items.get(item.key)
-            if current is not None and current.revision >= item.revision:
+            if current is not None and current.position >= item.position:
                 return False
-            self._items[item.key] = item
-            self._revision = max(self._revision, item.revision)
-            self._on_change(item)
+            self._put(item)
             return True
 
-    def apply_listing(self, prefix: str, items: Iterable[StoredItem], as_of: int) -> None:
-        """Apply a complete listing of a prefix at revision ``as_of``.
+    def apply_listing(
+        self, prefix: str, items: Iterable[StoredItem], as_of: int, era: int = 0
+    ) -> bool:
+        """Apply a complete listing of a prefix at revision ``as_of`` of an era.
 
-        Items below the prefix that are not listed and not newer than ``as_of`` are removed.
+        Items below the prefix that are not listed and not newer than ``as_of`` are removed. An item
+        whose change is known from the listing only has the position of the listing, so that peers
+        receive it. Return ``False`` for a listing of an earlier era, which is ignored.
         """
         listed = {item.key: item for item in items}
         with self._lock:
+            if era < self.era:
+                return False
+            is_first_of_era = era > self._removals_known_from.era
+            if self._position == START or is_first_of_era or self._unconfirmed:
+                self._removals_known_from = StorePosition(era, as_of)
+            self.enter_era(era)
+            step = self._position.step + 1 if self._position[:2] == (era, as_of) else 1
             for item in listed.values():
-                self.apply(item)
+                if item.key not in self._unconfirmed or self._is_rewritten(item):
+                    self.apply(item)
+                elif self._is_settled:
+                    self._put(StoredItem(item.key, item.value, as_of, era, step))
             for key, current in list(self._items.items()):
-                is_missing = key.startswith(prefix) and key not in listed
-                if is_missing and current.value is not None and current.revision <= as_of:
-                    self._remove(current, as_of)
+                if not key.startswith(prefix) or key in listed:
+                    continue
+                # A peer may lack a removal of an earlier era, so it is repeated in this one.
+                is_known_removal = current.value is None and current.era == era
+                is_kept = key in self._unconfirmed and not self._is_settled
+                if current.position <= (era, as_of, step) and not (is_known_removal or is_kept):
+                    self._put(StoredItem(key, None, as_of, era, step))
+            if self._is_settled:
+                self._unconfirmed = {key for key in self._unconfirmed if not key.startswith(prefix)}
             self._on_listing(prefix, listed.keys())
+            return True
+
+    def knows_removals_after(self, position: StorePosition) -> bool:
+        """Whether ``items_after`` returns every removal since a position.
+
+        A gateway does not know what was removed before its first listings of an era.
+        """
+        return position >= self._removals_known_from
 
-    def items_after(self, revision: int) -> list[StoredItem]:
-        """Return the items, removals included, that are newer than a revision."""
+    def confirm(self, era: int, keys: Collection[str]) -> None:
+        """Remove the items kept from earlier eras that are not among ``keys``.
+
+        ``keys`` are those that a peer has of this era, after it compared its items with the store.
+        """
         with self._lock:
-            newer = [item for item in self._items.values() if item.revision > revision]
-        return sorted(newer, key=lambda item: item.revision)
+            if era != self.era or not self._is_settled:
+                return
+            for key in self._unconfirmed - set(keys):
+                self._put(StoredItem(key, None, 0, era))
 
-    def _remove(self, current: StoredItem, as_of: int) -> None:
-        """Record a removal that is known only from a listing.
+    def drop_missing(self, keys: Collection[str], position: StorePosition) -> None:
+        """Remove the items up to a position that are not among all ``keys`` of a peer.
 
-        The removal happened after the current change, at an unknown revision, so the record keeps
-        the revision of that change.
+        Items kept from an earlier era stay until they are confirmed.
         """
-        removal = StoredItem(current.key, None, current.revision)
-        self._items[current.key] = removal
-        self._on_change(removal)
+        with self._lock:
+            for key, item in list(self._items.items()):
+                is_missing = key not in keys and key not in self._unconfirmed
+                if is_missing and item.value is not None and item.position <= position:
+                    era, revision, step = item.position
+                    self._put(StoredItem(key, None, revision, era, step + 1))
+
+    def items_after(self, position: StorePosition) -> list[StoredItem]:
+        """Return the items, removals included, that are newer than a position."""
+        with self._lock:
+            newer = [item for item in self._items.values() if item.position > position]
+        return sorted(newer, key=lambda item: item.position)
+
+    @property
+    def _is_settled(self) -> bool:
+        return self._clock_s() - self._era_since_s >= REWRITE_GRACE_S
+
+    def _is_rewritten(self, item: StoredItem) -> bool:
+        """Whether a listed item is no older copy of the one that is kept from an earlier era."""
+        return item.revision >= self._items[item.key].revision
+
+    def _put(self, item: StoredItem) -> None:
+        self._items[item.key] = item
+        if item.era < self.era:
+            self._unconfirmed.add(item.key)
+        else:
+            self._unconfirmed.discard(item.key)
+        self._position = max(self._position, item.position)
+        self._on_change(item)
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/metadata_store.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/metadata_store.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 from typing import NewType
 from typing import Protocol
 
@@ -14,29 +15,60 @@
 LeaseId = NewType("LeaseId", str)
 
 
+class StorePosition(NamedTuple):
+    """A point in the store's history; later points are greater.
+
+    A store that returns from an older copy gives out lower revisions again, in a higher ``era``.
+    The era of a store that names none is 0. ``step`` numbers what listings at one revision reveal,
+    such as removals, whose own revisions are not known; it is 0 for a change that the store named.
+
+    >>> StorePosition(2, 26) > StorePosition(1, 83)
+    True
+    """
+
+    era: int
+    revision: int
+    step: int = 0
+
+
+START = StorePosition(0, 0)
+
+
 @dataclass(frozen=True, slots=True)
 class StoredItem:
-    """A key, its value and the revision of its last change; ``None`` marks a removed key."""
+    """A key, its value and the revision of its last change; ``None`` marks a removed key.
+
+    ``era`` is the store's era when it answered with the item, ``step`` as in ``StorePosition``.
+    """
 
     key: str
     value: bytes | None
     revision: int
+    era: int = 0
+    step: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The position of the change in the store's history."""
+        return StorePosition(self.era, self.revision, self.step)
 
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All items below a prefix, and the store's revision when the listing began."""
+    """All items below a prefix, and the store's revision and era when the listing began."""
 
     items: tuple[StoredItem, ...]
     as_of: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes in order, and the revision after which the next watch continues."""
+    """Changes in order, the revision after which the next watch continues, and the store's era."""
 
     items: tuple[StoredItem, ...]
     as_of: int
+    era: int = 0
 
 
 class StoreFailure(Enum):
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from typing import TYPE_CHECKING
+from urllib.parse import urlencode
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
@@ -18,7 +19,9 @@
 
 from ..messages import CompleteAnswer
 from ..messages import json_answer
+from .metadata_store import START
 from .metadata_store import StoredItem
+from .metadata_store import StorePosition
 
 if TYPE_CHECKING:
     from primroseferry_transport.curl_loop import CurlLoop
@@ -49,36 +52,60 @@
         self._random = random.Random()
 
     def tick(self) -> None:
-        """Start a fetch if a peer is ahead; called many times a second, never blocks."""
-        ahead = self._peers.peers_ahead_of(self._state.revision)
+        """Start a fetch if a peer is ahead; called many times a second, never blocks.
+
+        A gateway that does not watch the store also fetches all items of an era, to compare those
+        that it kept from earlier ones.
+        """
+        ahead = self._peers.peers_ahead_of(self._state.position)
         if not ahead:
             self._behind_since_s = None
+            if self._state.must_list_again and not self._duty.is_on_duty():
+                self._start_fetch(self._peers.control_holders(), StorePosition(self._state.era, 0))
             return
         now_s = time.monotonic()
         if self._behind_since_s is None:
             self._behind_since_s = now_s
-        expects_watch = self._state.revision > 0 and self._duty.is_on_duty()
+        expects_watch = self._state.position > START and self._duty.is_on_duty()
         if expects_watch and now_s - self._behind_since_s < MAX_LAG_S:
             return
-        if self._fetch_lock.acquire(blocking=False):
-            holder = self._random.choice(ahead)
-            threading.Thread(target=self._fetch, args=(holder,), daemon=True).start()
+        self._start_fetch(ahead, self._state.position)
+
+    def _start_fetch(self, holders: list[str], after: StorePosition) -> None:
+        if holders and self._fetch_lock.acquire(blocking=False):
+            holder = self._random.choice(holders)
+            threading.Thread(target=self._fetch, args=(holder, after), daemon=True).start()
 
-    def answer(self, after: int) -> CompleteAnswer:
-        """Return a JSON answer with the items newer than revision ``after``, for a peer."""
+    def answer(self, after: StorePosition) -> CompleteAnswer:
+        """Return a JSON answer with the items newer than ``after``, for a peer.
+
+        All items are returned, as a listing, if removals since then are not known here.
+        """
+        state = self._state
+        is_listing = not state.knows_removals_after(after)
+        position = state.position
         items = [
             {
                 "key": item.key,
                 "value": None if item.value is None else base64.b64encode(item.value).decode(),
                 "revision": item.revision,
+                "era": item.era,
+                "step": item.step,
             }
-            for item in self._state.items_after(after)
+            for item in state.items_after(START if is_listing else after)
         ]
-        return json_answer(200, {"items": items})
-
-    def _fetch(self, holder: str) -> None:
-        after = self._state.revision
-        url = f"http://{holder}{CONTROL_PATH}?after={after}"
+        reply = {
+            "items": items,
+            "era": position.era,
+            "as_of": position.revision,
+            "is_listing": is_listing,
+            "is_confirmed": not state.has_unconfirmed,
+        }
+        return json_answer(200, reply)
+
+    def _fetch(self, holder: str, after: StorePosition) -> None:
+        query = urlencode({"after": after.revision, "era": after.era, "step": after.step})
+        url = f"http://{holder}{CONTROL_PATH}?{query}"
         try:
             match self._loop.call(HttpCall("GET", url, timeout_ms=FETCH_TIMEOUT_MS)):
                 case Ok(HttpReply(status=200, body=body)):
@@ -91,21 +118,41 @@
         finally:
             self._fetch_lock.release()
 
-    def _apply_reply(self, holder: str, after: int, body: bytes) -> None:
+    def _apply_reply(self, holder: str, after: StorePosition, body: bytes) -> None:
         try:
+            reply = json.loads(body)
             items = [
                 StoredItem(
                     str(item["key"]),
                     None if item["value"] is None else base64.b64decode(item["value"]),
                     int(item["revision"]),
+                    int(item.get("era", 0)),
+                    int(item.get("step", 0)),
                 )
-                for item in json.loads(body)["items"]
+                for item in reply["items"]
             ]
-        except (ValueError, KeyError, TypeError) as error:
+            # Earlier releases send the items only.
+            position = StorePosition(int(reply.get("era", 0)), int(reply.get("as_of", 0)))
+            is_listing = reply.get("is_listing") is True
+            is_confirmed = reply.get("is_confirmed") is True
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
             _log_failure(holder, f"malformed answer: {error!r}")
             return
-        applied = sum(self._state.apply(item) for item in items)
-        log_event(Event.CONTROL_FROM_PEER, peer=holder, after=after, items=applied)
+        state = self._state
+        state.enter_era(position.era)
+        applied = sum(state.apply(item) for item in items)
+        keys = {item.key for item in items}
+        if is_listing:
+            state.drop_missing(keys, position)
+        if is_confirmed and after == (position.era, 0, 0):
+            state.confirm(position.era, keys)
+        log_event(
+            Event.CONTROL_FROM_PEER,
+            peer=holder,
+            after=after.revision,
+            era=state.era,
+            items=applied,
+        )
 
 
 def _log_failure(holder: str, reason: str) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -13,6 +13,7 @@
 from result import Err
 from result import Ok
 
+from .metadata_store import START
 from .metadata_store import StoreFailure
 
 if TYPE_CHECKING:
@@ -24,6 +25,8 @@
 # A watch call ends after this time even without changes. A connection that stopped responding is
 # thus detected within the time in which a route change must take effect.
 WATCH_TIMEOUT_MS = 2_500
+# While items of an earlier era wait for a second listing.
+MAX_ERA_WATCH_MS = 500
 MIN_RETRY_S = 0.15
 MAX_RETRY_S = 1.5
 # Upper bound of the retry delay until the first items arrive. A gateway without items serves no
@@ -122,7 +125,7 @@
         """Wait until a peer has supplied items or the delay before the first listing is over."""
         due_s = self._started_s + self._random.uniform(*self._start_delay.value)
         peer_deadline_s = self._started_s + MAX_PEER_FETCH_WAIT_S
-        while self._state.revision == 0:
+        while self._state.position == START:
             limit_s = max(due_s, peer_deadline_s) if self._can_fetch_from_peer() else due_s
             if time.monotonic() >= limit_s:
                 return
@@ -131,15 +134,28 @@
     def _list(self) -> int | None:
         match self._store.list_items(self._prefix):
             case Ok(listing):
+                items, as_of = listing.items, listing.as_of
+                if not self._state.apply_listing(self._prefix, items, as_of, listing.era):
+                    # The answer was made before the store returned from an older copy.
+                    self._handle_failure(StoreFailure.HISTORY_LOST)
+                    return None
                 self._record_answer()
-                self._state.apply_listing(self._prefix, listing.items, listing.as_of)
-                return listing.as_of
+                return as_of
             case Err(failure):
                 self._handle_failure(failure)
                 return None
 
     def _watch(self, after: int) -> int | None:
-        match self._store.watch(self._prefix, after, WATCH_TIMEOUT_MS):
+        """Wait for changes; return where to go on, ``None`` to list the prefix again."""
+        if self._state.must_list_again:
+            return None
+        era = self._state.era
+        wait_ms = MAX_ERA_WATCH_MS if self._state.has_unconfirmed else WATCH_TIMEOUT_MS
+        match self._store.watch(self._prefix, after, wait_ms):
+            case Ok(changes) if not changes.era == era == self._state.era:
+                # The store has returned from an older copy, or the answer was made before that.
+                self._record_answer()
+                return None
             case Ok(changes):
                 self._record_answer()
                 for item in changes.items:
@@ -169,5 +185,5 @@
             log_event(Event.PLATFORM_UNREACHABLE, prefix=self._prefix, reason=failure.value)
         self._is_unreachable = True
         time.sleep(self._retry_s * self._random.uniform(0.6, 1.4))
-        max_retry_s = MAX_RETRY_S if self._state.revision > 0 else MAX_INITIAL_RETRY_S
+        max_retry_s = MAX_RETRY_S if self._state.position > START else MAX_INITIAL_RETRY_S
         self._retry_s = min(max_retry_s, self._retry_s * 2)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -24,6 +24,7 @@
 from ..attempts.outcome import NotRun
 from ..attempts.outcome import StreamBroken
 from ..attempts.outcome import StreamEnded
+from ..control.metadata_store import StorePosition
 from ..control.peer_sync import CONTROL_PATH
 from ..crash_attribution import CRASHED_DETAIL
 from ..crash_attribution import suspect_of_request
@@ -114,11 +115,14 @@
 
     def _control_answer(self, request: RelayRequest) -> CompleteAnswer:
         query = parse_qs(request.target.partition("?")[2])
-        after = query.get("after", ["0"])[0]
-        if not after.isdecimal() or len(after) > MAX_REVISION_DIGITS:
-            problem = Problem(ErrorKind.BAD_REQUEST, "expected a revision as 'after'")
-            return problem_answer(problem)
-        return self._sync.answer(int(after))
+        position = []
+        for name in ("era", "after", "step"):  # Earlier releases send 'after' only.
+            text = query.get(name, ["0"])[0]
+            if not text.isdecimal() or len(text) > MAX_REVISION_DIGITS:
+                problem = Problem(ErrorKind.BAD_REQUEST, f"expected a number as {name!r}")
+                return problem_answer(problem)
+            position.append(int(text))
+        return self._sync.answer(StorePosition(*position))
 
     def _is_duplicate(self, hop_request: HopRequest) -> bool:
         with self._lock:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -24,6 +24,7 @@
 from ..control.control_feed import ControlFeed
 from ..control.control_state import ControlState
 from ..control.counted_store import CountedStore
+from ..control.metadata_store import START
 from ..control.peer_sync import PeerSync
 from ..control.quarantine_records import QuarantineRecords
 from ..control.registration import Registration
@@ -152,7 +153,7 @@
                 self._catalog.note_store_recovered,
                 self._duty.is_on_duty,
                 _start_delay(settings, self._reporter.address),
-                lambda: bool(self._peers.peers_ahead_of(0)),
+                lambda: bool(self._peers.peers_ahead_of(START)),
             )
             for prefix in control_adapter.prefixes
         ]
@@ -357,6 +358,7 @@
             "state": self._peers.own_state.value,
             "route_revision": table.revision if table is not None else None,
             "control_revision": self._state.revision,
+            "store_era": self._state.era,
             "store_age_ms": round(oldest_answer_age_ms(self._watches)),
             "is_on_watch_duty": self._duty.is_on_duty(),
             "evacuated": sorted(self._catalog.evacuated),
@@ -372,6 +374,7 @@
             f"{settings.host}:{settings.hop_port}",
             report_address,
         )
+        position = self._state.position
         return LocalState(
             Peer(
                 settings.instance,
@@ -382,7 +385,7 @@
                 self._peers.own_state,
                 settings.link_mbps,
             ),
-            ControlStatus(self._state.revision, oldest_answer_age_ms(self._watches)),
+            ControlStatus(position.revision, oldest_answer_age_ms(self._watches), era=position.era),
             self._policy.loads.own_work(),
         )
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -454,12 +454,19 @@
 
 
 def _control_fields(control: ControlStatus) -> list[Any]:
-    return [control.revision, round(min(control.store_age_ms, 1e9)), list(control.holders)]
+    age_ms = round(min(control.store_age_ms, 1e9))
+    return [control.revision, age_ms, list(control.holders), control.era, control.step]
 
 
 def _decode_control(fields: Any) -> ControlStatus:
     revision, age_ms, holders = fields[:3]
-    return ControlStatus(_non_negative_int(revision), float(age_ms), tuple(map(_string, holders)))
+    return ControlStatus(
+        _non_negative_int(revision),
+        float(age_ms),
+        tuple(map(_string, holders)),
+        _optional_int(fields, 3) or 0,
+        _optional_int(fields, 4) or 0,
+    )
 
 
 def _encode_load(load: EndpointLoad) -> bytes:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/collector.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/collector.py
@@ -22,6 +22,7 @@
 from primroseferry_policy.recent_sum import WINDOW_S
 from primroseferry_policy.recent_sum import RecentSum
 
+from ..control.metadata_store import START
 from .datagrams import CachedParts
 from .datagrams import Digest
 from .datagrams import EndpointLoad
@@ -208,17 +209,17 @@
     def control(self) -> ControlStatus:
         """Return the region's newest store revision, its age and the gateways that have it."""
         now_s = self._clock_s()
-        revision = 0
+        position = START
         age_ms = float("inf")
         holders: list[str] = []
         for member in self._members.values():
             control = member.update.control
             age_ms = min(age_ms, control.store_age_ms + (now_s - member.received_s) * 1000)
-            if control.revision > revision:
-                revision, holders = control.revision, []
-            if control.revision == revision and len(holders) < MAX_HOLDERS:
+            if control.position > position:
+                position, holders = control.position, []
+            if control.position == position and len(holders) < MAX_HOLDERS:
                 holders.append(member.update.peer.address.hop)
-        return ControlStatus(revision, age_ms, tuple(holders))
+        return ControlStatus(position.revision, age_ms, tuple(holders), position.era, position.step)
 
     def due_in_s(self) -> float:
         """Return the seconds until the next digest, infinity if no member requests any."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -18,6 +18,7 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
+from ..control.metadata_store import START
 from ..endpoints.endpoint_point import endpoint_hash
 from .codec import decode
 from .codec import digest_header
@@ -159,7 +160,7 @@
         self._sequence = 0
         self._update_sent_s = float("-inf")
         self._last_sent_loads: Mapping[EndpointHash, OpenWork] = {}
-        self._last_sent_revision = 0
+        self._last_sent_position = START
         self._sent_loads_by_sequence: dict[int, Mapping[EndpointHash, OpenWork]] = {}
         self._placements: deque[tuple[float, Placement]] = deque(maxlen=MAX_REPEATED_PLACEMENTS)
         self._placement_number = 0
@@ -389,7 +390,7 @@
         has_changed = (
             self._has_unsent_placement
             or loads != self._last_sent_loads
-            or local_state.control.revision != self._last_sent_revision
+            or local_state.control.position != self._last_sent_position
             or self._follower.wants_full
             or local_state.peer.state is not self._own.state
         )
@@ -428,7 +429,7 @@
         self._update_sent_s = now_s
         self._has_unsent_placement = False
         self._last_sent_loads = _by_hash(local_state.loads)
-        self._last_sent_revision = local_state.control.revision
+        self._last_sent_position = local_state.control.position
         self._sent_loads_by_sequence[self._sequence] = self._last_sent_loads
         self._sent_loads_by_sequence.pop(self._sequence - MAX_REMEMBERED_UPDATES, None)
         while self._placements and now_s - self._placements[0][0] > PLACEMENT_REPEAT_S:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer.py
@@ -6,6 +6,8 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from ..control.metadata_store import StorePosition
+
 if TYPE_CHECKING:
     from primroseferry_core.ids import FailureDomainId
     from primroseferry_core.ids import IncarnationId
@@ -51,13 +53,21 @@
 class ControlStatus:
     """How current the control items of one or several gateways are.
 
-    ``revision`` is the highest store revision that any of them has, ``store_age_ms`` the time since
-    the store answered any of them, ``holders`` the hop addresses of some that have the revision.
+    ``revision``, ``era`` and ``step`` are the latest position in the store's history that any of
+    them has, ``store_age_ms`` the time since the store answered any of them, ``holders`` the hop
+    addresses of some that have the position.
     """
 
     revision: int
     store_age_ms: float
     holders: tuple[str, ...] = ()
+    era: int = 0
+    step: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """The latest position in the store's history."""
+        return StorePosition(self.era, self.revision, self.step)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -27,6 +27,7 @@
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
 
+    from ..control.metadata_store import StorePosition
     from .datagrams import RegionSummary
     from .peer import Peer
     from .peer import ServiceSummary
@@ -265,21 +266,25 @@
             if region != self.own_region and known.by_name
         )
 
-    def peers_ahead_of(self, revision: int) -> list[str]:
-        """Return the addresses of gateways whose store revision is newer than ``revision``.
+    def peers_ahead_of(self, position: StorePosition) -> list[str]:
+        """Return the addresses of gateways that know the store's history beyond ``position``.
 
         If the own region has any, only those are returned.
         """
         own = self._regions.get(self.own_region)
-        if own is not None and own.control.revision > revision:
+        if own is not None and own.control.position > position:
             return list(own.control.holders)
         return [
             holder
             for known in self._confirmed().values()
-            if known.control.revision > revision
+            if known.control.position > position
             for holder in known.control.holders
         ]
 
+    def control_holders(self) -> list[str]:
+        """Return the addresses of gateways with the control items that are known to be latest."""
+        return [holder for known in self._confirmed().values() for holder in known.control.holders]
+
     def store_age_ms(self) -> float:
         """Return the milliseconds since the store answered any gateway of this region.
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_control_state.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_control_state.py
@@ -3,6 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from primroseferry_relay.control.control_state import ControlState
+from primroseferry_relay.control.metadata_store import START
 from primroseferry_relay.control.metadata_store import StoredItem
 
 
@@ -43,9 +44,9 @@
     state.apply(StoredItem("b", b"1", 2))
     state.apply(StoredItem("a", None, 3))
     peer = ControlState(lambda _item: None)
-    for item in state.items_after(peer.revision):
+    for item in state.items_after(peer.position):
         peer.apply(item)
-    assert peer.items_after(0) == state.items_after(0)
+    assert peer.items_after(START) == state.items_after(START)
 
 
 @given(st.permutations(range(1, 9)))
@@ -53,4 +54,4 @@
     state = ControlState(lambda _item: None)
     for revision in order:
         state.apply(StoredItem("routes", str(revision).encode(), revision))
-    assert state.items_after(0) == [StoredItem("routes", b"8", 8)]
+    assert state.items_after(START) == [StoredItem("routes", b"8", 8)]
--- a/packages/primroseferry-relay/tests/relay_tests/test_peer_table.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_peer_table.py
@@ -7,6 +7,7 @@
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.ids import ServiceId
 from primroseferry_policy.endpoint_loads import OpenWork
+from primroseferry_relay.control.metadata_store import StorePosition
 from primroseferry_relay.control.watch_duty import MAX_WATCH_AGE_MS
 from primroseferry_relay.control.watch_duty import WATCHERS_PER_REGION
 from primroseferry_relay.control.watch_duty import WatchDuty
@@ -89,8 +90,8 @@
     table.put_roster(roster)
     assert table.put_summary(summary)
     assert table.summary(NORTH, ServiceId("model")) == SUMMARY
-    assert table.peers_ahead_of(76) == ["10.0.0.2:81"]
-    assert table.peers_ahead_of(77) == []
+    assert table.peers_ahead_of(StorePosition(0, 76)) == ["10.0.0.2:81"]
+    assert table.peers_ahead_of(StorePosition(0, 77)) == []
     assert table.regions() == {NORTH}
     clock.now_s += REMOTE_CONFIRMATION_TIMEOUT_S + 0.1
     assert table.regions() == frozenset()
@@ -105,8 +106,8 @@
     table.put_roster(remote)
     table.confirm(NORTH, local.version, ControlStatus(5, 0.0, ("local:81",)))
     table.confirm(SOUTH, remote.version, ControlStatus(9, 0.0, ("remote:81",)))
-    assert table.peers_ahead_of(4) == ["local:81"]
-    assert table.peers_ahead_of(5) == ["remote:81"]
+    assert table.peers_ahead_of(StorePosition(0, 4)) == ["local:81"]
+    assert table.peers_ahead_of(StorePosition(0, 5)) == ["remote:81"]
 
 
 def _on_duty(peers: list[Peer], store_age_ms: float) -> set[str]:
