Tell callers with a held part when to come back, also where another gateway tries it

A gateway that may not try a held part yet, because it has just started or others come first, refused the request with 502 and no Retry-After, as one that had run. It is 503 now (the request has not run) with the wait of this gateway, spread like the other waits; a gateway of another region passes its wait on. Crashes are held against 32 parts of one prompt at most, so that one request cannot fill the table.

--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -61,7 +61,10 @@
 ENTRY_EXPIRY_S = 10.0
 MAX_UNEXPLAINED = 4_096
 MAX_ENDED_RUNS = 1_024
+# Shared parts of one prompt that crashes are held against.
+MAX_SUSPECT_PARTS = 32
 MAX_LOGGED_PARTS = 8
+# How long a group of gateways waits for those before it to try a held part.
 TRIAL_STAGGER_S = 1.0
 # Suspicions against parts that this gateway sends to all others by itself. Where many endpoints end
 # at once, the rest is exchanged with the other suspicions.
@@ -148,7 +151,7 @@
 
     suspect: Suspect
     wait_s: float = 0.0
-    held_part: str = ""
+    held_part: Fingerprint = Fingerprint("")
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,9 +250,9 @@
         )
 
     def held_part(self, suspect: Suspect) -> SuspectPart | None:
-        """Return a part of the request's prompt that is held back now, ``None`` if none is."""
+        """Return a part of the request's prompt that is held back, ``None`` if none is."""
         for part in suspect.parts:
-            if self._quarantine.is_quarantined(part.key):
+            if self._quarantine.level(part.key) >= DEATHS_TO_QUARANTINE:
                 return part
         return None
 
@@ -503,7 +506,7 @@
     """
     parts = tuple(
         SuspectPart(part_key(service, part.part), depth)
-        for depth, part in enumerate(generation.shared_parts)
+        for depth, part in enumerate(generation.shared_parts[:MAX_SUSPECT_PARTS])
     )
     return Suspect(fingerprint or fingerprint_of_request(request), parts=parts)
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/decision.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -36,7 +36,7 @@
     attempts: list[str] = field(default_factory=list)
     options: str = ""
     fingerprint: Fingerprint = Fingerprint("")
-    held_part: str = ""
+    held_part: Fingerprint = Fingerprint("")
 
     def note_options(self, local: LocalOption | None, remote: RegionOption | None) -> None:
         """Record the best local and remote options with their expected times to the first byte."""
@@ -69,7 +69,7 @@
         is_good = self.outcome in ("answered", "caller-left")
         extra = {} if is_good else {"fingerprint": str(self.fingerprint)}
         if self.held_part:
-            extra["held_part"] = self.held_part
+            extra["held_part"] = str(self.held_part)
         log_event(
             Event.REQUEST_ANSWERED if is_good else Event.REQUEST_REFUSED,
             request_id=self.request_id,
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -27,6 +27,7 @@
 from ..control.metadata_store import StorePosition
 from ..control.peer_sync import CONTROL_PATH
 from ..crash_attribution import CRASHED_DETAIL
+from ..crash_attribution import HELD_PART_DETAIL
 from ..crash_attribution import suspect_of_request
 from ..ingress.channel_sink import ChannelSink
 from ..local_attempts import AttemptPlan
@@ -190,7 +191,8 @@
         suspect = suspect.with_trials(hop_request.trial, part_trials)
         admittance = crash_attribution.admit(suspect)
         if admittance.wait_s > 0:
-            return NotRun(CRASHED_DETAIL, is_sent=False)
+            detail = HELD_PART_DETAIL if admittance.held_part else CRASHED_DETAIL
+            return NotRun(detail, is_sent=False, retry_after_s=admittance.wait_s)
         plan = AttemptPlan(
             self._request,
             hop_request.request_id,
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -36,6 +36,7 @@
     from collections.abc import Callable
 
     from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import Fingerprint
     from primroseferry_core.ids import RegionId
     from primroseferry_transport.curl_loop import CurlLoop
 
@@ -181,6 +182,9 @@
     def _is_admitted(self) -> bool:
         """Return whether the quarantine admits the request; answer it if not."""
         admittance = self._context.local.crash_attribution.admit(self._plan.suspect)
+        if admittance.held_part:
+            self._give_up_held_part(admittance.held_part, admittance.wait_s)
+            return False
         if admittance.wait_s > 0:
             self._give_up_quarantined()
             return False
@@ -376,16 +380,20 @@
             self._send_answer(self._progress.last_failure)
             return
         suspect = self._plan.suspect
-        wait_s = self._policy.quarantine.wait_s(suspect.fingerprint)
         part = self._context.local.crash_attribution.held_part(suspect)
-        if part is not None:
-            self._record.held_part = part.key
-            wait_s = max(wait_s, self._policy.quarantine.wait_s(part.key))
         if part is not None and not self._progress.may_have_run:
-            self._give_up(Problem(ErrorKind.NO_ENDPOINT, HELD_PART_DETAIL), wait_s)
+            self._give_up_held_part(part.key, self._policy.quarantine.wait_s(part.key))
             return
+        wait_s = self._policy.quarantine.wait_s(suspect.fingerprint)
         self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, CRASHED_DETAIL), wait_s or None)
 
+    def _give_up_held_part(self, key: Fingerprint, wait_s: float) -> None:
+        """Refuse a request that has not run, until a prompt with the part may be tried."""
+        self._record.held_part = key
+        # Randomized like the other waits, so that callers do not all retry at once.
+        retry_after_s = wait_s + _random_retry_after_s() - MIN_RETRY_AFTER_S
+        self._give_up(Problem(ErrorKind.NO_ENDPOINT, HELD_PART_DETAIL), retry_after_s)
+
     def _give_up_after_failure(self, detail: str) -> None:
         progress = self._progress
         if progress.last_failure is not None:
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -12,6 +12,9 @@
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import RequestId
+from primroseferry_policy.prompt import Generation
+from primroseferry_policy.prompt import PartId
+from primroseferry_policy.prompt import PromptPart
 from primroseferry_policy.shared_budget import SharedRetryBudget
 from primroseferry_relay.endpoint_adapter import ReplyMetadata
 from primroseferry_relay.endpoint_adapter import RequestMetadata
@@ -77,9 +80,11 @@
     def read_request(self, headers: Sequence[Header]) -> RequestMetadata:
         values = {header.name.lower(): header.value for header in headers}
         deadline = values.get("x-deadline")
+        names = [name for name in values.get("x-parts", "").split(",") if name]
         return RequestMetadata(
             RequestId(values.get("x-id", "")),
             float(deadline) if deadline else None,
+            Generation(tuple(PromptPart(PartId(name), 10) for name in names)),
             last_event_id=values.get("last-event-id", ""),
         )
 
