Do not count a stall of the loop against the connect timeout

libcurl checks its own connect timeout before it looks at the sockets, so a connection that was made while the loop stalled was given up, and the endpoint passed over. The loop checks the timeout itself now, by the clock that leaves stalls out; libcurl's is the time of the whole call.

A full accept queue is tested too.

--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -92,6 +92,11 @@
 
     def _timeout_failure(self, responsive_s: float) -> HttpFailure | None:
         call = self.call
+        waited_ms = (responsive_s - self._started_s) * 1000
+        if waited_ms >= call.connect_timeout_ms and self._is_connecting():
+            is_unsent = not call.is_repeatable
+            stage = FailureStage.NOT_SENT if is_unsent else FailureStage.TIMED_OUT
+            return HttpFailure(stage, f"no connection within {call.connect_timeout_ms} ms")
         if self._last_byte_s is None:
             limit_ms = call.first_byte_timeout_ms
             since_s = self._started_s
@@ -102,6 +107,14 @@
             return None
         return HttpFailure(FailureStage.TIMED_OUT, f"no byte for {limit_ms} ms")
 
+    def _is_connecting(self) -> bool:
+        handle = self._handle
+        if handle is None or self._status:
+            return False
+        return bool(
+            handle.getinfo(pycurl.CONNECT_TIME) == 0 and handle.getinfo(pycurl.REQUEST_SIZE) == 0
+        )
+
 
 _STOPPED = HttpFailure(FailureStage.STOPPED_BY_CALLER, "stopped by the caller")
 
@@ -372,7 +385,8 @@
     handle.setopt(pycurl.PROXY, "")
     handle.setopt(pycurl.NOSIGNAL, 1)
     handle.setopt(pycurl.TCP_NODELAY, 1)
-    handle.setopt(pycurl.CONNECTTIMEOUT_MS, call.connect_timeout_ms)
+    # The loop checks the connect timeout itself: libcurl would count the time in which it stalled.
+    handle.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, call.timeout_ms))
     handle.setopt(pycurl.TIMEOUT_MS, max(1, call.timeout_ms))
     handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     if call.target is not None:
--- a/packages/primroseferry-transport/tests/test_curl_loop.py
+++ b/packages/primroseferry-transport/tests/test_curl_loop.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+import pytest
 from primroseferry_transport.calls import FailureStage
 from primroseferry_transport.calls import HttpCall
 from primroseferry_transport.curl_loop import CurlLoop
@@ -169,3 +170,28 @@
         loop.run_soon(lambda: time.sleep(1.2))
         failure = pending.future.result(8).unwrap_err()
     assert failure.stage is FailureStage.TIMED_OUT
+
+
+@pytest.mark.parametrize("is_repeatable", [True, False])
+def test_connection_that_is_not_made_in_time_is_given_up(
+    loop: CurlLoop, is_repeatable: bool
+) -> None:
+    """A full accept queue: the kernel drops further connection requests."""
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as listener:
+        address = listener.getsockname()
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        call = HttpCall(
+            "GET",
+            f"http://127.0.0.1:{address[1]}/",
+            connect_timeout_ms=300,
+            timeout_ms=8_000,
+            is_repeatable=is_repeatable,
+        )
+        failure = loop.call(call).unwrap_err()
+        for filler in fillers:
+            filler.close()
+    assert failure.stage is (FailureStage.TIMED_OUT if is_repeatable else FailureStage.NOT_SENT)
+    assert "300 ms" in failure.reason
