--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -23,10 +23,7 @@
 
 from primroseferry_core.bounded_map import BoundedMap
 from primroseferry_core.events import Event
-from primroseferry_core.hashing import request_fingerprint
-from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
-from primroseferry_policy.part_key import part_key
 from primroseferry_policy.quarantine import PartLoss
 from primroseferry_policy.suspicion import DEATHS_TO_QUARANTINE
 from primroseferry_policy.token_bucket import TokenBucket
@@ -40,14 +37,16 @@
 from .attempts.outcome import StreamEnded
 from .membership.datagrams import Blame
 from .membership.suspicion_sync import SUSPICIONS_PER_DATAGRAM
+from .suspect import Admittance
+from .suspect import Suspect
+from .suspect import SuspectPart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
     from collections.abc import Sequence
 
-    from primroseferry_core.ids import ServiceId
-    from primroseferry_policy.prompt import Generation
+    from primroseferry_core.ids import Fingerprint
     from primroseferry_policy.quarantine import Quarantine
     from primroseferry_policy.quarantine import SuspicionReport
 
@@ -55,14 +54,11 @@
     from .endpoints.catalog import EndpointCatalog
     from .endpoints.endpoint import Endpoint
     from .endpoints.endpoint import EndpointRun
-    from .messages import RelayRequest
 
 # The entry of an endpoint whose process ended expires within this time of the loss.
 ENTRY_EXPIRY_S = 10.0
 MAX_UNEXPLAINED = 4_096
 MAX_ENDED_RUNS = 1_024
-# Shared parts of one prompt that crashes are held against.
-MAX_SUSPECT_PARTS = 32
 MAX_LOGGED_PARTS = 8
 # How long a group of gateways waits for those before it to try a held part.
 TRIAL_STAGGER_S = 1.0
@@ -71,7 +67,6 @@
 MAX_PART_REPORTS_PER_S = 5.0
 HELD_PART_DETAIL = "endpoints that ran prompts with one of its parts crashed"
 CRASHED_DETAIL = "endpoints that ran this request crashed"
-_CREDENTIAL_HEADER = "authorization"
 
 
 class Verdict(Enum):
@@ -96,64 +91,6 @@
         """Report to every gateway all observations recorded against requests or parts."""
 
 
-@dataclass(frozen=True, slots=True)
-class SuspectPart:
-    """A part of a request's prompt that other prompts may contain too.
-
-    ``key`` names it in the quarantine. ``depth`` is the number of parts before it. ``trial`` and
-    ``admitted_level`` are as in ``Suspect``.
-    """
-
-    key: Fingerprint
-    depth: int
-    trial: str = ""
-    admitted_level: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Suspect:
-    """Identity and quarantine state of a request.
-
-    ``trial`` is the id of the trial that the request is sent in, or empty. ``admitted_level`` is
-    its suspicion level at the time of admission. ``parts`` are the shared parts of its prompt.
-    """
-
-    fingerprint: Fingerprint
-    trial: str = ""
-    admitted_level: int = 0
-    parts: tuple[SuspectPart, ...] = ()
-
-    @property
-    def is_on_trial(self) -> bool:
-        """Whether the request is a trial of itself or of a part of its prompt."""
-        return bool(self.trial) or any(part.trial for part in self.parts)
-
-    def with_trials(self, trial: str, part_trials: Mapping[Fingerprint, str]) -> Suspect:
-        """Return the request on the given trials; parts that have none keep no trial."""
-        parts = tuple(replace(part, trial=part_trials.get(part.key, "")) for part in self.parts)
-        return replace(self, trial=trial, parts=parts)
-
-    def without_trials_of(self, other: Suspect) -> Suspect:
-        """Return the request without the trials that ``other``, the same request, is on."""
-        own = {part.key: part.trial for part in self.parts}
-        for part in other.parts:
-            if part.trial:
-                own[part.key] = ""
-        return self.with_trials("" if other.trial else self.trial, own)
-
-
-@dataclass(frozen=True, slots=True)
-class Admittance:
-    """A request with its trials, and the seconds until it may be sent, 0 for now.
-
-    ``held_part`` is the part of its prompt for which it must wait, empty for none.
-    """
-
-    suspect: Suspect
-    wait_s: float = 0.0
-    held_part: Fingerprint = Fingerprint("")
-
-
 @dataclass(frozen=True, slots=True)
 class _UnexplainedLoss:
     """A lost attempt without a proved cause.
@@ -494,36 +431,6 @@
         )
 
 
-def suspect_of_request(
-    request: RelayRequest,
-    service: ServiceId,
-    generation: Generation,
-    fingerprint: Fingerprint | None = None,
-) -> Suspect:
-    """Return the identity of a request and of the shared parts of its prompt.
-
-    ``fingerprint`` is its fingerprint at the gateway that received it, ``None`` to derive it.
-    """
-    parts = tuple(
-        SuspectPart(part_key(service, part.part), depth)
-        for depth, part in enumerate(generation.shared_parts[:MAX_SUSPECT_PARTS])
-    )
-    return Suspect(fingerprint or fingerprint_of_request(request), parts=parts)
-
-
-def fingerprint_of_request(request: RelayRequest) -> Fingerprint:
-    """Return a hash of caller, target and body, equal when the caller repeats the request.
-
-    The content cannot be recovered from it. The caller is identified by its ``Authorization``
-    header, or by its address where it sends none.
-    """
-    caller = request.caller
-    for header in request.headers:
-        if header.name.lower() == _CREDENTIAL_HEADER:
-            caller = header.value
-    return Fingerprint(request_fingerprint(caller, request.target, request.body))
-
-
 def _new_break_id(wall_s: float) -> str:
     return f"{secrets.token_hex(4)}@{int(wall_s)}"
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -28,13 +28,13 @@
 from ..control.peer_sync import CONTROL_PATH
 from ..crash_attribution import CRASHED_DETAIL
 from ..crash_attribution import HELD_PART_DETAIL
-from ..crash_attribution import suspect_of_request
 from ..ingress.channel_sink import ChannelSink
 from ..local_attempts import AttemptPlan
 from ..messages import AnswerHead
 from ..messages import CompleteAnswer
 from ..messages import RelayRequest
 from ..messages import problem_answer
+from ..suspect import suspect_of_request
 from .hop import HOP_HEADER
 from .hop import OUTCOME_HEADER
 from .hop import HopOutcome
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -49,7 +49,6 @@
     from .attempts.attempt_call import AttemptCall
     from .attempts.attempt_call import StreamSink
     from .attempts.outcome import AttemptOutcome
-    from .crash_attribution import Suspect
     from .endpoint_adapter import EndpointAdapter
     from .endpoint_adapter import ReplyMetadata
     from .endpoints.catalog import EndpointCatalog
@@ -62,6 +61,7 @@
     from .relay_policy import RelayPolicy
     from .routes.service import EngineSize
     from .routes.service import Service
+    from .suspect import Suspect
 
 # A repeatable request goes to another endpoint once its first byte takes this many times as long
 # as expected.
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -21,7 +21,6 @@
 from .attempts.outcome import StreamEnded
 from .crash_attribution import CRASHED_DETAIL
 from .crash_attribution import HELD_PART_DETAIL
-from .crash_attribution import suspect_of_request
 from .ingress.answer_channel import ChannelState
 from .ingress.channel_sink import ChannelSink
 from .local_attempts import BASE_PRIORITY
@@ -31,6 +30,7 @@
 from .region_choice import RegionOption
 from .region_choice import prefers_remote_region
 from .routes.route import RouteKind
+from .suspect import suspect_of_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/primroseferry-relay/tests/relay_tests/crashing_part_world.py
+++ b/packages/primroseferry-relay/tests/relay_tests/crashing_part_world.py
@@ -20,12 +20,12 @@
 from primroseferry_relay.attempts.outcome import StreamBroken
 from primroseferry_relay.attempts.outcome import StreamEnded
 from primroseferry_relay.crash_attribution import CrashAttribution
-from primroseferry_relay.crash_attribution import Suspect
-from primroseferry_relay.crash_attribution import SuspectPart
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
 from primroseferry_relay.endpoints.endpoint import Endpoint
 from primroseferry_relay.endpoints.endpoint import EndpointState
 from primroseferry_relay.relay_policy import TRIAL_WAITS_S
+from primroseferry_relay.suspect import Suspect
+from primroseferry_relay.suspect import SuspectPart
 from primroseferry_transport.port_probe import PortState
 
 from .fleet_simulation import FleetSimulation
--- a/packages/primroseferry-relay/tests/relay_tests/test_crash_request_recurrence.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_crash_request_recurrence.py
@@ -14,11 +14,11 @@
 from primroseferry_relay.attempts.outcome import Lost
 from primroseferry_relay.attempts.outcome import StreamBroken
 from primroseferry_relay.crash_attribution import CrashAttribution
-from primroseferry_relay.crash_attribution import Suspect
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
 from primroseferry_relay.endpoints.endpoint import Endpoint
 from primroseferry_relay.endpoints.endpoint import EndpointState
 from primroseferry_relay.relay_policy import TRIAL_WAITS_S
+from primroseferry_relay.suspect import Suspect
 
 from .test_quarantine_records import Fleet
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_held_parts.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_held_parts.py
@@ -12,9 +12,9 @@
 from primroseferry_policy.quarantine import PartLoss
 from primroseferry_policy.quarantine import Quarantine
 from primroseferry_policy.shared_budget import SharedRetryBudget
-from primroseferry_relay.crash_attribution import suspect_of_request
 from primroseferry_relay.messages import RelayRequest
 from primroseferry_relay.relay_policy import RelayPolicy
+from primroseferry_relay.suspect import suspect_of_request
 
 from .relay_harness import RelayHarness
 from .scripted_endpoint import ScriptedEndpoint
--- a/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_part_copies.py
@@ -16,11 +16,11 @@
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
 from primroseferry_relay.attempts.outcome import Answered
-from primroseferry_relay.crash_attribution import Suspect
 from primroseferry_relay.decision import DecisionRecord
 from primroseferry_relay.local_attempts import AttemptPlan
 from primroseferry_relay.messages import RelayRequest
 from primroseferry_relay.routes.service import EngineSize
+from primroseferry_relay.suspect import Suspect
 
 from .peer_samples import PEER
 from .peer_samples import SOUTH
