Rank gateways and name a crash in one place each

No change of behaviour. The gateway's place among all live ones was computed in the quarantine records and in the peer table; the records ask the peer table now. The id of a crash was built up to twice for one loss, from two readings of the clock. A test's clock comes from the simulation, which has the same one.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
@@ -16,7 +16,6 @@
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
-from primroseferry_core.hashing import rendezvous_order
 from primroseferry_core.ids import Fingerprint
 from primroseferry_core.logs import log_event
 from primroseferry_policy.quarantine import SuspicionReport
@@ -111,7 +110,7 @@
         unrecorded = {entry.suspicion.fingerprint: entry for entry in self._unrecorded()}
         self._due_since_s = {name: self._due_since_s.get(name, now_s) for name in unrecorded}
         for name, record in unrecorded.items():
-            group = self._writer_rank(name).bit_length()
+            group = self._peers.rank_among_live(name).bit_length()
             if now_s - self._due_since_s[name] >= group * WRITER_FAILOVER_S:
                 return record
         return None
@@ -135,11 +134,6 @@
         ]
         return [*grown, *cleared]
 
-    def _writer_rank(self, fingerprint: Fingerprint) -> int:
-        own = str(self._peers.own_instance)
-        names = [str(peer.instance) for peer in self._peers.live()]
-        return rendezvous_order(fingerprint, [*names, own]).index(own)
-
     def _write(self, record: SuspicionReport) -> None:
         fingerprint = record.suspicion.fingerprint
         try:
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -324,17 +324,15 @@
     ) -> None:
         fingerprint = suspect.fingerprint
         self._log_verdict(verdict, run, suspect, request_id, reason)
+        crash = _crash_id(run, self._wall_clock_s())
         if verdict in (Verdict.CRASH, Verdict.CRASH_AFTER_START):
-            self._blame_parts(suspect, _crash_id(run, self._wall_clock_s()))
+            self._blame_parts(suspect, crash)
         match verdict:
             case Verdict.CRASH:
-                crash = _crash_id(run, self._wall_clock_s())
                 self._quarantine.confirm_crash(fingerprint, suspect.trial, crash)
                 self._reporter.send_blame(Blame(fingerprint, crash))
             case Verdict.CRASH_AFTER_START if not suspect.trial:
-                self._quarantine.confirm_started_crash(
-                    fingerprint, "", _crash_id(run, self._wall_clock_s())
-                )
+                self._quarantine.confirm_started_crash(fingerprint, "", crash)
                 self._report_repeated_loss(fingerprint)
             case Verdict.BREAK if not suspect.trial:
                 observation = _new_break_id(self._wall_clock_s())
@@ -345,7 +343,6 @@
                 self._quarantine.record_break(fingerprint, observation)
                 self._add_unexplained(run, suspect, request_id, observation, has_begun=True)
             case Verdict.CRASH_AFTER_START:
-                crash = _crash_id(run, self._wall_clock_s())
                 self._quarantine.confirm_crash(fingerprint, suspect.trial, crash)
                 self._report_suspicion(fingerprint)
             case Verdict.BREAK | Verdict.UNEXPLAINED | Verdict.BREAK_AFTER_START:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -199,14 +199,18 @@
             return 3 * size > self._region_size.add(size)
 
     def own_rank(self, key: str) -> int | None:
-        """Return this gateway's place among all live ones in the rendezvous order of ``key``.
+        """Return ``rank_among_live``, or ``None`` if this gateway has just started.
 
-        The result is ``None`` if this gateway has just started and may not know all others yet.
+        It may not know all others yet.
         """
-        if self._is_discovering:
-            return None
-        names = [*(str(peer.instance) for peer in self.live()), str(self.own_instance)]
-        return rendezvous_order(key, names).index(str(self.own_instance))
+        return None if self._is_discovering else self.rank_among_live(key)
+
+    def rank_among_live(self, key: str) -> int:
+        """Return this gateway's place among all live ones in the rendezvous order of ``key``."""
+        own = str(self.own_instance)
+        return rendezvous_order(key, [*(str(peer.instance) for peer in self.live()), own]).index(
+            own
+        )
 
     def order_by_key(self, key: str) -> list[InstanceId]:
         """Return the ready gateways of the own region in the rendezvous order of ``key``.
--- a/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
@@ -14,13 +14,7 @@
 from primroseferry_relay.control.metadata_store import StorePosition
 from primroseferry_relay.control.peer_sync import PeerSync
 
-
-class Clock:
-    def __init__(self) -> None:
-        self.now_s = 1_000.0
-
-    def __call__(self) -> float:
-        return self.now_s
+from .fleet_simulation import Clock
 
 
 @dataclass
