--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -104,6 +104,7 @@
         "warning",
         "platform service's answer could not be decoded, ignored",
     )
+    VERSION_NOT_RECORDED = (7008, "warning", "software version could not be recorded in the store")
     STORE_ERA_CHANGED = (
         7007,
         "warning",
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -14,6 +14,7 @@
 from result import Err
 from result import Ok
 
+from ..endpoints.software_version import UNKNOWN_VERSION
 from ..messages import AnswerHead
 from ..messages import CompleteAnswer
 from ..messages import end_to_end_headers
@@ -32,10 +33,13 @@
     from primroseferry_transport.curl_loop import CurlLoop
     from primroseferry_transport.curl_loop import PendingCall
 
+    from ..endpoints.software_version import VersionHash
+    from ..streams.stream_binding import StreamBinding
     from .event_splitter import CompleteEvents
 
 
 OTHER_STREAM_REASON = "the answer does not continue the stream"
+OTHER_VERSION_REASON = "the answer is from another software version than the stream"
 # Longer ids are compared as text only.
 MAX_ID_DIGITS = 18
 
@@ -58,15 +62,23 @@
 
     With a ``sink``, the answer is a stream and each complete event is forwarded as it arrives.
     Without one, the answer is buffered. ``resumed_after`` is the id after which a resumed stream
-    must go on, empty for none; an answer that does not is not forwarded. ``first_byte_s`` is the
-    monotonic time of the answer's head, ``None`` before it. ``ended_by_deadline`` is set when the
-    call failed at its time limit.
+    must go on, empty for none; an answer that does not is not forwarded. Neither is one of another
+    software version than ``binding``, if there is one, permits. ``first_byte_s`` is the monotonic
+    time of the answer's head, ``None`` before it. ``ended_by_deadline`` is set when the call failed
+    at its time limit.
     """
 
-    def __init__(self, loop: CurlLoop, sink: StreamSink | None, resumed_after: str = "") -> None:
+    def __init__(
+        self,
+        loop: CurlLoop,
+        sink: StreamSink | None,
+        resumed_after: str = "",
+        binding: StreamBinding | None = None,
+    ) -> None:
         self._loop = loop
         self._resumed_after = resumed_after
-        self._is_other_stream = False
+        self._binding = binding
+        self._mismatch_reason = ""
         self._sink = sink
         self._splitter = EventSplitter()
         self._head: HttpReply | None = None
@@ -130,9 +142,10 @@
     def _forward_events(self, events: CompleteEvents) -> bool:
         if self._is_cancelled or self._sink is None or self._head is None:
             return False
-        if not self._has_sent_head and not _continues(events, self._resumed_after):
-            self._is_other_stream = True
-            return False
+        if not self._has_sent_head:
+            self._mismatch_reason = self._find_mismatch(events)
+            if self._mismatch_reason:
+                return False
         if not self._has_sent_head and not self._sink.begin(self._forwarded_head(self._head)):
             self._is_stopped_by_sink = True
             return False
@@ -144,6 +157,18 @@
             return False
         return True
 
+    def _find_mismatch(self, events: CompleteEvents) -> str:
+        """Return why an answer is not the stream's, empty if it is."""
+        if not _continues(events, self._resumed_after):
+            return OTHER_STREAM_REASON
+        if self._binding is not None and not self._binding.begin(self._written_version()):
+            return OTHER_VERSION_REASON
+        return ""
+
+    def _written_version(self) -> VersionHash:
+        """Return the software version of the endpoint that wrote the answer."""
+        return UNKNOWN_VERSION
+
     def _outcome_of_stream(self, reply: HttpReply) -> AttemptOutcome:
         incomplete_event = self._splitter.incomplete_event
         if incomplete_event and not reply.is_framed:
@@ -151,8 +176,8 @@
                 "the stream ended in the middle of an event", is_connection_lost=True
             )
         if incomplete_event and not self._forward_events(parse_events(incomplete_event)):
-            if self._is_other_stream:
-                return self._interrupted(OTHER_STREAM_REASON)
+            if self._mismatch_reason:
+                return self._interrupted(self._mismatch_reason)
             return CallerLeft()
         if not self._has_sent_head:
             answer = CompleteAnswer(self._forwarded_head(reply), b"")
@@ -160,8 +185,8 @@
         return StreamEnded(self._event_count, reply.is_framed)
 
     def _outcome_of_failure(self, failure: HttpFailure) -> AttemptOutcome:
-        if self._is_other_stream:
-            return self._interrupted(OTHER_STREAM_REASON)
+        if self._mismatch_reason:
+            return self._interrupted(self._mismatch_reason)
         if self._is_event_too_long:
             return self._interrupted("an event of the answer exceeds the size limit")
         if failure.stage is FailureStage.NOT_SENT:
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -32,7 +32,9 @@
     from ..endpoint_adapter import EndpointRequestOptions
     from ..endpoint_adapter import ReplyMetadata
     from ..endpoints.endpoint import Endpoint
+    from ..endpoints.software_version import VersionHash
     from ..messages import RelayRequest
+    from ..streams.stream_binding import StreamBinding
     from .attempt_call import StreamSink
     from .outcome import AttemptOutcome
 
@@ -47,7 +49,8 @@
 class EndpointAttempt:
     """The endpoint, request and time limits of one attempt.
 
-    ``first_byte_timeout_ms`` is set only for a request that may be sent again.
+    ``first_byte_timeout_ms`` is set only for a request that may be sent again, ``binding`` only for
+    a stream that may be resumed.
     """
 
     endpoint: Endpoint
@@ -55,6 +58,7 @@
     request_id: str
     options: EndpointRequestOptions
     first_byte_timeout_ms: int | None = None
+    binding: StreamBinding | None = None
 
 
 class EndpointCall(AttemptCall):
@@ -62,7 +66,8 @@
 
     ``on_reply`` gets the status and the parsed headers of an answer to this request, before its
     body. ``has_ended`` returns whether the endpoint's process has just ended. It is asked after an
-    answer without a length or chunks, which then was broken off.
+    answer without a length or chunks, which then was broken off. ``written_version`` returns the
+    software version of the endpoint's answer.
     """
 
     def __init__(
@@ -73,8 +78,10 @@
         sink: StreamSink | None,
         on_reply: Callable[[int, ReplyMetadata], None],
         has_ended: Callable[[], bool],
+        written_version: Callable[[], VersionHash],
     ) -> None:
-        super().__init__(loop, sink, attempt.options.last_event_id)
+        super().__init__(loop, sink, attempt.options.last_event_id, attempt.binding)
+        self._get_written_version = written_version
         self._adapter = adapter
         self._attempt = attempt
         self._on_reply = on_reply
@@ -133,6 +140,9 @@
         answer = CompleteAnswer(answer_head(reply), reply.body)
         return Answered(answer, is_failure=reply.status >= 500, is_framed=is_end_known)
 
+    def _written_version(self) -> VersionHash:
+        return self._get_written_version()
+
     @property
     def _is_signed(self) -> bool:
         return self._metadata is not None and self._metadata.is_signed
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -15,6 +15,7 @@
 from .changes import RoutesChanged
 from .quarantine_records import QUARANTINE_PREFIX
 from .registration import GATEWAY_PREFIX
+from .version_records import VERSION_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Collection
@@ -28,6 +29,7 @@
     from .changes import ControlAdapter
     from .metadata_store import StoredItem
     from .quarantine_records import QuarantineRecords
+    from .version_records import VersionRecords
 
 
 class ControlFeed:
@@ -40,6 +42,7 @@
         peers: PeerTable,
         policy: RelayPolicy,
         records: QuarantineRecords,
+        versions: VersionRecords,
     ) -> None:
         self._adapter = adapter
         self._catalog = catalog
@@ -47,6 +50,7 @@
         self._policy = policy
         catalog.on_removed = policy.forget
         self._records = records
+        self._versions = versions
         self._table: RouteTable | None = None
         self._evacuated: set[FailureDomainId] = set()
 
@@ -63,6 +67,9 @@
         if item.key.startswith(QUARANTINE_PREFIX):
             self._records.apply(item)
             return
+        if item.key.startswith(VERSION_PREFIX):
+            self._versions.apply(item)
+            return
         match self._adapter.decode(item):
             case RoutesChanged(table):
                 self._apply_routes(table, item)
@@ -86,6 +93,8 @@
         """Apply the keys of a complete listing of a prefix."""
         if QUARANTINE_PREFIX.startswith(prefix):
             self._records.apply_listing(keys)
+        if VERSION_PREFIX.startswith(prefix):
+            self._versions.apply_listing(keys)
 
     def _apply_routes(self, table: RouteTable, item: StoredItem) -> None:
         if self._table is not None and table.revision < self._table.revision:
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
@@ -20,12 +20,10 @@
 from primroseferry_core.logs import log_event
 from primroseferry_policy.quarantine import SuspicionReport
 from primroseferry_policy.suspicion import DEATHS_TO_QUARANTINE
-from result import Err
-from result import Ok
-from result import Result
 
 from ..membership.codec import decode_suspicion
 from ..membership.codec import encode_suspicion
+from .leased_record import put_leased
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,7 +35,6 @@
     from ..membership.peer_table import PeerTable
     from .metadata_store import MetadataStore
     from .metadata_store import StoredItem
-    from .metadata_store import StoreFailure
 
 QUARANTINE_PREFIX = "quarantine/"
 # The longest lease that the platform grants. A quarantine that lasts longer is written again.
@@ -137,7 +134,8 @@
     def _write(self, record: SuspicionReport) -> None:
         fingerprint = record.suspicion.fingerprint
         try:
-            failure = self._put(record)
+            key = f"{QUARANTINE_PREFIX}{fingerprint}"
+            failure = put_leased(self._store, key, _encode(record), LEASE_MS)
             if failure is None:
                 with self._lock:
                     self._stored[fingerprint] = record.suspicion
@@ -154,16 +152,6 @@
         finally:
             self._write_lock.release()
 
-    def _put(self, record: SuspicionReport) -> StoreFailure | None:
-        match self._store.grant_lease(LEASE_MS):
-            case Err(failure):
-                return failure
-            case Ok(lease):
-                key = f"{QUARANTINE_PREFIX}{record.suspicion.fingerprint}"
-                written: Result[int, StoreFailure] = self._store.put(key, _encode(record), lease)
-                return written.err()
-        return None
-
 
 def _encode(record: SuspicionReport) -> bytes:
     data = {"held": encode_suspicion(record), "written_s": round(time.time(), 1)}
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/version_records.py
@@ -0,0 +1,181 @@
+"""Keeps in the platform's store which software versions serve, so that it outlives all gateways.
+
+A gateway that starts after all others have ended sees only the versions that are listed then. The
+record of a version that has left stays for its lease, longer than any stream of it. Gateways write
+a record when a version appears and again before it is too old. For each version they are ordered by
+a hash: the first one writes, the others only if those before fail.
+"""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.ids import ServiceId
+from primroseferry_core.logs import log_event
+
+from ..endpoints.software_version import VersionHash
+from ..endpoints.software_version import version_hash
+from ..endpoints.version_history import STREAM_LIFETIME_S
+from .leased_record import put_leased
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+    from collections.abc import Mapping
+
+    from ..endpoints.catalog import EndpointCatalog
+    from ..membership.peer_table import PeerTable
+    from ..routes.route_table import RouteTable
+    from .metadata_store import MetadataStore
+    from .metadata_store import StoredItem
+
+VERSION_PREFIX = "versions/"
+REWRITE_S = 150.0
+# A version that has just left was recorded at most ``REWRITE_S`` ago.
+LEASE_MS = round((REWRITE_S + STREAM_LIFETIME_S + 30.0) * 1000)
+CHECK_INTERVAL_S = 0.25
+RETRY_S = 1.0
+# How long a group of gateways waits for those before it to write a record. Each group is twice as
+# large as the one before it.
+WRITER_FAILOVER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Record:
+    service: ServiceId
+    written_s: float
+
+
+class VersionRecords:
+    """Writes this gateway's share of the records and knows those of all gateways.
+
+    ``current_table`` returns the route table: only versions of services with resumable streams are
+    recorded. ``written_s`` in a record is a Unix time.
+    """
+
+    def __init__(
+        self,
+        store: MetadataStore,
+        catalog: EndpointCatalog,
+        peers: PeerTable,
+        current_table: Callable[[], RouteTable | None],
+        clock_s: Callable[[], float] = time.monotonic,
+        wall_clock_s: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._catalog = catalog
+        self._peers = peers
+        self._current_table = current_table
+        self._clock_s = clock_s
+        self._wall_clock_s = wall_clock_s
+        self._records: dict[VersionHash, _Record] = {}
+        self._due_since_s: dict[VersionHash, float] = {}
+        self._next_check_s = float("-inf")
+        self._write_lock = threading.Lock()
+        self._lock = threading.Lock()
+
+    def apply(self, item: StoredItem) -> None:
+        """Apply a record that any gateway wrote, or the expiry of one."""
+        try:
+            version = VersionHash(int(item.key.removeprefix(VERSION_PREFIX), 16))
+            record = None if item.value is None else _decode(item.value)
+        except (ValueError, KeyError, TypeError) as error:
+            log_event(Event.CONTROL_ITEM_IGNORED, key=item.key, reason=repr(error)[:200])
+            return
+        with self._lock:
+            if record is None:
+                self._records.pop(version, None)
+            else:
+                self._records[version] = record
+
+    def apply_listing(self, keys: Collection[str]) -> None:
+        """Forget the records that a complete listing of the store lacks."""
+        with self._lock:
+            self._records = {
+                version: record
+                for version, record in self._records.items()
+                if _key(version) in keys
+            }
+
+    def is_recorded(self, version: VersionHash) -> bool:
+        """Whether the store holds a record of a version."""
+        return version in self._records
+
+    def recorded(self, service: ServiceId) -> set[VersionHash]:
+        """Return the versions of a service that the store holds records of."""
+        with self._lock:
+            return {
+                version for version, record in self._records.items() if record.service == service
+            }
+
+    def tick(self) -> None:
+        """Start to write a record if this gateway is to write one; never blocks."""
+        now_s = self._clock_s()
+        if now_s < self._next_check_s:
+            return
+        self._next_check_s = now_s + CHECK_INTERVAL_S
+        due = self._next_due(now_s)
+        if due is not None and self._write_lock.acquire(blocking=False):
+            threading.Thread(target=self._write, args=due, daemon=True).start()
+
+    def _next_due(self, now_s: float) -> tuple[VersionHash, ServiceId] | None:
+        unrecorded = self._unrecorded()
+        self._due_since_s = {
+            version: self._due_since_s.get(version, now_s) for version in unrecorded
+        }
+        for version, service in unrecorded.items():
+            group = self._peers.rank_among_live(_key(version)).bit_length()
+            if now_s - self._due_since_s[version] >= group * WRITER_FAILOVER_S:
+                return version, service
+        return None
+
+    def _unrecorded(self) -> Mapping[VersionHash, ServiceId]:
+        table = self._current_table()
+        services = table.resumable_services if table is not None else ()
+        oldest_s = self._wall_clock_s() - REWRITE_S
+        listed = {
+            version_hash(service, version): service
+            for service in services
+            for version in self._catalog.listed_versions(service)
+        }
+        with self._lock:
+            return {
+                version: service
+                for version, service in listed.items()
+                if version not in self._records or self._records[version].written_s < oldest_s
+            }
+
+    def _write(self, version: VersionHash, service: ServiceId) -> None:
+        try:
+            written_s = round(self._wall_clock_s(), 1)
+            value = json.dumps({"service": service, "written_s": written_s}).encode()
+            failure = put_leased(self._store, _key(version), value, LEASE_MS)
+            if failure is None:
+                with self._lock:
+                    self._records[version] = _Record(service, written_s)
+                return
+            log_event(
+                Event.VERSION_NOT_RECORDED,
+                service=service,
+                version=f"{version:016x}",
+                reason=failure.value,
+            )
+            self._next_check_s = self._clock_s() + RETRY_S
+        except Exception as error:
+            log_event(Event.BACKGROUND_TASK_FAILED, task="version records", error=repr(error)[:300])
+        finally:
+            self._write_lock.release()
+
+
+def _key(version: VersionHash) -> str:
+    return f"{VERSION_PREFIX}{version:016x}"
+
+
+def _decode(value: bytes) -> _Record:
+    data = json.loads(value)
+    return _Record(ServiceId(str(data["service"])), float(data["written_s"]))
--- a/packages/primroseferry-relay/src/primroseferry_relay/decision.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -16,6 +16,11 @@
 
 if TYPE_CHECKING:
     from .attempts.outcome import AttemptOutcome
+    from .endpoints.endpoint import Endpoint
+    from .streams.resumptions import Resumption
+
+# Of an id that a caller names, as logged.
+MAX_ID_LENGTH = 80
 
 
 @dataclass(slots=True)
@@ -37,6 +42,8 @@
     options: str = ""
     fingerprint: Fingerprint = Fingerprint("")
     held_part: Fingerprint = Fingerprint("")
+    resumes: str = ""
+    resumption: Resumption | None = None
 
     def note_options(self, local: LocalOption | None, remote: RegionOption | None) -> None:
         """Record the best local and remote options with their expected times to the first byte."""
@@ -44,6 +51,11 @@
         remote_text = f"{remote.region}:{remote.first_ms:.0f}" if remote is not None else "-"
         self.options = f"here:{local_text} {remote_text}"
 
+    def note_resumption(self, resumes: str, resumption: Resumption) -> None:
+        """Record a stream that its caller takes up, and the version at which it may go on."""
+        self.resumes = resumes[:MAX_ID_LENGTH]
+        self.resumption = resumption
+
     def note_attempt(self, option: LocalOption | RegionOption) -> None:
         """Record the endpoint or gateway that the request is sent to."""
         self.attempts.append(f"{_target_text(option)} ({self.options})")
@@ -70,6 +82,10 @@
         extra = {} if is_good else {"fingerprint": str(self.fingerprint)}
         if self.held_part:
             extra["held_part"] = str(self.held_part)
+        if self.resumption is not None:
+            extra["resumes"] = self.resumes
+            extra["version_source"] = self.resumption.source.value
+            extra["version"] = f"{self.resumption.version:016x}"
         log_event(
             Event.REQUEST_ANSWERED if is_good else Event.REQUEST_REFUSED,
             request_id=self.request_id,
@@ -90,6 +106,12 @@
         case RegionOption():
             return option.target
         case LocalOption(endpoint, choice) if choice.copy is not None:
-            return f"{endpoint.endpoint} copying {choice.copy.tokens} from {choice.copy.source}"
+            return (
+                f"{_endpoint_text(endpoint)} copying {choice.copy.tokens} from {choice.copy.source}"
+            )
         case LocalOption(endpoint):
-            return str(endpoint.endpoint)
+            return _endpoint_text(endpoint)
+
+
+def _endpoint_text(endpoint: Endpoint) -> str:
+    return f"{endpoint.endpoint}@{endpoint.version}" if endpoint.version else str(endpoint.endpoint)
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
@@ -21,13 +21,16 @@
 class RequestMetadata:
     """Values decoded from a caller's headers.
 
-    ``deadline_ms`` is the time from the request's arrival to its deadline.
+    ``deadline_ms`` is the time from the request's arrival to its deadline. ``last_event_id`` is the
+    event after which a stream is taken up, ``resumes`` the id of the request that began the stream,
+    empty if the caller names none or several.
     """
 
     request_id: RequestId
     deadline_ms: float | None = None
     generation: Generation = NO_GENERATION
     last_event_id: str = ""
+    resumes: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -24,6 +24,8 @@
 from .endpoint import Endpoint
 from .endpoint import EndpointState
 from .endpoint_point import endpoint_hash
+from .software_version import UNKNOWN_VERSION
+from .version_history import VersionHistory
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,9 +36,11 @@
     from primroseferry_core.ids import FailureDomainId
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
+    from primroseferry_core.ids import SoftwareVersion
 
     from .endpoint import EndpointRun
     from .endpoint_point import EndpointHash
+    from .software_version import VersionHash
 
 # How long entries may take to return after an outage of the store, as stated by its operators.
 REREGISTRATION_GRACE_S = 2.0
@@ -70,6 +74,7 @@
         self._by_service_and_region: dict[_ServiceInRegion, dict[EndpointId, None]] = {}
         self._by_hash: dict[EndpointHash, dict[EndpointId, None]] = {}
         self._pending_removals: set[EndpointId] = set()
+        self._versions = VersionHistory(clock_s)
         self._evacuated: frozenset[FailureDomainId] = frozenset()
         self._store_returned_s = float("-inf")
         self._leaving: BoundedMap[EndpointRun, None] = BoundedMap(MAX_LEAVING_RUNS)
@@ -101,6 +106,7 @@
                     cold_until_s = entry.cold_until_s
             self._delete(endpoint.endpoint)
             self._entries[endpoint.endpoint] = _CatalogEntry(endpoint, cold_until_s)
+            self._versions.add(endpoint)
             self._by_service_and_region.setdefault(_service_in_region(endpoint), {})[
                 endpoint.endpoint
             ] = None
@@ -111,6 +117,7 @@
                 endpoint=endpoint.endpoint,
                 service=endpoint.service,
                 address=endpoint.address,
+                version=endpoint.version,
                 change=change,
                 cold_ms=endpoint.warmup_left_ms,
             )
@@ -193,6 +200,48 @@
                 return False
             return self._accepts_requests(entry.endpoint)
 
+    def written_version(self, endpoint: Endpoint) -> VersionHash:
+        """Return the software version of an answer of an endpoint that was chosen before.
+
+        It is unknown if the entry under its name describes another run or version by now.
+        """
+        known = self.find(endpoint.endpoint)
+        if known is None or (known.run, known.version) == (endpoint.run, endpoint.version):
+            return endpoint.version_hash
+        return UNKNOWN_VERSION
+
+    def serves_version(self, service: ServiceId, region: RegionId, version: VersionHash) -> bool:
+        """Whether a region has an endpoint of a software version that accepts new requests."""
+        return any(
+            endpoint.version_hash == version
+            for endpoint in self.available_endpoints(service, region)
+        )
+
+    def services(self) -> set[ServiceId]:
+        """Return the services that have or had endpoints."""
+        with self._lock:
+            return {key.service for key in self._by_service_and_region}
+
+    def listed_versions(self, service: ServiceId) -> set[SoftwareVersion]:
+        """Return the software versions of a service's listed endpoints."""
+        with self._lock:
+            return self._versions.listed(service)
+
+    def recent_versions(self, service: ServiceId) -> set[VersionHash]:
+        """Return the software versions that a stream of a service may have begun at."""
+        with self._lock:
+            return self._versions.recent(service)
+
+    def is_version_active(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint's version may begin streams while others can."""
+        with self._lock:
+            return self._versions.is_active(endpoint.service, endpoint.version)
+
+    @property
+    def version_history_age_s(self) -> float:
+        """Seconds since this gateway first knew of endpoints."""
+        return self._versions.age_s
+
     def is_cold(self, endpoint: EndpointId) -> bool:
         """Whether the endpoint is still cold, by its entry or its latest report."""
         with self._lock:
@@ -237,6 +286,7 @@
         entry = self._entries.pop(endpoint, None)
         self._pending_removals.discard(endpoint)
         if entry is not None:
+            self._versions.remove(entry.endpoint)
             del self._by_service_and_region[_service_in_region(entry.endpoint)][endpoint]
             point = endpoint_hash(endpoint)
             del self._by_hash[point][endpoint]
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint.py
@@ -6,12 +6,18 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from primroseferry_core.ids import SoftwareVersion
+
+from .software_version import version_hash
+
 if TYPE_CHECKING:
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import FailureDomainId
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
 
+    from .software_version import VersionHash
+
 
 class EndpointState(Enum):
     """Whether an endpoint accepts new requests."""
@@ -36,7 +42,8 @@
     ``address`` is an IP address and a port. ``slots`` is the number of requests that the endpoint
     runs at the same time. ``started_ms`` is the Unix time of the start of its process in ms, 0 for
     unknown; it distinguishes the runs under one id. ``warmup_left_ms`` is how many ms the endpoint
-    stays cold from the moment at which the entry was written.
+    stays cold from the moment at which the entry was written. ``version`` is that of its software,
+    empty if the entry names none.
     """
 
     endpoint: EndpointId
@@ -48,8 +55,14 @@
     state: EndpointState
     warmup_left_ms: float
     started_ms: int
+    version: SoftwareVersion = SoftwareVersion("")
 
     @property
     def run(self) -> EndpointRun:
         """The run of the process that the entry describes."""
         return EndpointRun(self.endpoint, self.started_ms, self.address)
+
+    @property
+    def version_hash(self) -> VersionHash:
+        """The software version that writes its answers, as other gateways are told of it."""
+        return version_hash(self.service, self.version)
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
@@ -20,6 +20,7 @@
 
 HOP_HEADER = "X-Primroseferry-Hop"
 OUTCOME_HEADER = "X-Primroseferry-Outcome"
+VERSION_DETAIL = "version="
 
 
 class HopOutcome(Enum):
@@ -50,7 +51,9 @@
     ``deadline_ms`` is the time in ms that remains when the request is sent. ``excluded`` are the
     endpoints that must not be tried. ``fingerprint`` identifies the request in the quarantine.
     ``trial`` is the quarantine trial that admits the request, empty for none. ``part_trials`` are
-    those of parts of its prompt, as pairs of the part's key and the trial.
+    those of parts of its prompt, as pairs of the part's key and the trial. ``is_resumable``: the
+    stream may go on at another endpoint, of the software version ``version`` if it has begun, 0 for
+    a new one.
     """
 
     hop_id: str
@@ -67,6 +70,8 @@
     fingerprint: Fingerprint = Fingerprint("")
     trial: str = ""
     part_trials: tuple[tuple[str, str], ...] = ()
+    is_resumable: bool = False
+    version: int = 0
 
     def encode(self) -> str:
         """Return the value of the ``X-Primroseferry-Hop`` header as JSON."""
@@ -92,6 +97,8 @@
             fingerprint=Fingerprint(str(data.get("fingerprint", ""))),
             trial=str(data.get("trial", "")),
             part_trials=_decode_part_trials(data.get("part_trials", [])),
+            is_resumable=bool(data.get("is_resumable", False)),
+            version=int(str(data.get("version", 0))),
         )
     except (ValueError, KeyError, TypeError):
         return None
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
@@ -12,11 +12,14 @@
 from ..attempts.outcome import Answered
 from ..attempts.outcome import Lost
 from ..attempts.outcome import NotRun
+from ..endpoints.software_version import UNKNOWN_VERSION
+from ..endpoints.software_version import VersionHash
 from ..messages import AnswerHead
 from ..messages import CompleteAnswer
 from ..messages import end_to_end_headers
 from .hop import HOP_HEADER
 from .hop import OUTCOME_HEADER
+from .hop import VERSION_DETAIL
 from .hop import HopOutcome
 
 if TYPE_CHECKING:
@@ -26,6 +29,7 @@
     from ..attempts.attempt_call import StreamSink
     from ..attempts.outcome import AttemptOutcome
     from ..messages import RelayRequest
+    from ..streams.stream_binding import StreamBinding
     from .hop import HopRequest
 
 # A round trip on the longest link, plus the retransmission of a lost packet.
@@ -49,8 +53,9 @@
         request: RelayRequest,
         hop_request: HopRequest,
         sink: StreamSink | None,
+        binding: StreamBinding | None = None,
     ) -> None:
-        super().__init__(loop, sink, hop_request.last_event_id)
+        super().__init__(loop, sink, hop_request.last_event_id, binding)
         self._address = address
         self._request = request
         self._hop_request = hop_request
@@ -85,6 +90,15 @@
     def _forwarded_head(self, reply: HttpReply) -> AnswerHead:
         return _without_outcome_header(answer_head(reply))
 
+    def _written_version(self) -> VersionHash:
+        """Return the version that the remote gateway names; those of earlier releases name none."""
+        text = self._head.headers.get(OUTCOME_HEADER.lower(), "") if self._head else ""
+        _, _, digits = text.partition(VERSION_DETAIL)
+        try:
+            return VersionHash(int(digits, 16))
+        except ValueError:
+            return UNKNOWN_VERSION
+
     def _outcome_of_reply(self, reply: HttpReply) -> AttemptOutcome:
         text, _, detail = reply.headers.get(OUTCOME_HEADER.lower(), "").partition(";")
         try:
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -28,15 +28,19 @@
 from ..control.peer_sync import CONTROL_PATH
 from ..crash_attribution import CRASHED_DETAIL
 from ..crash_attribution import HELD_PART_DETAIL
+from ..endpoints.software_version import UNKNOWN_VERSION
+from ..endpoints.software_version import VersionHash
 from ..ingress.channel_sink import ChannelSink
 from ..local_attempts import AttemptPlan
 from ..messages import AnswerHead
 from ..messages import CompleteAnswer
 from ..messages import RelayRequest
 from ..messages import problem_answer
+from ..streams.stream_binding import StreamBinding
 from ..suspect import suspect_of_request
 from .hop import HOP_HEADER
 from .hop import OUTCOME_HEADER
+from .hop import VERSION_DETAIL
 from .hop import HopOutcome
 from .hop import HopRequest
 from .hop import decode_hop_request
@@ -193,6 +197,7 @@
         if admittance.wait_s > 0:
             detail = HELD_PART_DETAIL if admittance.held_part else CRASHED_DETAIL
             return NotRun(detail, is_sent=False, retry_after_s=admittance.wait_s)
+        binding = _binding(hop_request)
         plan = AttemptPlan(
             self._request,
             hop_request.request_id,
@@ -204,19 +209,20 @@
             hop_request.last_event_id,
             hop_request.is_repeatable,
             target_ms,
+            binding,
         )
         excluded = set(hop_request.excluded)
         outcome: AttemptOutcome = NotRun("no endpoint is available in this region", is_sent=False)
         attempts = permits_denied = 0
         while attempts < MAX_ENDPOINT_ATTEMPTS:
             options = self._server._local.rank(
-                service, metadata.generation, excluded, plan.is_urgent, permits_denied
+                service, metadata.generation, excluded, plan.is_urgent, permits_denied, binding
             )
             if not options or self._watch.is_disconnected:
                 break
             excluded.add(options[0].endpoint.endpoint)
             sink = (
-                ChannelSink(self._channel, _with_answered_outcome)
+                ChannelSink(self._channel, lambda head: _with_answered_outcome(head, binding))
                 if hop_request.is_stream
                 else None
             )
@@ -267,8 +273,17 @@
     return AnswerHead(head.status, head.reason, (*head.headers, Header(OUTCOME_HEADER, value)))
 
 
-def _with_answered_outcome(head: AnswerHead) -> AnswerHead:
-    return _with_outcome(head, HopOutcome.ANSWERED)
+def _with_answered_outcome(head: AnswerHead, binding: StreamBinding | None) -> AnswerHead:
+    version = binding.version if binding is not None else None
+    detail = "" if version is None else f"{VERSION_DETAIL}{version:x}"
+    return _with_outcome(head, HopOutcome.ANSWERED, detail)
+
+
+def _binding(hop_request: HopRequest) -> StreamBinding | None:
+    if not hop_request.is_resumable:
+        return None
+    version = VersionHash(hop_request.version)
+    return StreamBinding(None if version == UNKNOWN_VERSION else version)
 
 
 def _send_outcome(
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -19,6 +19,7 @@
 from ..attempts.outcome import Lost
 from ..attempts.outcome import NotRun
 from ..attempts.outcome import StreamBroken
+from ..endpoints.software_version import UNKNOWN_VERSION
 from ..region_choice import ROUND_TRIP_MS
 from ..region_choice import STALENESS_MS
 from ..region_choice import RegionOption
@@ -70,15 +71,19 @@
         home_regions: frozenset[RegionId],
         excluded: Collection[RegionId],
         is_urgent: bool,
+        serves: Callable[[RegionId], bool] = lambda _region: True,
     ) -> RegionOption | None:
         """Return the permitted region with the best score, ``None`` if no region is available.
 
-        An empty ``home_regions`` permits every region. Saturated regions come last.
+        An empty ``home_regions`` permits every region. ``serves`` returns whether a region has an
+        endpoint that fits the request. Saturated regions come last.
         """
         options = [
             option
             for region in self._peers.regions()
-            if region not in excluded and (not home_regions or region in home_regions)
+            if region not in excluded
+            and (not home_regions or region in home_regions)
+            and serves(region)
             if (option := self._option(region, service, generation, is_urgent)) is not None
         ]
         return min(
@@ -114,8 +119,12 @@
             plan.suspect.fingerprint,
             plan.suspect.trial,
             tuple((part.key, part.trial) for part in plan.suspect.parts if part.trial),
+            plan.binding is not None,
+            (plan.binding.version if plan.binding is not None else None) or UNKNOWN_VERSION,
+        )
+        call = HopCall(
+            self._loop, option.peer.address.hop, plan.request, hop_request, sink, plan.binding
         )
-        call = HopCall(self._loop, option.peer.address.hop, plan.request, hop_request, sink)
         key = (option.region, plan.service)
         with self._policy.breakers.attempt(_circuit_id(option.peer)):
             with self._lock:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -30,6 +30,7 @@
 from ..control.registration import Registration
 from ..control.store_watch import StartDelay
 from ..control.store_watch import StoreWatch
+from ..control.version_records import VersionRecords
 from ..control.watch_duty import WatchDuty
 from ..control.watch_duty import oldest_answer_age_ms
 from ..endpoints.catalog import EndpointCatalog
@@ -48,10 +49,13 @@
 from ..membership.peer_table import PeerTable
 from ..membership.reporter import Reporter
 from ..membership.request_permits import RequestPermits
+from ..membership.stream_sync import StreamSync
 from ..relay import Relay
 from ..relay_policy import RelayPolicy
 from ..request_run import RelayContext
 from ..routes.service import CallerLimits
+from ..streams.resumptions import Resumptions
+from ..streams.stream_origins import StreamOrigins
 from .inspection import Inspection
 from .relay_metrics import RelayGauges
 from .relay_metrics import RelayMetrics
@@ -130,11 +134,25 @@
         self._peers = PeerTable(settings.instance, settings.region)
         self._permits = RequestPermits(self._policy.request_limits, self._peers)
         records = QuarantineRecords(self._store, self._policy.quarantine, self._peers)
-        self._feed = ControlFeed(control_adapter, self._catalog, self._peers, self._policy, records)
+        versions = VersionRecords(
+            self._store, self._catalog, self._peers, lambda: self._feed.table()
+        )
+        origins = StreamOrigins()
+        streams = StreamSync(origins, self._peers)
+        self._resumptions = Resumptions(origins, self._catalog, versions, self._peers, streams)
+        self._feed = ControlFeed(
+            control_adapter, self._catalog, self._peers, self._policy, records, versions
+        )
         self._state = ControlState(self._feed.apply, self._feed.apply_listing)
         self._duty = WatchDuty(self._peers)
         self._sync = PeerSync(self._loop, self._peers, self._state, self._duty)
-        peer_feed = PeerFeed(self._catalog, self._policy, self._sync, self._feed.table, records)
+        peer_feed = PeerFeed(
+            self._catalog,
+            self._policy,
+            self._sync,
+            self._feed.table,
+            (records, versions, self._resumptions),
+        )
         self._reporter = Reporter(
             settings.host,
             settings.report_port,
@@ -144,6 +162,7 @@
             peer_feed,
             self._policy.quarantine,
             self._permits,
+            streams,
         )
         self._watches = [
             StoreWatch(
@@ -184,6 +203,7 @@
             RegionAttempts(self._loop, self._peers, self._policy),
             self._peers,
             self._policy,
+            self._resumptions,
             self._record_decision,
         )
         relay = Relay(parts, endpoint_adapter, self._feed.table)
@@ -348,6 +368,7 @@
                 for run, limit_per_s in self._policy.request_limits.in_force().items()
             },
             self._permits.outcomes(),
+            self._resumptions.counts(),
         )
 
     def _dump(self) -> dict[str, object]:
@@ -362,6 +383,7 @@
             "store_age_ms": round(oldest_answer_age_ms(self._watches)),
             "is_on_watch_duty": self._duty.is_on_duty(),
             "evacuated": sorted(self._catalog.evacuated),
+            "streams": self._resumptions.dump(),
             "endpoints": dump_endpoints(self._catalog, self._policy),
             "gateways": dump_gateways(self._peers),
             **dump_policy(self._policy),
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
@@ -22,6 +22,7 @@
     from ..crash_attribution import Verdict
     from ..decision import DecisionRecord
     from ..membership.request_permits import PermitOutcome
+    from ..streams.resumptions import OriginSource
 
 DURATION_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.4, 2.0, 4.0, 8.0, 16.0]
 # How many request times are buffered before they are passed to the library.
@@ -56,6 +57,7 @@
     held_parts: int
     request_limits: Mapping[str, float]
     permits: Mapping[PermitOutcome, int]
+    resumptions: Mapping[OriginSource, int]
 
 
 class RelayMetrics:
@@ -154,6 +156,11 @@
             ("attempts_total", "Attempts on endpoints.", attempts),
             ("store_calls_total", "Calls on the store.", store_calls),
             ("lost_attempts_total", "Losses by verdict.", verdicts),
+            (
+                "stream_resumptions_total",
+                "Streams that callers took up, by how their software version became known.",
+                [({"source": source.value}, count) for source, count in gauges.resumptions.items()],
+            ),
             ("permits_total", "Permits for endpoints with a request limit.", permits),
         ]
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -54,6 +54,7 @@
     from .endpoints.catalog import EndpointCatalog
     from .endpoints.endpoint import Endpoint
     from .endpoints.endpoint import EndpointRun
+    from .endpoints.software_version import VersionHash
     from .membership.peer_table import PeerTable
     from .membership.request_permits import RequestPermits
     from .messages import AnswerHead
@@ -61,6 +62,7 @@
     from .relay_policy import RelayPolicy
     from .routes.service import EngineSize
     from .routes.service import Service
+    from .streams.stream_binding import StreamBinding
     from .suspect import Suspect
 
 # A repeatable request goes to another endpoint once its first byte takes this many times as long
@@ -95,7 +97,7 @@
     """Parameters of an attempt, in the own or in a remote region.
 
     ``deadline_s`` is a monotonic time. ``target_ms`` is the longest time to the first byte that
-    earns full credit.
+    earns full credit. ``binding`` is set for a stream that may be resumed.
     """
 
     request: RelayRequest
@@ -108,6 +110,7 @@
     last_event_id: str
     may_be_repeated: bool
     target_ms: float = 0.0
+    binding: StreamBinding | None = None
 
     @property
     def is_urgent(self) -> bool:
@@ -166,14 +169,17 @@
         excluded: Collection[EndpointId],
         is_urgent: bool = True,
         permits_denied: int = 0,
+        binding: StreamBinding | None = None,
     ) -> list[LocalOption]:
         """Return the endpoints that may receive the request now, best first.
 
         A request that was denied ``MAX_PERMITS_DENIED`` permits is not sent to endpoints that name
-        a request limit.
+        a request limit. ``binding`` limits a stream to the endpoints of its software version.
         """
         may_ask = permits_denied < MAX_PERMITS_DENIED
         available = self._catalog.available_endpoints(service.name, self._region)
+        if binding is not None:
+            available = self._fitting_endpoints(available, binding.version)
         endpoints = [
             endpoint
             for endpoint in available
@@ -210,6 +216,15 @@
         endpoints_by_id = {endpoint.endpoint: endpoint for endpoint in sample}
         return [LocalOption(endpoints_by_id[choice.endpoint], choice) for choice in choices]
 
+    def _fitting_endpoints(
+        self, available: list[Endpoint], version: VersionHash | None
+    ) -> list[Endpoint]:
+        """Return the endpoints of a stream's version, for a new stream those that may begin it."""
+        if version is not None:
+            return [endpoint for endpoint in available if endpoint.version_hash == version]
+        active = [endpoint for endpoint in available if self._catalog.is_version_active(endpoint)]
+        return active or available
+
     def run(
         self,
         option: LocalOption,
@@ -232,6 +247,10 @@
         with self._policy.breakers.attempt(endpoint.endpoint):
             return self._send(option, service, plan, sink, on_start)
 
+    def serves_version(self, service: Service, region: RegionId, version: VersionHash) -> bool:
+        """Whether a region has an available endpoint of a software version."""
+        return self._catalog.serves_version(service.name, region, version)
+
     def earliest_send_s(self, service: Service, is_urgent: bool) -> float:
         """Return the seconds until a local endpoint of a service takes requests again.
 
@@ -291,6 +310,7 @@
                 ),
                 lambda status, metadata: self._note_reply(endpoint, status, metadata, sent_s),
                 lambda: self.crash_attribution.has_ended(endpoint),
+                lambda: self._catalog.written_version(endpoint),
             )
             on_start(call)
             outcome = call.run()
@@ -322,6 +342,7 @@
                 self._copy_address(option.choice),
             ),
             first_byte_timeout_ms,
+            plan.binding,
         )
 
     def _report_placement(self, option: LocalOption, engine: EngineSize, plan: AttemptPlan) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -32,12 +32,18 @@
 from ..endpoints.request_limits import MAX_LIMIT_PER_S
 from ..endpoints.request_limits import LimitObservation
 from ..endpoints.request_limits import ObservationId
+from ..endpoints.software_version import VersionHash
+from ..streams.stream_origins import StreamKey
+from ..streams.stream_origins import StreamOrigin
 from .datagrams import Blame
 from .datagrams import CachedParts
 from .datagrams import Digest
 from .datagrams import EndpointLoad
 from .datagrams import LeavingNotice
 from .datagrams import MemberUpdate
+from .datagrams import OriginQuery
+from .datagrams import OriginReply
+from .datagrams import OriginReport
 from .datagrams import PermitReply
 from .datagrams import PermitRequest
 from .datagrams import Placement
@@ -72,6 +78,8 @@
 # its prefill tokens per second. Tokens are counted in steps too small to affect routing: a digest
 # goes to every gateway of a region many times per second, so its size matters.
 _LOAD = struct.Struct("<IBHHB")
+# A stream's key and the hash of its software version.
+_ORIGIN = struct.Struct("<QQ")
 _MAX_REQUESTS = 0xFF
 UNCACHED_TOKENS_STEP = 16
 MEMORY_TOKENS_STEP = 64
@@ -95,6 +103,9 @@
     SUSPICIONS = 11
     PERMIT_REQUEST = 12
     PERMIT_REPLY = 13
+    ORIGIN_REPORT = 14
+    ORIGIN_QUERY = 15
+    ORIGIN_REPLY = 16
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -130,6 +141,13 @@
             )
         case PermitReply(number, is_granted, ask_again_ms):
             return _pack(_Kind.PERMIT_REPLY, [number, is_granted, ask_again_ms])
+        case OriginReport(origins):
+            return _pack(_Kind.ORIGIN_REPORT, [b"".join(map(_encode_origin, origins))])
+        case OriginQuery(reply_to, number, key):
+            return _pack(_Kind.ORIGIN_QUERY, [reply_to, number, key])
+        case OriginReply(own_address, number, origin):
+            packed = b"" if origin is None else _encode_origin(origin)
+            return _pack(_Kind.ORIGIN_REPLY, [own_address, number, packed])
 
 
 def digest_header(acked: int) -> bytes:
@@ -241,9 +259,33 @@
             return PermitReply(
                 _non_negative_int(number), bool(is_granted), _non_negative_int(ask_again_ms)
             )
+        case _Kind.ORIGIN_REPORT:
+            return OriginReport(_decode_origins(fields[0]))
+        case _Kind.ORIGIN_QUERY:
+            reply_to, number, key = fields[:3]
+            return OriginQuery(
+                _string(reply_to), _non_negative_int(number), StreamKey(_non_negative_int(key))
+            )
+        case _Kind.ORIGIN_REPLY:
+            sender, number, packed = fields[:3]
+            origins = _decode_origins(packed)
+            return OriginReply(
+                _string(sender), _non_negative_int(number), origins[0] if origins else None
+            )
     return None
 
 
+def _encode_origin(origin: StreamOrigin) -> bytes:
+    return _ORIGIN.pack(origin.key, origin.version)
+
+
+def _decode_origins(packed: Any) -> tuple[StreamOrigin, ...]:
+    return tuple(
+        StreamOrigin(StreamKey(key), VersionHash(version))
+        for key, version in _ORIGIN.iter_unpack(bytes(memoryview(packed)))
+    )
+
+
 def _update_fields(update: MemberUpdate) -> list[Any]:
     return [
         _peer_fields(update.peer),
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
@@ -29,6 +29,8 @@
     from ..endpoints.endpoint_point import EndpointHash
     from ..endpoints.endpoint_point import RunHash
     from ..endpoints.request_limits import LimitObservation
+    from ..streams.stream_origins import StreamKey
+    from ..streams.stream_origins import StreamOrigin
     from .peer import ControlStatus
     from .peer import Peer
     from .peer import ServiceSummary
@@ -238,6 +240,31 @@
     ask_again_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class OriginReport:
+    """Streams that the sender began, and the software versions that began them."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OriginQuery:
+    """Asks at which software version a stream began; the reply goes to ``reply_to``."""
+
+    reply_to: str
+    number: int
+    key: StreamKey
+
+
+@dataclass(frozen=True, slots=True)
+class OriginReply:
+    """The origin of a stream, ``None`` if ``sender``, a datagram address, does not know it."""
+
+    sender: str
+    number: int
+    origin: StreamOrigin | None
+
+
 Datagram = (
     MemberUpdate
     | Digest
@@ -252,4 +279,7 @@
     | Suspicions
     | PermitRequest
     | PermitReply
+    | OriginReport
+    | OriginQuery
+    | OriginReply
 )
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -30,6 +30,9 @@
 from .datagrams import Digest
 from .datagrams import LeavingNotice
 from .datagrams import MemberUpdate
+from .datagrams import OriginQuery
+from .datagrams import OriginReply
+from .datagrams import OriginReport
 from .datagrams import PermitReply
 from .datagrams import PermitRequest
 from .datagrams import Placement
@@ -72,6 +75,7 @@
     from .peer import ServiceSummary
     from .peer_table import PeerTable
     from .request_permits import RequestPermits
+    from .stream_sync import StreamSync
 
 # A placement triggers an update at once unless the previous one was sent within this time. Ended
 # requests are reported with the next tick.
@@ -138,6 +142,7 @@
         send: Callable[[str, bytes], None],
         quarantine: Quarantine,
         permits: RequestPermits,
+        streams: StreamSync,
         clock_s: Callable[[], float] = time.monotonic,
         seed: int | None = None,
     ) -> None:
@@ -179,6 +184,8 @@
         self._permits = permits
         self._limit_sync = LimitSync(permits.limits)
         permits.connect(lambda: self._own.address.report, send)
+        self._streams = streams
+        streams.connect(lambda: self._own.address.report, send)
         self._is_view_lost = True
         self._primary_address = ""
         self._targets: list[Target] = []
@@ -216,6 +223,7 @@
             if now_s - self._last_tick_s >= TICK_INTERVAL_S:
                 self._last_tick_s = now_s
                 self._feed.tick()
+                self._streams.tick()
                 self._peers.expire()
                 self._collector.expire()
                 previous = [(target.peer.instance, target.wants_digest) for target in self._targets]
@@ -314,6 +322,12 @@
                 self._permits.on_request(datagram)
             case PermitReply():
                 self._permits.on_reply(datagram)
+            case OriginReport():
+                self._streams.on_report(datagram)
+            case OriginQuery():
+                self._streams.on_query(datagram)
+            case OriginReply():
+                self._streams.on_reply(datagram)
 
     def _handle_update(self, update: MemberUpdate) -> None:
         peer = update.peer
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
@@ -11,12 +12,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
+    from collections.abc import Sequence
 
     from primroseferry_core.ids import EndpointId
     from primroseferry_policy.endpoint_loads import OpenWork
 
     from ..control.peer_sync import PeerSync
-    from ..control.quarantine_records import QuarantineRecords
     from ..endpoints.catalog import EndpointCatalog
     from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointHash
@@ -27,8 +28,18 @@
     from .datagrams import Digest
 
 
+class PeriodicTask(Protocol):
+    """Work that is due now and then and never blocks."""
+
+    def tick(self) -> None:
+        """Do what is due."""
+
+
 class PeerFeed:
-    """Applies loads, cached parts, blames and leaving endpoints reported by other gateways."""
+    """Applies loads, cached parts, blames and leaving endpoints reported by other gateways.
+
+    ``tasks`` are run with each ``tick``.
+    """
 
     def __init__(
         self,
@@ -36,13 +47,13 @@
         policy: RelayPolicy,
         sync: PeerSync,
         current_table: Callable[[], RouteTable | None],
-        records: QuarantineRecords,
+        tasks: Sequence[PeriodicTask],
     ) -> None:
         self._catalog = catalog
         self._policy = policy
         self._sync = sync
         self._current_table = current_table
-        self._records = records
+        self._tasks = tasks
 
     def on_digest(self, digest: Digest, own_loads: Mapping[EndpointHash, OpenWork]) -> None:
         """Apply the region's loads; ``own_loads`` is this gateway's share of them."""
@@ -82,9 +93,10 @@
         self._catalog.note_leaving(run)
 
     def tick(self) -> None:
-        """Fetch newer control items from peers and write quarantine records when due."""
+        """Fetch newer control items from peers, and run the other tasks."""
         self._sync.tick()
-        self._records.tick()
+        for task in self._tasks:
+            task.tick()
 
     def _record_parts(self, cached: CachedParts) -> None:
         name = self._catalog.find_by_hash(cached.endpoint)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -33,6 +33,7 @@
     from .peer import ServiceSummary
     from .peer_table import PeerTable
     from .request_permits import RequestPermits
+    from .stream_sync import StreamSync
 
 # A collector of a large region lets datagrams queue for this long before it handles them, because a
 # wake-up for each datagram costs more than handling it.
@@ -61,6 +62,7 @@
         feed: ExchangeFeed,
         quarantine: Quarantine,
         permits: RequestPermits,
+        streams: StreamSync,
     ) -> None:
         """Bind the socket; ``local_state`` is called with the address that it is bound to."""
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -79,6 +81,7 @@
             self._send,
             quarantine,
             permits,
+            streams,
         )
         self._is_open = True
         self._thread = threading.Thread(target=self._run, name="reporter", daemon=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -57,7 +57,9 @@
             problem = Problem(ErrorKind.UNKNOWN_PATH, "no route matches the host and path")
             self._refuse(channel, record, problem, None)
             return
-        request_hash = xxhash.xxh3_64_intdigest(metadata.request_id.encode())
+        # A stream that is taken up goes on at the service that began it.
+        first_id = metadata.resumes if metadata.last_event_id else ""
+        request_hash = xxhash.xxh3_64_intdigest((first_id or metadata.request_id).encode())
         service = table.services[route.service_for(request_hash)]
         record.route = route.name
         record.service = service.name
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -10,6 +10,7 @@
 
 from primroseferry_core.errors import ErrorKind
 from primroseferry_core.errors import Problem
+from primroseferry_core.ids import RequestId
 from primroseferry_transport.disconnect_watch import watch_disconnect
 
 from .attempts.caller_watch import CallerWatch
@@ -21,6 +22,7 @@
 from .attempts.outcome import StreamEnded
 from .crash_attribution import CRASHED_DETAIL
 from .crash_attribution import HELD_PART_DETAIL
+from .endpoints.software_version import UNKNOWN_VERSION
 from .ingress.answer_channel import ChannelState
 from .ingress.channel_sink import ChannelSink
 from .local_attempts import BASE_PRIORITY
@@ -30,6 +32,7 @@
 from .region_choice import RegionOption
 from .region_choice import prefers_remote_region
 from .routes.route import RouteKind
+from .streams.stream_origins import stream_key
 from .suspect import suspect_of_request
 
 if TYPE_CHECKING:
@@ -52,6 +55,8 @@
     from .relay_policy import RelayPolicy
     from .routes.route import Route
     from .routes.service import Service
+    from .streams.resumptions import Resumptions
+    from .streams.stream_binding import StreamBinding
 
 # Attempts that never reach an endpoint do not count against the route's limit, but the caller
 # waits for each of them.
@@ -63,6 +68,8 @@
 # of its latency target, and how often it checks for a free one.
 CAPACITY_WAIT_SHARE = 0.5
 CAPACITY_CHECK_INTERVAL_S = 0.03
+VERSION_GONE_DETAIL = "no endpoint of the software version that began the stream is available"
+VERSION_UNKNOWN_DETAIL = "the software version that began the stream is not known; begin it anew"
 # The least urgent priority that endpoints know.
 MAX_PRIORITY = 9
 
@@ -77,6 +84,7 @@
     regions: RegionAttempts
     peers: PeerTable
     policy: RelayPolicy
+    resumptions: Resumptions
     on_done: Callable[[DecisionRecord], None]
 
 
@@ -115,6 +123,7 @@
         self._context = context
         self._policy = context.policy
         self._request = request
+        self._metadata = metadata
         self._channel = channel
         self._route = route
         self._service = service
@@ -151,7 +160,7 @@
 
     def run(self) -> None:
         """Make attempts until the request is answered or its caller disconnects."""
-        if not self._is_admitted():
+        if not self._is_admitted() or not self._is_bound():
             return
         connection = self._channel.connection
         with watch_disconnect(self._context.loop, connection, self._caller_watch.note_disconnected):
@@ -191,6 +200,39 @@
         self._plan = replace(self._plan, suspect=admittance.suspect)
         return True
 
+    def _is_bound(self) -> bool:
+        """Bind a stream that may be resumed to the version that began it, if it has begun.
+
+        Return whether the stream may be sent; refuse it if not.
+        """
+        if self._route.kind is not RouteKind.STREAM or not self._route.is_resumable:
+            return True
+        metadata, version = self._metadata, None
+        ids = [metadata.request_id]
+        if metadata.last_event_id:
+            key = stream_key(self._request, metadata.resumes) if metadata.resumes else None
+            resumption = self._context.resumptions.resume(self._service.name, key)
+            self._record.note_resumption(metadata.resumes, resumption)
+            version = resumption.version
+            ids.append(RequestId(metadata.resumes))
+        if version == UNKNOWN_VERSION:
+            problem = Problem(ErrorKind.NO_ENDPOINT, VERSION_UNKNOWN_DETAIL)
+            self._give_up(problem, _random_retry_after_s())
+            return False
+        keys = tuple(stream_key(self._request, name) for name in ids if name)
+        binding = self._context.resumptions.binding(self._service.name, keys, version)
+        self._plan = replace(self._plan, binding=binding)
+        return True
+
+    @property
+    def _binding(self) -> StreamBinding | None:
+        return self._plan.binding
+
+    def _serves(self, region: RegionId) -> bool:
+        """Whether a region has an endpoint of the version that began the stream."""
+        version = self._binding.version if self._binding is not None else None
+        return version is None or self._context.local.serves_version(self._service, region, version)
+
     def _choose_option(self) -> LocalOption | RegionOption | None:
         if self._progress.tries >= MAX_TRIES:
             return None
@@ -203,6 +245,7 @@
                 self._excluded,
                 self._is_urgent,
                 self._progress.permits_denied,
+                self._binding,
             )
             local = options[0] if options else None
         remote = self._context.regions.best(
@@ -211,6 +254,7 @@
             route.home_regions,
             self._excluded_regions,
             self._is_urgent,
+            self._serves,
         )
         self._record.note_options(local, remote)
         if remote is None:
@@ -365,6 +409,8 @@
             self._give_up_after_failure("no other endpoint is available")
             return
         detail = self._progress.reason or "no endpoint is available"
+        if not any(map(self._serves, (self._context.region, *self._context.peers.regions()))):
+            detail = VERSION_GONE_DETAIL
         remote_s = self._progress.retry_after_s
         wait_s = remote_s or _random_retry_after_s()
         local_s = self._context.local.earliest_send_s(self._service, self._is_urgent)
--- a/packages/primroseferry-relay/src/primroseferry_relay/routes/route_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/routes/route_table.py
@@ -47,6 +47,17 @@
             end = path.rfind("/", 0, end - 1) + 1
         return None
 
+    @property
+    def resumable_services(self) -> frozenset[ServiceId]:
+        """The services of routes whose streams may go on at another endpoint."""
+        return frozenset(
+            share.service
+            for routes in self.by_host.values()
+            for route in routes.values()
+            if route.is_resumable
+            for share in route.shares
+        )
+
     def count_permitting(self, host: str, region: RegionId) -> int:
         """Return the number of routes of ``host`` that permit ``region``."""
         routes = self.by_host.get(host.lower(), {}).values()
--- a/packages/primroseferry-relay/tests/relay_tests/fleet_simulation.py
+++ b/packages/primroseferry-relay/tests/relay_tests/fleet_simulation.py
@@ -31,7 +31,9 @@
 from primroseferry_relay.membership.peer import PeerAddress
 from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.membership.request_permits import RequestPermits
+from primroseferry_relay.membership.stream_sync import StreamSync
 from primroseferry_relay.relay_policy import PlacedRequest
+from primroseferry_relay.streams.stream_origins import StreamOrigins
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,6 +72,8 @@
     peers: PeerTable
     feed: RecordingFeed
     permits: RequestPermits
+    origins: StreamOrigins
+    streams: StreamSync
     open: dict[EndpointId, OpenWork] = field(default_factory=dict)
     revision: int = 0
     is_running: bool = True
@@ -170,6 +174,8 @@
 
         rng = random.Random(len(self.gateways))
         permits = RequestPermits(RequestLimits(self.clock, rng), peers, rng)
+        origins = StreamOrigins(self.clock)
+        streams = StreamSync(origins, peers, rng)
         exchange = Exchange(
             peers,
             local_state,
@@ -178,10 +184,13 @@
             lambda receiver, data: self._send(address, receiver, data),
             feed.quarantine,
             permits,
+            streams,
             self.clock,
             seed=len(self.gateways),
         )
-        gateway = SimulatedGateway(name, RegionId(region), address, exchange, peers, feed, permits)
+        gateway = SimulatedGateway(
+            name, RegionId(region), address, exchange, peers, feed, permits, origins, streams
+        )
         gateway.next_tick_s = self.clock.now_s + self._random.uniform(0, 0.3)
         self.gateways[name] = gateway
         return gateway
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import socket
 import time
 from dataclasses import replace
@@ -12,10 +13,13 @@
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import RequestId
+from primroseferry_core.ids import SoftwareVersion
 from primroseferry_policy.prompt import Generation
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
 from primroseferry_policy.shared_budget import SharedRetryBudget
+from primroseferry_relay.control.metadata_store import StoredItem
+from primroseferry_relay.control.version_records import VersionRecords
 from primroseferry_relay.endpoint_adapter import ReplyMetadata
 from primroseferry_relay.endpoint_adapter import RequestMetadata
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
@@ -24,10 +28,12 @@
 from primroseferry_relay.forwarding.region_attempts import RegionAttempts
 from primroseferry_relay.ingress.listener import Listener
 from primroseferry_relay.local_attempts import LocalAttempts
+from primroseferry_relay.membership.peer import ControlStatus
 from primroseferry_relay.membership.peer import GatewayState
 from primroseferry_relay.membership.peer_table import DISCOVERY_TIMEOUT_S
 from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.membership.request_permits import RequestPermits
+from primroseferry_relay.membership.stream_sync import StreamSync
 from primroseferry_relay.relay import Relay
 from primroseferry_relay.relay_policy import PlacedRequest
 from primroseferry_relay.relay_policy import RelayPolicy
@@ -36,8 +42,12 @@
 from primroseferry_relay.routes.route_table import RouteTable
 from primroseferry_relay.routes.route_table import build_route_table
 from primroseferry_relay.routes.service import CallerLimits
+from primroseferry_relay.streams.resumptions import Resumptions
+from primroseferry_relay.streams.stream_origins import StreamOrigins
 from primroseferry_transport.calls import Header
 
+from .in_memory_store import InMemoryStore
+from .peer_samples import roster_of
 from .test_route_table import ROUTE
 from .test_route_table import SERVICE
 
@@ -48,6 +58,7 @@
     from primroseferry_relay.decision import DecisionRecord
     from primroseferry_relay.endpoint_adapter import EndpointRequestOptions
     from primroseferry_relay.endpoints.endpoint import EndpointRun
+    from primroseferry_relay.endpoints.software_version import VersionHash
     from primroseferry_relay.membership.datagrams import Blame
     from primroseferry_transport.curl_loop import CurlLoop
 
@@ -86,6 +97,7 @@
             float(deadline) if deadline else None,
             Generation(tuple(PromptPart(PartId(name), 10) for name in names)),
             last_event_id=values.get("last-event-id", ""),
+            resumes=values.get("x-resumes", ""),
         )
 
     def endpoint_headers(
@@ -126,9 +138,13 @@
         endpoints: Sequence[ScriptedEndpoint],
         has_table: bool = True,
         prefix: str = "e",
+        versions: Sequence[str] = (),
         policy: RelayPolicy | None = None,
     ) -> None:
-        """Name endpoints by ``prefix`` and number; ``policy`` may be shared with another relay."""
+        """Name endpoints by ``prefix`` and number, give them ``versions`` in turn.
+
+        ``policy`` may be shared with another relay.
+        """
         self.records: list[DecisionRecord] = []
         self.placed: list[PlacedRequest] = []
         self.blames: list[Blame] = []
@@ -148,6 +164,7 @@
                     EndpointState.READY,
                     0.0,
                     1,
+                    SoftwareVersion(versions[number % len(versions)] if versions else ""),
                 )
             )
         self.table: RouteTable | None = None
@@ -172,7 +189,29 @@
             self.permits,
         )
         regions = RegionAttempts(loop, peers, self.policy)
-        context = RelayContext(NORTH, loop, local, regions, peers, self.policy, self.records.append)
+        self.origins = StreamOrigins()
+        self.version_records = VersionRecords(
+            InMemoryStore(), self.catalog, peers, lambda: self.table
+        )
+        for endpoint in self.catalog.entries().values():
+            self.record_version(endpoint.version_hash)
+        self.resumptions = Resumptions(
+            self.origins,
+            self.catalog,
+            self.version_records,
+            peers,
+            StreamSync(self.origins, peers),
+        )
+        context = RelayContext(
+            NORTH,
+            loop,
+            local,
+            regions,
+            peers,
+            self.policy,
+            self.resumptions,
+            self.records.append,
+        )
         relay = Relay(context, adapter, lambda: self.table)
         self.listener = Listener("front", "127.0.0.1", 0, relay.serve, lambda: LIMITS, loop, 16)
         self.listener.start()
@@ -192,6 +231,22 @@
     def send_request_limits(self) -> None:
         self.limit_reports += 1
 
+    def record_version(self, version: VersionHash) -> None:
+        """Let the store hold a record of a software version."""
+        value = json.dumps({"service": SERVICE.name, "written_s": time.time()}).encode()
+        self.version_records.apply(StoredItem(f"versions/{version:016x}", value, 1))
+
+    def confirm_view(self) -> None:
+        """Let the store have answered a gateway of the region just now."""
+        roster = roster_of(NORTH)
+        self.peers.put_roster(roster)
+        self.peers.confirm(NORTH, roster.version, ControlStatus(1, 0.0))
+
+    def drain(self, endpoint: EndpointId) -> None:
+        """Let an endpoint accept no new requests."""
+        entry = self.catalog.entries()[endpoint]
+        self.catalog.put(replace(entry, state=EndpointState.DRAINING))
+
     def end_discovery(self) -> None:
         """Let the relay be alone for so long that it knows of no other gateway to wait for."""
         self.skipped_s += 2 * DISCOVERY_TIMEOUT_S
--- a/packages/primroseferry-relay/tests/relay_tests/test_background.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_background.py
@@ -19,6 +19,8 @@
 from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.membership.reporter import Reporter
 from primroseferry_relay.membership.request_permits import RequestPermits
+from primroseferry_relay.membership.stream_sync import StreamSync
+from primroseferry_relay.streams.stream_origins import StreamOrigins
 from result import Err
 from result import Ok
 
@@ -89,6 +91,7 @@
         FailingOnceFeed(),
         Quarantine(),
         RequestPermits(RequestLimits(), peers),
+        StreamSync(StreamOrigins(), peers),
     )
     reporter.start()
     assert continued.wait(8)
--- a/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import threading
 import time
-from typing import TYPE_CHECKING
 
 import pytest
 from primroseferry_core.ids import Fingerprint
@@ -14,26 +12,19 @@
 from primroseferry_relay.control.changes import ItemIgnored
 from primroseferry_relay.control.control_feed import ControlFeed
 from primroseferry_relay.control.control_state import ControlState
-from primroseferry_relay.control.metadata_store import LeaseId
 from primroseferry_relay.control.metadata_store import StoredItem
-from primroseferry_relay.control.metadata_store import StoreFailure
 from primroseferry_relay.control.quarantine_records import WRITER_FAILOVER_S
 from primroseferry_relay.control.quarantine_records import QuarantineRecords
+from primroseferry_relay.control.version_records import VersionRecords
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
 from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.relay_policy import RelayPolicy
-from result import Err
-from result import Ok
 
+from .in_memory_store import InMemoryStore
 from .peer_samples import NORTH
 from .peer_samples import peer_of
 from .peer_samples import roster_of
 
-if TYPE_CHECKING:
-    from primroseferry_relay.control.metadata_store import Changes
-    from primroseferry_relay.control.metadata_store import Listing
-    from result import Result
-
 DEADLY = Fingerprint("deadly")
 NAMES = ("g-1", "g-2", "g-3")
 
@@ -55,41 +46,6 @@
         return ItemIgnored(item.key)
 
 
-class InMemoryStore:
-    """Keeps what is put, and refuses the next ``refused`` lease requests."""
-
-    def __init__(self) -> None:
-        self.items: dict[str, StoredItem] = {}
-        self.calls = 0
-        self.refused = 0
-        self.called = threading.Event()
-
-    def grant_lease(self, ttl_ms: int) -> Result[LeaseId, StoreFailure]:
-        self.calls += 1
-        self.called.set()
-        if self.refused > 0:
-            self.refused -= 1
-            return Err(StoreFailure.REFUSED)
-        return Ok(LeaseId("1"))
-
-    def put(self, key: str, value: bytes, lease: LeaseId) -> Result[int, StoreFailure]:
-        self.calls += 1
-        self.items[key] = StoredItem(key, value, self.calls)
-        return Ok(self.calls)
-
-    def list_items(self, prefix: str) -> Result[Listing, StoreFailure]:
-        return Err(StoreFailure.UNREACHABLE)
-
-    def watch(self, prefix: str, after: int, wait_ms: int) -> Result[Changes, StoreFailure]:
-        return Err(StoreFailure.UNREACHABLE)
-
-    def renew_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
-        return Err(StoreFailure.UNREACHABLE)
-
-    def end_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
-        return Err(StoreFailure.UNREACHABLE)
-
-
 class Fleet:
     """Three gateways' records on one store, which delivers every write to each of them."""
 
@@ -116,12 +72,15 @@
     def return_older_copy(self) -> None:
         """Let the store return without any record; the watching gateway lists all keys again."""
         self.store.items.clear()
+        peers = PeerTable(InstanceId("g-3"), NORTH, self.clock)
+        catalog = EndpointCatalog()
         feed = ControlFeed(
             IgnoringAdapter(),
-            EndpointCatalog(),
-            PeerTable(InstanceId("g-3"), NORTH, self.clock),
+            catalog,
+            peers,
             RelayPolicy(SharedRetryBudget(10, 0.2, 50)),
             self.records[-1],
+            VersionRecords(self.store, catalog, peers, lambda: None),
         )
         ControlState(feed.apply, feed.apply_listing).apply_listing("", (), 1)
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_relay_metrics.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_relay_metrics.py
@@ -6,8 +6,24 @@
 from primroseferry_relay.lifecycle.relay_metrics import RelayGauges
 from primroseferry_relay.lifecycle.relay_metrics import RelayMetrics
 from primroseferry_relay.membership.request_permits import PermitOutcome
+from primroseferry_relay.streams.resumptions import OriginSource
 
-GAUGES = RelayGauges(3, 4, 5, 6, 7.0, 0, 2, {}, {}, 0, 0, {"e-1": 1.5}, {PermitOutcome.DENIED: 2})
+GAUGES = RelayGauges(
+    3,
+    4,
+    5,
+    6,
+    7.0,
+    0,
+    2,
+    {},
+    {},
+    0,
+    0,
+    {"e-1": 1.5},
+    {PermitOutcome.DENIED: 2},
+    {OriginSource.PEER: 1},
+)
 
 
 def test_metrics_page_is_served_after_the_first_scrape() -> None:
@@ -24,4 +40,5 @@
         assert line in page
         assert 'primroseferry_endpoint_request_limit{endpoint="e-1"} 1.5' in page
         assert 'primroseferry_permits_total{outcome="denied"} 2' in page
+        assert 'primroseferry_stream_resumptions_total{source="peer"} 1' in page
         assert f'primroseferry_request_seconds_count{{service="orders"}} {number}' in page
--- a/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_reporter.py
@@ -31,7 +31,9 @@
 from primroseferry_relay.membership.permit_issuer import IssuerRole
 from primroseferry_relay.membership.reporter import Reporter
 from primroseferry_relay.membership.request_permits import RequestPermits
+from primroseferry_relay.membership.stream_sync import StreamSync
 from primroseferry_relay.relay_policy import PlacedRequest
+from primroseferry_relay.streams.stream_origins import StreamOrigins
 
 from .fleet_simulation import RecordingFeed
 from .peer_samples import NORTH
@@ -69,7 +71,10 @@
 
     peers.own_state = GatewayState.READY
     permits = RequestPermits(RequestLimits(), peers)
-    reporter = Reporter("127.0.0.1", 0, peers, local_state, dict, feed, feed.quarantine, permits)
+    streams = StreamSync(StreamOrigins(), peers)
+    reporter = Reporter(
+        "127.0.0.1", 0, peers, local_state, dict, feed, feed.quarantine, permits, streams
+    )
     return Gateway(peers, feed, reporter, loads)
 
 
