--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -105,6 +105,9 @@
         "platform service's answer could not be decoded, ignored",
     )
     VERSION_NOT_RECORDED = (7008, "warning", "software version could not be recorded in the store")
+    STREAMS_NOT_RECORDED = (7009, "warning", "streams could not be recorded in the store")
+    STREAM_RECORDS_READ = (7010, "info", "records of streams read from the store")
+    STREAM_RECORDS_NOT_READ = (7011, "warning", "records of streams could not be read")
     STORE_ERA_CHANGED = (
         7007,
         "warning",
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
@@ -21,6 +21,7 @@
 from .metadata_store import START
 from .metadata_store import StoredItem
 from .metadata_store import StorePosition
+from .stream_records import STREAM_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -95,7 +96,12 @@
         log_event(Event.STORE_ERA_CHANGED, era=era, previous=previous, kept=len(self._items))
 
     def apply(self, item: StoredItem) -> bool:
-        """Store one item; return ``False`` if it is not newer than the current one."""
+        """Store one item; return ``False`` if it is not newer than the current one.
+
+        Records of streams are not stored: each gateway reads them itself when it needs them.
+        """
+        if item.key.startswith(STREAM_PREFIX):
+            return False
         with self._lock:
             self.enter_era(item.era)
             current = self._items.get(item.key)
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -27,6 +27,8 @@
 WATCH_TIMEOUT_MS = 2_500
 # While items of an earlier era wait for a second listing.
 MAX_ERA_WATCH_MS = 500
+# After changes that are no control items, so that frequent ones do not cost a call each.
+IRRELEVANT_PAUSE_S = 0.4
 MIN_RETRY_S = 0.15
 MAX_RETRY_S = 1.5
 # Upper bound of the retry delay until the first items arrive. A gateway without items serves no
@@ -158,8 +160,9 @@
                 return None
             case Ok(changes):
                 self._record_answer()
-                for item in changes.items:
-                    self._state.apply(item)
+                applied = [self._state.apply(item) for item in changes.items]
+                if applied and not any(applied):
+                    time.sleep(IRRELEVANT_PAUSE_S)
                 return max(after, changes.as_of)
             case Err(StoreFailure.HISTORY_LOST):
                 self._record_answer()
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -30,6 +30,7 @@
 from ..control.registration import Registration
 from ..control.store_watch import StartDelay
 from ..control.store_watch import StoreWatch
+from ..control.stream_records import StreamRecords
 from ..control.version_records import VersionRecords
 from ..control.watch_duty import WatchDuty
 from ..control.watch_duty import oldest_answer_age_ms
@@ -139,7 +140,14 @@
         )
         origins = StreamOrigins()
         streams = StreamSync(origins, self._peers)
-        self._resumptions = Resumptions(origins, self._catalog, versions, self._peers, streams)
+        self._resumptions = Resumptions(
+            origins,
+            self._catalog,
+            versions,
+            self._peers,
+            streams,
+            StreamRecords(self._store, origins, self._incarnation),
+        )
         self._feed = ControlFeed(
             control_adapter, self._catalog, self._peers, self._policy, records, versions
         )
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -141,8 +141,11 @@
             )
         case PermitReply(number, is_granted, ask_again_ms):
             return _pack(_Kind.PERMIT_REPLY, [number, is_granted, ask_again_ms])
-        case OriginReport(origins):
-            return _pack(_Kind.ORIGIN_REPORT, [b"".join(map(_encode_origin, origins))])
+        case OriginReport(origins, complete):
+            packed = b"".join(map(_encode_origin, origins))
+            return _pack(
+                _Kind.ORIGIN_REPORT, [packed, struct.pack(f"<{len(complete)}Q", *complete)]
+            )
         case OriginQuery(reply_to, number, key):
             return _pack(_Kind.ORIGIN_QUERY, [reply_to, number, key])
         case OriginReply(own_address, number, origin):
@@ -260,7 +263,8 @@
                 _non_negative_int(number), bool(is_granted), _non_negative_int(ask_again_ms)
             )
         case _Kind.ORIGIN_REPORT:
-            return OriginReport(_decode_origins(fields[0]))
+            packed, complete = fields[:2]
+            return OriginReport(_decode_origins(packed), _decode_keys(complete))
         case _Kind.ORIGIN_QUERY:
             reply_to, number, key = fields[:3]
             return OriginQuery(
@@ -286,6 +290,10 @@
     )
 
 
+def _decode_keys(packed: Any) -> tuple[StreamKey, ...]:
+    return tuple(StreamKey(key) for (key,) in struct.iter_unpack("<Q", bytes(memoryview(packed))))
+
+
 def _update_fields(update: MemberUpdate) -> list[Any]:
     return [
         _peer_fields(update.peer),
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
@@ -242,9 +242,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OriginReport:
-    """Streams that the sender began, and the software versions that began them."""
+    """Streams that the sender began, with their software versions, and those that are complete."""
 
     origins: tuple[StreamOrigin, ...]
+    complete: tuple[StreamKey, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/stream_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/stream_sync.py
@@ -1,8 +1,8 @@
 """Keeps the origins of streams at several gateways, and asks those gateways for them.
 
 While a service has several software versions, the gateway that begins a stream sends its origin to
-a few others, chosen by a hash of the stream: some of its own region and one of another region. The
-gateway at which a caller takes the stream up asks the same gateways, whichever began it.
+the keepers of its region, a few gateways on which all agree by a hash, and to one of another
+region. The gateway at which a caller takes the stream up asks the keepers of all regions.
 """
 
 from __future__ import annotations
@@ -11,11 +11,11 @@
 import random
 import threading
 import time
-from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from primroseferry_core.bounded_map import BoundedMap
 from primroseferry_core.hashing import rendezvous_order
+from primroseferry_core.ids import RegionId
 
 from ..endpoints.software_version import UNKNOWN_VERSION
 from ..streams.stream_origins import StreamOrigin
@@ -27,25 +27,23 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from primroseferry_core.ids import RegionId
-
     from ..streams.stream_origins import StreamKey
     from ..streams.stream_origins import StreamOrigins
     from .peer import Peer
     from .peer_table import PeerTable
 
-# Gateways of the own region that keep an origin, and of another region.
 LOCAL_COPIES = 2
 REMOTE_COPIES = 1
-# More gateways are asked than keep a copy: since then gateways may have joined or left.
+# More gateways are asked than keep a copy: gateways may have joined or left since.
 LOCAL_ASKED = 3
 REMOTE_ASKED = 2
+# A stream is reported at once unless the previous report was sent within this time.
+MIN_REPORT_INTERVAL_S = 0.05
 # Reports are sent twice because datagrams can be lost.
 REPORT_TIMES = 2
 # Fits into a datagram that no link fragments.
 ORIGINS_PER_DATAGRAM = 60
-# Streams with the same holders are told together, so holders are chosen for groups of streams.
-STREAM_GROUPS = 1_024
+_KEEPER_KEY = "stream-origins"
 # Covers a round trip to another region, and a second one if a datagram is lost.
 ANSWER_TIMEOUT_S = 0.35
 ASK_AGAIN_S = 0.15
@@ -73,6 +71,10 @@
         self._own_address: Callable[[], str] = str
         self._send: Callable[[str, bytes], None] = lambda _address, _data: None
         self._unsent: list[tuple[StreamOrigin, int]] = []
+        self._complete: list[StreamKey] = []
+        self._reported_s = float("-inf")
+        # Called after an origin became known that the first keeper records.
+        self.on_origins: Callable[[], None] = lambda: None
         # Replies to an earlier run of this process must not match.
         self._numbers = itertools.count((rng or random.Random()).getrandbits(31))
         self._queries: BoundedMap[int, _Query] = BoundedMap(MAX_PENDING_QUERIES)
@@ -83,9 +85,18 @@
         self._own_address, self._send = own_address, send
 
     def share(self, origin: StreamOrigin) -> None:
-        """Send an origin to the gateways that keep it, with the next ``tick``."""
+        """Send an origin to the keepers, at once or with the next ``tick``."""
         with self._lock:
             self._unsent.append((origin, REPORT_TIMES))
+            is_due = time.monotonic() - self._reported_s >= MIN_REPORT_INTERVAL_S
+        if is_due:
+            self.tick()
+        self.on_origins()
+
+    def share_complete(self, key: StreamKey) -> None:
+        """Tell the keepers, with the next ``tick``, that nobody will take a stream up."""
+        with self._lock:
+            self._complete.append(key)
 
     def share_own(self) -> None:
         """Share the origins of all own streams, since another version may begin streams soon."""
@@ -96,16 +107,32 @@
     def tick(self) -> None:
         """Send the reports that are due."""
         with self._lock:
+            self._reported_s = time.monotonic()
             due, self._unsent = self._unsent, []
             self._unsent = [(origin, times - 1) for origin, times in due if times > 1]
-        by_holder: defaultdict[str, list[StreamOrigin]] = defaultdict(list)
-        for origin, _ in due:
-            for peer in self._holders(origin.key):
-                by_holder[peer.address.report].append(origin)
-        for address, origins in by_holder.items():
-            for start in range(0, len(origins), ORIGINS_PER_DATAGRAM):
-                report = OriginReport(tuple(origins[start : start + ORIGINS_PER_DATAGRAM]))
-                self._send(address, encode(report))
+            complete, self._complete = self._complete, []
+        if not due and not complete:
+            return
+        origins = [origin for origin, _ in due]
+        reports = [
+            encode(
+                OriginReport(
+                    tuple(origins[start : start + ORIGINS_PER_DATAGRAM]),
+                    tuple(complete[start : start + ORIGINS_PER_DATAGRAM]),
+                )
+            )
+            for start in range(0, max(len(origins), len(complete)), ORIGINS_PER_DATAGRAM)
+        ]
+        for peer in self._keepers_of_own():
+            for report in reports:
+                self._send(peer.address.report, report)
+
+    @property
+    def is_first_keeper(self) -> bool:
+        """Whether this gateway is the first of its region's keepers."""
+        own = str(self._peers.own_instance)
+        names = [str(peer.instance) for peer in self._peers.live_in(self._peers.own_region)]
+        return rendezvous_order(_KEEPER_KEY, [own, *names])[0] == own
 
     def find(self, key: StreamKey) -> StreamOrigin | None:
         """Ask the gateways that keep a stream's origin; blocks for ``ANSWER_TIMEOUT_S`` at most."""
@@ -120,7 +147,7 @@
 
     def ask(self, key: StreamKey) -> tuple[int, _Query]:
         """Send the question without waiting for the answers."""
-        asked = {peer.address.report for peer in self._asked(key)}
+        asked = {peer.address.report for peer in self._asked()}
         query = _Query(key, asked)
         if not asked:
             query.done.set()
@@ -140,6 +167,9 @@
         """Keep the origins of another gateway's streams."""
         for origin in report.origins:
             self._origins.note(origin, is_own=False)
+        for key in report.complete:
+            self._origins.complete(key)
+        self.on_origins()
 
     def on_query(self, query: OriginQuery) -> None:
         """Tell a gateway the origin of a stream, or that it is not known here."""
@@ -163,28 +193,21 @@
             elif not query.waiting_for:
                 query.done.set()
 
-    def _holders(self, key: StreamKey) -> list[Peer]:
-        local = self._ordered(self._peers.own_region, key)[:LOCAL_COPIES]
-        regions = rendezvous_order(_group(key), map(str, self._peers.regions()))
-        remote = [
-            peer
-            for region in self._peers.regions()
-            if str(region) == (regions[0] if regions else "")
-            for peer in self._ordered(region, key)[:REMOTE_COPIES]
-        ]
-        return [*local, *remote]
+    def _keepers_of_own(self) -> list[Peer]:
+        """Return the gateways that keep the origins of this gateway's streams."""
+        keepers = self._keepers(self._peers.own_region)[:LOCAL_COPIES]
+        regions = rendezvous_order(str(self._peers.own_region), map(str, self._peers.regions()))
+        for region in regions[:1]:
+            keepers += self._keepers(RegionId(region))[:REMOTE_COPIES]
+        return keepers
 
-    def _asked(self, key: StreamKey) -> list[Peer]:
-        asked = self._ordered(self._peers.own_region, key)[:LOCAL_ASKED]
+    def _asked(self) -> list[Peer]:
+        asked = self._keepers(self._peers.own_region)[:LOCAL_ASKED]
         for region in self._peers.regions():
-            asked += self._ordered(region, key)[:REMOTE_ASKED]
+            asked += self._keepers(region)[:REMOTE_ASKED]
         return asked
 
-    def _ordered(self, region: RegionId, key: StreamKey) -> list[Peer]:
-        """Return the other live gateways of a region in the order in which they keep a stream."""
+    def _keepers(self, region: RegionId) -> list[Peer]:
+        """Return the other live gateways of a region in the order in which they are keepers."""
         peers = {str(peer.instance): peer for peer in self._peers.live_in(region)}
-        return [peers[name] for name in rendezvous_order(_group(key), peers)]
-
-
-def _group(key: StreamKey) -> str:
-    return f"stream {key % STREAM_GROUPS}"
+        return [peers[name] for name in rendezvous_order(_KEEPER_KEY, peers)]
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -368,6 +368,8 @@
             case StreamEnded(events):
                 progress.events += events
                 is_sent = self._channel.end_stream()
+                if is_sent and self._binding is not None:
+                    self._binding.complete()
                 self._finish("answered" if is_sent else "caller-left")
                 return True
             case StreamBroken(reason, last_event_id, events):
--- a/packages/primroseferry-relay/src/primroseferry_relay/streams/resumptions.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/streams/resumptions.py
@@ -1,7 +1,8 @@
 """Decides at which software version a stream that a caller takes up goes on.
 
 In this order: what this gateway knows of the stream; the only version that may have begun it; what
-the gateways know that keep its origin. A stream of an unknown version does not go on.
+the gateways know that keep its origin; shortly after a start, the records in the store. A stream of
+an unknown version does not go on.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 
     from primroseferry_core.ids import ServiceId
 
+    from ..control.stream_records import StreamRecords
     from ..control.version_records import VersionRecords
     from ..endpoints.catalog import EndpointCatalog
     from ..endpoints.software_version import VersionHash
@@ -39,6 +41,7 @@
     OWN = "own"
     ONLY_VERSION = "only-version"
     PEER = "peer"
+    STORE = "store"
     UNKNOWN = "unknown"
 
 
@@ -60,14 +63,18 @@
         records: VersionRecords,
         peers: PeerTable,
         sync: StreamSync,
+        stream_records: StreamRecords,
     ) -> None:
         self._origins = origins
         self._catalog = catalog
         self._records = records
         self._peers = peers
         self._sync = sync
+        self._stream_records = stream_records
         self._counts: Counter[OriginSource] = Counter()
         self._shared_services: set[ServiceId] = set()
+        self._is_recorder = False
+        sync.on_origins = self._record
 
     def counts(self) -> Mapping[OriginSource, int]:
         """Return how often each source gave the version of a stream that was taken up."""
@@ -85,7 +92,13 @@
                 if self.has_several_versions(service):
                     self._sync.share(origin)
 
-        return StreamBinding(version, note)
+        def complete() -> None:
+            for key in keys:
+                self._origins.complete(key)
+                if self.has_several_versions(service):
+                    self._sync.share_complete(key)
+
+        return StreamBinding(version, note, complete)
 
     def resume(self, service: ServiceId, key: StreamKey | None) -> Resumption:
         """Return where a stream goes on; blocks while other gateways are asked.
@@ -101,15 +114,19 @@
         return len(self._possible_versions(service)) > 1
 
     def tick(self) -> None:
-        """Share the streams of services that have got a second version."""
+        """Share the streams of services that have got a second version, and record them."""
         several = {
-            service
-            for service in self._catalog.services()
-            if len(self._catalog.recent_versions(service)) > 1
+            service for service in self._catalog.services() if self.has_several_versions(service)
         }
         if several - self._shared_services:
             self._sync.share_own()
         self._shared_services = several
+        self._is_recorder = bool(several) and self._sync.is_first_keeper
+        self._record()
+
+    def _record(self) -> None:
+        if self._is_recorder:
+            self._stream_records.tick()
 
     def dump(self) -> dict[str, object]:
         """Return the versions that streams may have begun at, for the state dump."""
@@ -132,6 +149,11 @@
         if origin is not None:
             self._origins.note(origin, is_own=False)
             return Resumption(origin.version, OriginSource.PEER)
+        if key is not None and not self._is_history_complete:
+            origin = self._stream_records.find(key)
+            if origin is not None:
+                self._origins.note(origin, is_own=False)
+                return Resumption(origin.version, OriginSource.STORE)
         return Resumption(UNKNOWN_VERSION, OriginSource.UNKNOWN)
 
     def _only_version(self, service: ServiceId) -> VersionHash | None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/streams/stream_binding.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/streams/stream_binding.py
@@ -16,15 +16,18 @@
     """The version of a stream that may go on at another endpoint.
 
     ``version`` is ``None`` until the first event, unless the stream was begun by an earlier
-    request. ``on_begin`` is called with the version before the events of an attempt are passed on.
+    request. ``on_begin`` is called with the version before the events of an attempt are passed on,
+    ``on_complete`` when the last event was.
     """
 
     def __init__(
         self,
         version: VersionHash | None = None,
         on_begin: Callable[[VersionHash], None] = lambda _version: None,
+        on_complete: Callable[[], None] = lambda: None,
     ) -> None:
         self.version = version
+        self.complete = on_complete
         self._on_begin = on_begin
 
     def begin(self, version: VersionHash) -> bool:
--- a/packages/primroseferry-relay/src/primroseferry_relay/streams/stream_origins.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/streams/stream_origins.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import NewType
 
@@ -40,6 +41,7 @@
     version: VersionHash
     noted_s: float
     is_own: bool
+    is_complete: bool = False
 
 
 class StreamOrigins:
@@ -79,6 +81,23 @@
                 if known.is_own and known.noted_s >= oldest_s
             ]
 
+    def complete(self, key: StreamKey) -> None:
+        """Record that a stream was passed on to its end, so that nobody will take it up."""
+        with self._lock:
+            known = self._known.get(key)
+            if known is not None:
+                self._known[key] = replace(known, is_complete=True)
+
+    def incomplete(self) -> list[StreamOrigin]:
+        """Return the origins of all streams that may be taken up, the newest last."""
+        oldest_s = self._clock_s() - STREAM_LIFETIME_S
+        with self._lock:
+            return [
+                StreamOrigin(key, known.version)
+                for key, known in self._known.items()
+                if not known.is_complete and known.noted_s >= oldest_s
+            ]
+
     def __len__(self) -> int:
         return len(self._known)
 
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -14,11 +14,13 @@
 from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import RequestId
 from primroseferry_core.ids import SoftwareVersion
+from primroseferry_core.ids import new_incarnation_id
 from primroseferry_policy.prompt import Generation
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
 from primroseferry_policy.shared_budget import SharedRetryBudget
 from primroseferry_relay.control.metadata_store import StoredItem
+from primroseferry_relay.control.stream_records import StreamRecords
 from primroseferry_relay.control.version_records import VersionRecords
 from primroseferry_relay.endpoint_adapter import ReplyMetadata
 from primroseferry_relay.endpoint_adapter import RequestMetadata
@@ -97,7 +99,7 @@
             float(deadline) if deadline else None,
             Generation(tuple(PromptPart(PartId(name), 10) for name in names)),
             last_event_id=values.get("last-event-id", ""),
-            resumes=values.get("x-resumes", ""),
+            resumes=values.get("x-first-id", ""),
         )
 
     def endpoint_headers(
@@ -201,6 +203,7 @@
             self.version_records,
             peers,
             StreamSync(self.origins, peers),
+            StreamRecords(InMemoryStore(), self.origins, new_incarnation_id()),
         )
         context = RelayContext(
             NORTH,
--- a/packages/primroseferry-relay/tests/relay_tests/test_codec.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_codec.py
@@ -25,6 +25,7 @@
 from primroseferry_relay.endpoints.endpoint_point import run_hash
 from primroseferry_relay.endpoints.request_limits import LimitObservation
 from primroseferry_relay.endpoints.request_limits import ObservationId
+from primroseferry_relay.endpoints.software_version import VersionHash
 from primroseferry_relay.membership import codec
 from primroseferry_relay.membership.codec import MAX_DATAGRAM_BYTES
 from primroseferry_relay.membership.codec import decode
@@ -36,6 +37,9 @@
 from primroseferry_relay.membership.datagrams import EndpointLoad
 from primroseferry_relay.membership.datagrams import LeavingNotice
 from primroseferry_relay.membership.datagrams import MemberUpdate
+from primroseferry_relay.membership.datagrams import OriginQuery
+from primroseferry_relay.membership.datagrams import OriginReply
+from primroseferry_relay.membership.datagrams import OriginReport
 from primroseferry_relay.membership.datagrams import PermitReply
 from primroseferry_relay.membership.datagrams import PermitRequest
 from primroseferry_relay.membership.datagrams import Placement
@@ -50,6 +54,8 @@
 from primroseferry_relay.membership.peer import ControlStatus
 from primroseferry_relay.membership.peer import ServiceSummary
 from primroseferry_relay.membership.permit_issuer import IssuerRole
+from primroseferry_relay.streams.stream_origins import StreamKey
+from primroseferry_relay.streams.stream_origins import StreamOrigin
 
 from .fleet_simulation import FleetSimulation
 from .peer_samples import NORTH
@@ -68,6 +74,7 @@
     {ServiceId("model"): ServiceSummary(2, 64, OpenWork(1, 2, 3), 1.5, 9_000)},
 )
 PARTS = (PromptPart(PartId("ab12"), 40), PromptPart(PartId("cd"), 7))
+ORIGIN = StreamOrigin(StreamKey(7), VersionHash(9))
 RUN = EndpointRun(EndpointId("e-1"), 1_700_000_000_000, "10.0.0.7:80")
 LIMIT = LimitObservation(RUN, 2.5, False, ObservationId(2**61), 0.25)
 LIFT = LimitObservation(RUN, 1.0, True, ObservationId(7), 12.0)
@@ -111,6 +118,14 @@
     PermitRequest("10.0.0.2:82", 2**40, IssuerRole.STANDBY, True, run_hash(RUN), 0.5),
     PermitRequest("10.0.0.2:82", 8, IssuerRole.PRIMARY, False, run_hash(RUN), 20.0),
     PermitReply(8, is_granted=False, ask_again_ms=250),
+    OriginReport((), ()),
+    OriginReport(
+        (StreamOrigin(StreamKey(2**64 - 1), VersionHash(2**64 - 2)), ORIGIN),
+        (StreamKey(3), StreamKey(2**63)),
+    ),
+    OriginQuery("10.0.0.2:82", 2**40, StreamKey(2**64 - 1)),
+    OriginReply("10.0.0.2:82", 2**40, ORIGIN),
+    OriginReply("10.0.0.2:82", 5, None),
     SuspicionInventory("10.0.0.2:82", b"01234567"),
     Suspicions(
         (
--- a/packages/primroseferry-relay/tests/relay_tests/test_stream_versions.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_stream_versions.py
@@ -79,7 +79,7 @@
 
 
 def take_up(harness: RelayHarness, request_id: str, resumes: str, after: int = 2) -> bytes:
-    headers = f"X-Id: {request_id}\r\nX-Resumes: {resumes}\r\nLast-Event-Id: {after}\r\n"
+    headers = f"X-Id: {request_id}\r\nX-First-Id: {resumes}\r\nLast-Event-Id: {after}\r\n"
     return call(harness, headers)
 
 
@@ -192,7 +192,7 @@
 def test_id_used_by_another_caller_is_another_stream(loop: CurlLoop) -> None:
     harness = pair(loop, breaks_after=2)
     call(harness, "X-Id: r1\r\nAuthorization: one\r\n")
-    data = call(harness, "X-Id: r2\r\nAuthorization: two\r\nX-Resumes: r1\r\nLast-Event-Id: 2\r\n")
+    data = call(harness, "X-Id: r2\r\nAuthorization: two\r\nX-First-Id: r1\r\nLast-Event-Id: 2\r\n")
     assert status_of(data) == 503
 
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_version_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_version_records.py
@@ -10,7 +10,9 @@
 from primroseferry_core.ids import FailureDomainId
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.ids import SoftwareVersion
+from primroseferry_core.ids import new_incarnation_id
 from primroseferry_relay.control.metadata_store import StoredItem
+from primroseferry_relay.control.stream_records import StreamRecords
 from primroseferry_relay.control.version_records import LEASE_MS
 from primroseferry_relay.control.version_records import REWRITE_S
 from primroseferry_relay.control.version_records import WRITER_FAILOVER_S
@@ -89,7 +91,8 @@
             sync = StreamSync(origins, peers)
             self.catalogs.append(catalog)
             self.records.append(records)
-            self.resumptions.append(Resumptions(origins, catalog, records, peers, sync))
+            streams = StreamRecords(self.store, origins, new_incarnation_id(), self.clock)
+            self.resumptions.append(Resumptions(origins, catalog, records, peers, sync, streams))
         self.deliver()
 
     def put(self, *entries: Endpoint) -> None:
