Serve callers of a gateway that cannot reach its endpoints through other gateways

Callers of gateways that had lost their links to all endpoints got 503 within a millisecond, up to fifteen seconds after the links were back. Cause: such a gateway passed requests to other regions only, to a gateway drawn from all, and gave a region up after one refusal; an open circuit is tried again by a caller's request after a wait that doubles.

Now a request that no local endpoint has got goes to another gateway of the region that may reach them, at most one hop; a gateway that had no endpoint is not asked again for a second, and two gateways of a remote region are tried. Endpoints with an open circuit are pinged with a request that they answer but do not run; one that leaves a ping unanswered gets no requests until it answers one, and its circuit closes then. A gateway that reaches no endpoint says so in one log line and a metric, and what breaks at it is not held against requests.

--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -123,8 +123,14 @@
         wall_clock_s: Callable[[], float] = time.time,
         probe: Callable[[str], PortState] = probe_port,
         trial_rank: Callable[[str], int | None] = lambda _key: 0,
+        is_partitioned: Callable[[], bool] = lambda: False,
     ) -> None:
-        """``trial_rank`` returns this gateway's place among all for trials of a part."""
+        """``trial_rank`` returns this gateway's place among all for trials of a part.
+
+        ``is_partitioned`` returns whether this gateway reaches no endpoint. What breaks then says
+        nothing about the endpoints.
+        """
+        self._is_partitioned = is_partitioned
         self._trial_rank = trial_rank
         self._part_reports = TokenBucket(
             MAX_PART_REPORTS_PER_S, MAX_PART_REPORTS_PER_S, clock_s, MAX_PART_REPORTS_PER_S
@@ -314,7 +320,7 @@
             return Verdict.LEAVING
         if was_leaving is False:
             return Verdict.CRASH
-        if not is_connection_broken:
+        if not is_connection_broken or self._is_partitioned():
             return Verdict.UNEXPLAINED
         is_refused = self._probe(endpoint.address) is PortState.REFUSED
         return Verdict.CRASH if is_refused else Verdict.BREAK
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
@@ -80,5 +80,8 @@
     ) -> list[Header]:
         """Return the headers to send to an endpoint, from a caller's headers and ``options``."""
 
+    def ping_headers(self, endpoint: EndpointId) -> list[Header]:
+        """Return the headers of a request that ``endpoint`` answers but does not run."""
+
     def read_reply(self, headers: Sequence[Header]) -> ReplyMetadata:
         """Decode an endpoint's headers."""
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -0,0 +1,162 @@
+"""Tells endpoints that this gateway cannot reach from those that fail requests.
+
+An endpoint whose circuit is open gets pings: requests that it answers without running them. One
+that does not answer a ping is unreachable and gets no requests until it answers one. A gateway that
+can reach no endpoint of its region is partitioned from them, or they are all down; its requests go
+through other gateways.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from primroseferry_policy.breaker import BreakerState
+from primroseferry_transport.calls import HttpCall
+from result import Ok
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from primroseferry_core.ids import RegionId
+    from primroseferry_policy.breaker import Breakers
+    from primroseferry_transport.curl_loop import CurlLoop
+    from primroseferry_transport.curl_loop import HttpResult
+
+    from ..endpoint_adapter import EndpointAdapter
+    from .catalog import EndpointCatalog
+    from .endpoint import Endpoint
+    from .endpoint import EndpointRun
+
+PING_INTERVAL_S = 0.5
+PING_CONNECT_TIMEOUT_MS = 400
+PING_TIMEOUT_MS = 800
+# Pings at one time. After an answer the others are likely to answer too.
+MAX_PINGS = 4
+MAX_PINGS_AFTER_AN_ANSWER = 32
+
+
+class EndpointReach:
+    """Which endpoints of the own region this gateway can reach."""
+
+    def __init__(
+        self,
+        region: RegionId,
+        loop: CurlLoop,
+        adapter: EndpointAdapter,
+        catalog: EndpointCatalog,
+        breakers: Breakers,
+        health_path: Callable[[Endpoint], str] = lambda _endpoint: "/",
+        clock_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._region = region
+        self._loop = loop
+        self._adapter = adapter
+        self._catalog = catalog
+        self._breakers = breakers
+        self._health_path = health_path
+        self._clock_s = clock_s
+        self._unreachable: set[EndpointRun] = set()
+        self._in_flight: set[EndpointRun] = set()
+        self._next_ping_s = float("-inf")
+        self._was_answered = False
+        self._is_partitioned = False
+        self._lock = threading.Lock()
+
+    @property
+    def is_partitioned(self) -> bool:
+        """Whether this gateway reaches no endpoint of its region."""
+        return self._is_partitioned
+
+    def is_reachable(self, endpoint: Endpoint) -> bool:
+        """Whether an endpoint may get requests: it has not left a ping unanswered."""
+        return endpoint.run not in self._unreachable
+
+    def unreachable(self) -> list[str]:
+        """Return the names of the endpoints that left a ping unanswered."""
+        with self._lock:
+            return sorted(run.endpoint for run in self._unreachable)
+
+    def tick(self) -> None:
+        """Send the pings that are due; called many times a second, never blocks."""
+        now_s = self._clock_s()
+        if now_s < self._next_ping_s:
+            return
+        self._next_ping_s = now_s + PING_INTERVAL_S
+        states = self._breakers.states()
+        has_open_circuits = any(state is not BreakerState.CLOSED for state in states.values())
+        if not (has_open_circuits or self._unreachable or self._is_partitioned):
+            return
+        listed = {
+            endpoint.run: endpoint
+            for endpoint in self._catalog.entries().values()
+            if endpoint.region == self._region
+        }
+        with self._lock:
+            self._unreachable &= listed.keys()
+            due = [
+                endpoint
+                for run, endpoint in listed.items()
+                if run not in self._in_flight
+                and (
+                    run in self._unreachable
+                    or states.get(run.endpoint, BreakerState.CLOSED) is not BreakerState.CLOSED
+                )
+            ]
+            limit = MAX_PINGS_AFTER_AN_ANSWER if self._was_answered else MAX_PINGS
+            self._was_answered = False
+            chosen = random.sample(due, min(len(due), max(0, limit - len(self._in_flight))))
+            self._in_flight.update(endpoint.run for endpoint in chosen)
+        for endpoint in chosen:
+            self._ping(endpoint)
+        self._update_partition(listed.values())
+
+    def _ping(self, endpoint: Endpoint) -> None:
+        call = HttpCall(
+            "GET",
+            f"http://{endpoint.address}/",
+            headers=tuple(self._adapter.ping_headers(endpoint.endpoint)),
+            connect_timeout_ms=PING_CONNECT_TIMEOUT_MS,
+            timeout_ms=PING_TIMEOUT_MS,
+            is_repeatable=False,
+            target=self._health_path(endpoint) or "/",
+            omits_default_headers=True,
+        )
+        pending = self._loop.submit(call)
+        pending.future.add_done_callback(lambda future: self._note_ping(endpoint, future.result()))
+
+    def _note_ping(self, endpoint: Endpoint, result: HttpResult) -> None:
+        is_answered = isinstance(result, Ok)
+        with self._lock:
+            self._in_flight.discard(endpoint.run)
+            was_unreachable = endpoint.run in self._unreachable
+            if is_answered:
+                self._was_answered = True
+                self._unreachable.discard(endpoint.run)
+            else:
+                self._unreachable.add(endpoint.run)
+        if is_answered and was_unreachable:
+            self._breakers.succeed(endpoint.endpoint)
+        if is_answered is was_unreachable:
+            log_event(
+                Event.ENDPOINT_REACH_CHANGED,
+                endpoint=endpoint.endpoint,
+                is_reachable=int(is_answered),
+            )
+
+    def _update_partition(self, listed: Iterable[Endpoint]) -> None:
+        available = [endpoint for endpoint in listed if self._catalog.is_available(endpoint)]
+        unreachable = sum(endpoint.run in self._unreachable for endpoint in available)
+        is_partitioned = bool(available) and unreachable == len(available)
+        if is_partitioned is not self._is_partitioned:
+            self._is_partitioned = is_partitioned
+            log_event(
+                Event.GATEWAY_PARTITIONED if is_partitioned else Event.GATEWAY_PARTITION_ENDED,
+                unreachable=unreachable,
+                listed=len(available),
+            )
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop.py
@@ -21,6 +21,8 @@
 HOP_HEADER = "X-Primroseferry-Hop"
 OUTCOME_HEADER = "X-Primroseferry-Outcome"
 VERSION_DETAIL = "version="
+# Detail of a refusal by a gateway that has no endpoint for the request.
+NO_ENDPOINT_DETAIL = "no endpoint is available in this region"
 
 
 class HopOutcome(Enum):
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -1,4 +1,4 @@
-"""Serves attempts that gateways of other regions request."""
+"""Serves attempts that other gateways request."""
 
 from __future__ import annotations
 
@@ -39,6 +39,7 @@
 from ..streams.stream_binding import StreamBinding
 from ..suspect import suspect_of_request
 from .hop import HOP_HEADER
+from .hop import NO_ENDPOINT_DETAIL
 from .hop import OUTCOME_HEADER
 from .hop import VERSION_DETAIL
 from .hop import HopOutcome
@@ -212,7 +213,7 @@
             binding,
         )
         excluded = set(hop_request.excluded)
-        outcome: AttemptOutcome = NotRun("no endpoint is available in this region", is_sent=False)
+        outcome: AttemptOutcome = NotRun(NO_ENDPOINT_DETAIL, is_sent=False)
         attempts = permits_denied = 0
         while attempts < MAX_ENDPOINT_ATTEMPTS:
             options = self._server._local.rank(
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -1,13 +1,16 @@
-"""Attempts in other regions: chooses the region and the gateway there, and sends the request."""
+"""Attempts through other gateways: chooses the region and the gateway, and sends the request."""
 
 from __future__ import annotations
 
 import random
 import secrets
 import threading
+import time
 from collections import Counter
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from primroseferry_core.bounded_map import BoundedMap
 from primroseferry_core.events import Event
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import RequestId
@@ -20,10 +23,12 @@
 from ..attempts.outcome import NotRun
 from ..attempts.outcome import StreamBroken
 from ..endpoints.software_version import UNKNOWN_VERSION
+from ..region_choice import LOCAL_ROUND_TRIP_MS
 from ..region_choice import ROUND_TRIP_MS
 from ..region_choice import STALENESS_MS
 from ..region_choice import RegionOption
 from ..routes.route import RouteKind
+from .hop import NO_ENDPOINT_DETAIL
 from .hop import HopRequest
 from .hop_call import HopCall
 
@@ -31,6 +36,7 @@
     from collections.abc import Callable
     from collections.abc import Collection
 
+    from primroseferry_core.ids import InstanceId
     from primroseferry_core.ids import RegionId
     from primroseferry_core.ids import ServiceId
     from primroseferry_policy.placement import Choice
@@ -51,6 +57,16 @@
 # Added to a region's estimate for each open request of this gateway there, divided by the number of
 # endpoints there.
 OWN_OPEN_REQUEST_MS = 25.0
+# A gateway that had no endpoint for a service is not asked again for this long, because it may be
+# partitioned from the endpoints.
+REFUSAL_S = 1.0
+MAX_REFUSALS = 4_096
+
+
+@dataclass(frozen=True, slots=True)
+class _RefusalKey:
+    peer: InstanceId
+    service: ServiceId
 
 
 class RegionAttempts:
@@ -63,6 +79,7 @@
         self._open_requests: Counter[tuple[RegionId, ServiceId]] = Counter()
         self._lock = threading.Lock()
         self._random = random.Random()
+        self._refused_until_s: BoundedMap[_RefusalKey, float] = BoundedMap(MAX_REFUSALS)
 
     def best(
         self,
@@ -70,6 +87,7 @@
         generation: Generation,
         home_regions: frozenset[RegionId],
         excluded: Collection[RegionId],
+        excluded_peers: Collection[InstanceId],
         is_urgent: bool,
         serves: Callable[[RegionId], bool] = lambda _region: True,
     ) -> RegionOption | None:
@@ -84,12 +102,34 @@
             if region not in excluded
             and (not home_regions or region in home_regions)
             and serves(region)
-            if (option := self._option(region, service, generation, is_urgent)) is not None
+            and (summary := self._peers.summary(region, service.name)) is not None
+            if (
+                option := self._option(
+                    region, summary, service, generation, excluded_peers, is_urgent
+                )
+            )
+            is not None
         ]
         return min(
             options, key=lambda candidate: (candidate.is_saturated, candidate.score), default=None
         )
 
+    def through_own_region(
+        self,
+        service: Service,
+        summary: ServiceSummary,
+        generation: Generation,
+        excluded_peers: Collection[InstanceId],
+        is_urgent: bool,
+    ) -> RegionOption | None:
+        """Return another gateway of the own region, which may reach endpoints that this one cannot.
+
+        ``summary`` describes those endpoints.
+        """
+        return self._option(
+            self._peers.own_region, summary, service, generation, excluded_peers, is_urgent
+        )
+
     def run(
         self,
         option: RegionOption,
@@ -135,10 +175,16 @@
             finally:
                 with self._lock:
                     self._open_requests[key] -= 1
-            self._record_outcome(option, outcome, call)
+            self._record_outcome(option, plan.service, outcome, call)
         return outcome
 
-    def _record_outcome(self, option: RegionOption, outcome: AttemptOutcome, call: HopCall) -> None:
+    def _record_outcome(
+        self, option: RegionOption, service: ServiceId, outcome: AttemptOutcome, call: HopCall
+    ) -> None:
+        if isinstance(outcome, NotRun) and outcome.reason == NO_ENDPOINT_DETAIL:
+            key = _RefusalKey(option.peer.instance, service)
+            with self._lock:
+                self._refused_until_s.put(key, time.monotonic() + REFUSAL_S)
         circuit = _circuit_id(option.peer)
         match outcome:
             case NotRun(is_sent=False) if not call.is_refused:
@@ -157,21 +203,31 @@
             )
 
     def _option(
-        self, region: RegionId, service: Service, generation: Generation, is_urgent: bool
+        self,
+        region: RegionId,
+        summary: ServiceSummary,
+        service: Service,
+        generation: Generation,
+        excluded_peers: Collection[InstanceId],
+        is_urgent: bool,
     ) -> RegionOption | None:
-        summary = self._peers.summary(region, service.name)
+        now_s = time.monotonic()
         peers = [
             peer
             for peer in self._peers.ready_peers(region)
-            if self._policy.breakers.permits(_circuit_id(peer))
+            if peer.instance not in excluded_peers
+            and self._policy.breakers.permits(_circuit_id(peer))
+            and self._refused_until_s.get(_RefusalKey(peer.instance, service.name), 0.0) <= now_s
         ]
-        if summary is None or summary.endpoints == 0 or not peers:
+        if summary.endpoints == 0 or not peers:
             return None
         best = self._estimate(summary, service, generation, is_urgent)
         own_requests_ms = (
             self._open_requests[region, service.name] / summary.endpoints * OWN_OPEN_REQUEST_MS
         )
-        overhead_ms = own_requests_ms + ROUND_TRIP_MS + STALENESS_MS
+        is_own = region == self._peers.own_region
+        path_ms = LOCAL_ROUND_TRIP_MS if is_own else ROUND_TRIP_MS + STALENESS_MS
+        overhead_ms = own_requests_ms + path_ms
         return RegionOption(
             region,
             self._random.choice(peers),
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -35,6 +35,7 @@
 from ..control.watch_duty import WatchDuty
 from ..control.watch_duty import oldest_answer_age_ms
 from ..endpoints.catalog import EndpointCatalog
+from ..endpoints.endpoint_reach import EndpointReach
 from ..forwarding.hop_server import HopServer
 from ..forwarding.region_attempts import RegionAttempts
 from ..ingress.directory import Directory
@@ -73,6 +74,7 @@
     from ..control.metadata_store import MetadataStore
     from ..decision import DecisionRecord
     from ..endpoint_adapter import EndpointAdapter
+    from ..endpoints.endpoint import Endpoint
     from ..ingress.directory import DirectoryAdapter
     from .settings import RelaySettings
     from .settings_file import SettingsFile
@@ -154,12 +156,20 @@
         self._state = ControlState(self._feed.apply, self._feed.apply_listing)
         self._duty = WatchDuty(self._peers)
         self._sync = PeerSync(self._loop, self._peers, self._state, self._duty)
+        self._reach = EndpointReach(
+            settings.region,
+            self._loop,
+            endpoint_adapter,
+            self._catalog,
+            self._policy.breakers,
+            self._health_path,
+        )
         peer_feed = PeerFeed(
             self._catalog,
             self._policy,
             self._sync,
             self._feed.table,
-            (records, versions, self._resumptions),
+            (records, versions, self._resumptions, self._reach),
         )
         self._reporter = Reporter(
             settings.host,
@@ -202,6 +212,7 @@
             self._policy,
             self._reporter,
             self._permits,
+            self._reach,
         )
         self._local = local
         parts = RelayContext(
@@ -322,6 +333,11 @@
             log_event(Event.DRAIN_INCOMPLETE, open_requests=unfinished)
         return unfinished == 0
 
+    def _health_path(self, endpoint: Endpoint) -> str:
+        table = self._feed.table()
+        service = table.services.get(endpoint.service) if table is not None else None
+        return service.health_path if service is not None else ""
+
     def _in_flight_requests(self) -> int:
         return self._front_listener.open_connections + self._hop_listener.busy_connections
 
@@ -377,6 +393,8 @@
             },
             self._permits.outcomes(),
             self._resumptions.counts(),
+            len(self._reach.unreachable()),
+            self._reach.is_partitioned,
         )
 
     def _dump(self) -> dict[str, object]:
@@ -392,6 +410,8 @@
             "is_on_watch_duty": self._duty.is_on_duty(),
             "evacuated": sorted(self._catalog.evacuated),
             "streams": self._resumptions.dump(),
+            "is_partitioned": self._reach.is_partitioned,
+            "unreachable_endpoints": self._reach.unreachable(),
             "endpoints": dump_endpoints(self._catalog, self._policy),
             "gateways": dump_gateways(self._peers),
             **dump_policy(self._policy),
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_metrics.py
@@ -58,6 +58,8 @@
     request_limits: Mapping[str, float]
     permits: Mapping[PermitOutcome, int]
     resumptions: Mapping[OriginSource, int]
+    unreachable_endpoints: int
+    is_partitioned: bool
 
 
 class RelayMetrics:
@@ -117,6 +119,16 @@
             ("collected_members", "Gateways that tell this one.", gauges.collected_members),
             ("quarantined_requests", "Requests that are given no endpoint.", gauges.quarantined),
             ("held_prompt_parts", "Parts of prompts that crash endpoints.", gauges.held_parts),
+            (
+                "unreachable_endpoints",
+                "Endpoints that left a ping unanswered.",
+                gauges.unreachable_endpoints,
+            ),
+            (
+                "is_partitioned",
+                "Whether no endpoint of the region is reachable.",
+                int(gauges.is_partitioned),
+            ),
             ("log_lines_dropped", "Log lines dropped lately.", gauges.log_lines_dropped),
         ):
             gauge = Gauge(f"primroseferry_{name}", text, registry=registry)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -54,6 +54,7 @@
     from .endpoints.catalog import EndpointCatalog
     from .endpoints.endpoint import Endpoint
     from .endpoints.endpoint import EndpointRun
+    from .endpoints.endpoint_reach import EndpointReach
     from .endpoints.software_version import VersionHash
     from .membership.peer_table import PeerTable
     from .membership.request_permits import RequestPermits
@@ -149,6 +150,7 @@
         policy: RelayPolicy,
         reporter: PeerReporter,
         permits: RequestPermits,
+        reach: EndpointReach,
     ) -> None:
         self._region = region
         self._loop = loop
@@ -158,8 +160,13 @@
         self._policy = policy
         self._reporter = reporter
         self._permits = permits
+        self._reach = reach
         self.crash_attribution = CrashAttribution(
-            policy.quarantine, catalog, reporter, trial_rank=peers.own_rank
+            policy.quarantine,
+            catalog,
+            reporter,
+            trial_rank=peers.own_rank,
+            is_partitioned=lambda: reach.is_partitioned,
         )
 
     def rank(
@@ -170,11 +177,13 @@
         is_urgent: bool = True,
         permits_denied: int = 0,
         binding: StreamBinding | None = None,
+        needs_reach: bool = True,
     ) -> list[LocalOption]:
         """Return the endpoints that may receive the request now, best first.
 
         A request that was denied ``MAX_PERMITS_DENIED`` permits is not sent to endpoints that name
         a request limit. ``binding`` limits a stream to the endpoints of its software version.
+        Without ``needs_reach``, endpoints that only this gateway may fail to reach are included.
         """
         may_ask = permits_denied < MAX_PERMITS_DENIED
         available = self._catalog.available_endpoints(service.name, self._region)
@@ -184,7 +193,7 @@
             endpoint
             for endpoint in available
             if endpoint.endpoint not in excluded
-            and self._policy.breakers.permits(endpoint.endpoint)
+            and (not needs_reach or self._is_reached(endpoint))
             and self._wait_s(endpoint, is_urgent) <= 0
             and (may_ask or self._policy.request_limits.limit_per_s(endpoint.run) is None)
             and self._may_send_cold(endpoint, service)
@@ -260,8 +269,34 @@
         return min((self._wait_s(endpoint, is_urgent) for endpoint in endpoints), default=0.0)
 
     def summary(self, service: Service) -> ServiceSummary:
-        """Return the capacity and load of a service in this region, to report to other regions."""
-        options = self.rank(service, TYPICAL_GENERATION, ())
+        """Return the capacity and load of a service in this region, to report to other regions.
+
+        Other gateways of the region may reach the endpoints while this one reaches none.
+        """
+        options = self.rank(
+            service, TYPICAL_GENERATION, (), needs_reach=not self._reach.is_partitioned
+        )
+        return self._summarize(service, options)
+
+    def summary_beyond_reach(
+        self, service: Service, generation: Generation, binding: StreamBinding | None
+    ) -> ServiceSummary:
+        """Return the capacity and load of endpoints that other gateways of the region may reach.
+
+        It is empty if no endpoint is left out for its circuit or for a lack of reach.
+        """
+        options = [
+            option
+            for option in self.rank(service, generation, (), binding=binding, needs_reach=False)
+            if not self._is_reached(option.endpoint)
+        ]
+        return self._summarize(service, options)
+
+    def _is_reached(self, endpoint: Endpoint) -> bool:
+        is_permitted = self._policy.breakers.permits(endpoint.endpoint)
+        return is_permitted and self._reach.is_reachable(endpoint)
+
+    def _summarize(self, service: Service, options: list[LocalOption]) -> ServiceSummary:
         # An endpoint that named a request limit has little to offer to other regions.
         unlimited = [
             option
--- a/packages/primroseferry-relay/src/primroseferry_relay/region_choice.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/region_choice.py
@@ -11,6 +11,8 @@
 
     from .membership.peer import Peer
 
+# Network round trip within a region, with the other gateway's processing.
+LOCAL_ROUND_TRIP_MS = 5.0
 # Network round trip between regions.
 ROUND_TRIP_MS = 110.0
 # Added because the load of a remote region may have grown since its last report.
@@ -22,7 +24,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RegionOption:
-    """A gateway of a remote region, with the expected time to the first byte and the score."""
+    """Another gateway, with the expected time to the first byte and the score.
+
+    It is of a remote region, or of the own one if this gateway cannot reach an endpoint there.
+    """
 
     region: RegionId
     peer: Peer
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -4,6 +4,7 @@
 
 import random
 import time
+from collections import Counter
 from dataclasses import dataclass
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -40,6 +41,7 @@
 
     from primroseferry_core.ids import EndpointId
     from primroseferry_core.ids import Fingerprint
+    from primroseferry_core.ids import InstanceId
     from primroseferry_core.ids import RegionId
     from primroseferry_transport.curl_loop import CurlLoop
 
@@ -61,6 +63,10 @@
 # Attempts that never reach an endpoint do not count against the route's limit, but the caller
 # waits for each of them.
 MAX_TRIES = 6
+# How many gateways of one remote region a request is sent to.
+MAX_HOPS_PER_REGION = 2
+# After this many endpoints that could not be reached, another gateway of the region is tried.
+MAX_UNREACHED = 2
 # Retry-After is random between these bounds, so that rejected callers do not all retry at once.
 MIN_RETRY_AFTER_S = 0.3
 MAX_RETRY_AFTER_S = 1.5
@@ -93,12 +99,14 @@
     """Accumulated results of the attempts of a request.
 
     ``sends`` counts the attempts that reached an endpoint. ``tries`` counts all attempts except
-    those that were denied a permit, which ``permits_denied`` counts.
+    those that were denied a permit, which ``permits_denied`` counts. ``unreached`` counts endpoints
+    of the own region that did not get the request.
     """
 
     sends: int = 0
     tries: int = 0
     permits_denied: int = 0
+    unreached: int = 0
     events: int = 0
     last_event_id: str = ""
     may_have_run: bool = False
@@ -130,7 +138,10 @@
         self._record = record
         self._progress = _Progress(last_event_id=metadata.last_event_id)
         self._excluded: set[EndpointId] = set()
-        self._excluded_regions: set[RegionId] = set()
+        # Endpoints that got the request, however its attempt there ended.
+        self._reached: set[EndpointId] = set()
+        self._hops: Counter[RegionId] = Counter()
+        self._excluded_peers: set[InstanceId] = set()
         self._caller_watch = CallerWatch()
         limit_ms = route.timeout_ms
         if metadata.deadline_ms is not None:
@@ -252,10 +263,16 @@
             self._service,
             self._plan.generation,
             route.home_regions,
-            self._excluded_regions,
+            [region for region, hops in self._hops.items() if hops >= MAX_HOPS_PER_REGION],
+            self._excluded_peers,
             self._is_urgent,
             self._serves,
         )
+        through_peer = self._choose_own_peer(has_local=local is not None)
+        if through_peer is not None and (remote is None or through_peer.score <= remote.score):
+            remote = through_peer
+        if through_peer is not None and self._progress.unreached >= MAX_UNREACHED:
+            local = None
         self._record.note_options(local, remote)
         if remote is None:
             return local
@@ -263,6 +280,19 @@
             return remote
         return local
 
+    def _choose_own_peer(self, has_local: bool) -> RegionOption | None:
+        """Return a gateway of the own region to which the request may go, if it has no endpoint."""
+        route = self._route
+        if has_local and self._progress.unreached < MAX_UNREACHED:
+            return None
+        if not route.permits(self._context.region):
+            return None
+        generation = self._plan.generation
+        summary = self._context.local.summary_beyond_reach(self._service, generation, self._binding)
+        return self._context.regions.through_own_region(
+            self._service, summary, generation, self._excluded_peers, self._is_urgent
+        )
+
     def _reject_if_late(self, option: LocalOption | RegionOption) -> bool:
         """Reject an unsent request whose first byte is expected after the deadline.
 
@@ -331,17 +361,23 @@
                 outcome = self._context.local.run(
                     option, self._service, plan, sink, self._caller_watch.set_current_attempt
                 )
-            case RegionOption(region):
-                self._excluded_regions.add(region)
+            case RegionOption(region, peer):
+                self._hops[region] += region != self._context.region
+                self._excluded_peers.add(peer.instance)
                 outcome = self._context.regions.run(
                     option,
                     plan,
                     self._route,
-                    tuple(self._excluded),
+                    tuple(self._reached),
                     sink,
                     self._caller_watch.set_current_attempt,
                 )
         self._record.note_outcome(outcome)
+        if isinstance(option, LocalOption):
+            if isinstance(outcome, NotRun) and not outcome.is_sent:
+                self._progress.unreached += not outcome.is_permit_denied
+            else:
+                self._reached.add(option.endpoint.endpoint)
         return outcome
 
     def _handle_outcome(self, outcome: AttemptOutcome) -> bool:
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -27,6 +27,7 @@
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
 from primroseferry_relay.endpoints.endpoint import Endpoint
 from primroseferry_relay.endpoints.endpoint import EndpointState
+from primroseferry_relay.endpoints.endpoint_reach import EndpointReach
 from primroseferry_relay.forwarding.region_attempts import RegionAttempts
 from primroseferry_relay.ingress.listener import Listener
 from primroseferry_relay.local_attempts import LocalAttempts
@@ -114,6 +115,9 @@
             passed.append(Header("Last-Event-Id", options.last_event_id))
         return passed
 
+    def ping_headers(self, endpoint: EndpointId) -> list[Header]:
+        return [Header("X-Endpoint", f"not-{endpoint}")]
+
     def read_reply(self, headers: Sequence[Header]) -> ReplyMetadata:
         values = {header.name.lower(): header.value for header in headers}
         rest = values.get("retry-after")
@@ -180,6 +184,7 @@
         self.policy = policy or RelayPolicy(SharedRetryBudget(10, 0.2, 50))
         self.permits = RequestPermits(self.policy.request_limits, peers)
         adapter = TestAdapter()
+        self.reach = EndpointReach(NORTH, loop, adapter, self.catalog, self.policy.breakers)
         self.local = local = LocalAttempts(
             NORTH,
             loop,
@@ -189,6 +194,7 @@
             self.policy,
             self,
             self.permits,
+            self.reach,
         )
         regions = RegionAttempts(loop, peers, self.policy)
         self.origins = StreamOrigins()
--- a/packages/primroseferry-relay/tests/relay_tests/test_relay_metrics.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_relay_metrics.py
@@ -23,6 +23,8 @@
     {"e-1": 1.5},
     {PermitOutcome.DENIED: 2},
     {OriginSource.PEER: 1},
+    2,
+    True,
 )
 
 
@@ -40,5 +42,7 @@
         assert line in page
         assert 'primroseferry_endpoint_request_limit{endpoint="e-1"} 1.5' in page
         assert 'primroseferry_permits_total{outcome="denied"} 2' in page
+        assert "primroseferry_unreachable_endpoints 2" in page
+        assert "primroseferry_is_partitioned 1" in page
         assert 'primroseferry_stream_resumptions_total{source="peer"} 1' in page
         assert f'primroseferry_request_seconds_count{{service="orders"}} {number}' in page
