Keep within the slots of endpoints that fall over when they reject too much

Cause: nothing read that endpoints are brittle, and each gateway sent by loads that are older than a request lasts.

Now each slot of such an endpoint belongs to one gateway of the region, by rendezvous hashing over the ready ones: nothing is sent, and the sum over all gateways is the number of slots whatever their number. A request without a slot goes through a gateway that has one, or is refused at once. An endpoint that rejected a request rests for a second.

Slots of 30 endpoints add up with 1, 2, 7, 65 and 195 gateways. Weighed: a notice to the region after each rejection (races within its delay), bounds by reported loads (100 ms old, calls take 50).

--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -87,6 +87,7 @@
         "error",
         "part of prompts crashes endpoints, requests with it refused",
     )
+    ENDPOINTS_BRITTLE = (5030, "warning", "endpoints of a service said that they are brittle")
     ENDPOINT_REACH_CHANGED = (5027, "warning", "endpoint became reachable or unreachable")
     GATEWAY_PARTITIONED = (
         5028,
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
@@ -57,6 +57,8 @@
     on. ``rest_s`` is the backoff in seconds that it asks for when it rejects a request, ``None`` if
     the value is missing or invalid. ``request_limit_per_s`` is the number of requests per second
     that it takes from all gateways together, ``None`` if it names no limit or an invalid one.
+    ``rejections_per_s`` is how many requests it can reject in a second without falling over,
+    ``None`` if it does not say that it is brittle.
     """
 
     request_id: str
@@ -67,6 +69,7 @@
     rest_s: float | None = None
     request_limit_per_s: float | None = None
     has_invalid_request_limit: bool = False
+    rejections_per_s: float | None = None
 
 
 class EndpointAdapter(Protocol):
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -29,6 +29,8 @@
 from .crash_attribution import BlameReporter
 from .crash_attribution import CrashAttribution
 from .endpoint_adapter import EndpointRequestOptions
+from .endpoints.brittle_endpoints import REST_S
+from .endpoints.brittle_endpoints import BrittleEndpoints
 from .endpoints.sample import choose_sample
 from .membership.peer import ServiceSummary
 from .relay_policy import PlacedRequest
@@ -79,6 +81,8 @@
 MAX_PERMITS_DENIED = 4
 # Status of an endpoint that rejects a request because it is overloaded.
 OVERLOADED_STATUS = 503
+# Statuses of an endpoint that has no room for a request.
+FULL_STATUSES = frozenset({429, OVERLOADED_STATUS})
 # Status of an endpoint that is not the one for which the request was meant.
 OTHER_ENDPOINT_STATUS = 421
 # Reference request for the summary that other regions receive: a prompt that is mostly cached.
@@ -160,6 +164,7 @@
         self._policy = policy
         self._reporter = reporter
         self._permits = permits
+        self._brittle = BrittleEndpoints(peers)
         self._reach = reach
         self.crash_attribution = CrashAttribution(
             policy.quarantine,
@@ -193,7 +198,7 @@
             endpoint
             for endpoint in available
             if endpoint.endpoint not in excluded
-            and (not needs_reach or self._is_reached(endpoint))
+            and (not needs_reach or self._is_usable(endpoint))
             and self._wait_s(endpoint, is_urgent) <= 0
             and (may_ask or self._policy.request_limits.limit_per_s(endpoint.run) is None)
             and self._may_send_cold(endpoint, service)
@@ -253,8 +258,13 @@
         if not self._permits.acquire(endpoint.run, plan.is_urgent):
             reason = "the endpoint's request limit is used up"
             return NotRun(reason, is_sent=False, is_permit_denied=True)
-        with self._policy.breakers.attempt(endpoint.endpoint):
-            return self._send(option, service, plan, sink, on_start)
+        if not self._brittle.enter(endpoint):
+            return NotRun("this gateway's slots of the endpoint are taken", is_sent=False)
+        try:
+            with self._policy.breakers.attempt(endpoint.endpoint):
+                return self._send(option, service, plan, sink, on_start)
+        finally:
+            self._brittle.leave(endpoint)
 
     def serves_version(self, service: Service, region: RegionId, version: VersionHash) -> bool:
         """Whether a region has an available endpoint of a software version."""
@@ -283,18 +293,21 @@
     ) -> ServiceSummary:
         """Return the capacity and load of endpoints that other gateways of the region may reach.
 
-        It is empty if no endpoint is left out for its circuit or for a lack of reach.
+        It is empty if no endpoint is left out for its circuit, for a lack of reach, or because its
+        slots belong to other gateways.
         """
         options = [
             option
             for option in self.rank(service, generation, (), binding=binding, needs_reach=False)
-            if not self._is_reached(option.endpoint)
+            if not self._is_usable(option.endpoint)
         ]
         return self._summarize(service, options)
 
-    def _is_reached(self, endpoint: Endpoint) -> bool:
+    def _is_usable(self, endpoint: Endpoint) -> bool:
+        """Whether this gateway, and not only others, may send requests to an endpoint."""
         is_permitted = self._policy.breakers.permits(endpoint.endpoint)
-        return is_permitted and self._reach.is_reachable(endpoint)
+        is_reached = is_permitted and self._reach.is_reachable(endpoint)
+        return is_reached and self._brittle.has_room(endpoint)
 
     def _summarize(self, service: Service, options: list[LocalOption]) -> ServiceSummary:
         # An endpoint that named a request limit has little to offer to other regions.
@@ -487,6 +500,9 @@
         self, endpoint: Endpoint, status: int, metadata: ReplyMetadata, sent_s: float
     ) -> None:
         self._note_request_limit(endpoint.run, status, metadata, sent_s)
+        self._brittle.note_answer(endpoint, metadata.rejections_per_s)
+        if metadata.is_not_run and status in FULL_STATUSES and self._brittle.is_brittle(endpoint):
+            self._policy.backoffs.note(endpoint.endpoint, REST_S)
         if metadata.cold_ms is not None:
             self._catalog.set_cold(endpoint.endpoint, metadata.cold_ms)
         if metadata.is_leaving and self._catalog.note_leaving(endpoint.run):
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -129,6 +129,7 @@
             is_leaving="x-leaving" in values,
             rest_s=float(rest) if rest else None,
             request_limit_per_s=float(limit) if limit else None,
+            rejections_per_s=float(values["x-brittle"]) if "x-brittle" in values else None,
         )
 
 
