Refuse requests that a stopping gateway could not answer before its process ends

Report of another operator: requests that came late in the grace of a planned stop were taken, passed on and cut without an answer, among them some that must not be repeated. It happens here: grace 4 s, work of 2.2 s, requests sent from 1.5 s after the signal (test_planned_stop.py failed, 'closed without an answer'; with work of 0.8 s it passed). Cause: a draining gateway takes requests for 2.5 s whatever they last.

Now a request whose service lately took longer than the time that is left is refused at once, not run, with when to come back. After: both cases pass.

--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -64,6 +64,7 @@
 from .state_dump import dump_endpoints
 from .state_dump import dump_gateways
 from .state_dump import dump_policy
+from .stop_gate import StopGate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -125,6 +126,7 @@
         self._summaries: dict[ServiceId, ServiceSummary] = {}
         self._summarized_s = 0.0
         self._stopping = threading.Event()
+        self._stop_gate = StopGate()
         limits = settings.retry_limits
         budget = SharedRetryBudget(
             limits.window_s,
@@ -225,7 +227,7 @@
             self._resumptions,
             self._record_decision,
         )
-        relay = Relay(parts, endpoint_adapter, self._feed.table)
+        relay = Relay(parts, endpoint_adapter, self._feed.table, self._stop_gate.refuses)
         hops = HopServer(
             settings.region,
             self._incarnation,
@@ -316,6 +318,7 @@
             open_requests=self._front_listener.busy_connections
             + self._hop_listener.busy_connections,
         )
+        self._stop_gate.stop_at(limit_s)
         self._peers.own_state = GatewayState.DRAINING
         self._front_listener.drain()
         self._reporter.send_state()
@@ -371,6 +374,7 @@
 
     def _record_decision(self, record: DecisionRecord) -> None:
         self._metrics.count(record)
+        self._stop_gate.note(record)
         record.log()
 
     def _gauges(self) -> RelayGauges:
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -17,6 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from primroseferry_core.ids import ServiceId
+
     from .endpoint_adapter import EndpointAdapter
     from .ingress.answer_channel import AnswerChannel
     from .messages import RelayRequest
@@ -26,6 +28,8 @@
 # none from the store or a peer.
 MIN_STARTUP_RETRY_AFTER_S = 1.0
 MAX_STARTUP_RETRY_AFTER_S = 2.5
+# Another gateway serves the request at once.
+STOPPING_RETRY_AFTER_S = 0.1
 
 
 class Relay:
@@ -36,7 +40,10 @@
         context: RelayContext,
         adapter: EndpointAdapter,
         current_table: Callable[[], RouteTable | None],
+        refuses: Callable[[ServiceId], bool] = lambda _service: False,
     ) -> None:
+        """``refuses`` returns whether requests for a service come too late before a stop."""
+        self._refuses = refuses
         self._context = context
         self._adapter = adapter
         self._current_table = current_table
@@ -63,6 +70,10 @@
         service = table.services[route.service_for(request_hash)]
         record.route = route.name
         record.service = service.name
+        if self._refuses(service.name):
+            problem = Problem(ErrorKind.GATEWAY_DRAINING, "the answer would come after the stop")
+            self._refuse(channel, record, problem, STOPPING_RETRY_AFTER_S)
+            return
         self._context.policy.budget.note_request(service.name, self._context.peers.live_count())
         RequestRun(self._context, request, metadata, channel, route, service, record).run()
 
