Leave tries for other regions when no gateway of the own region has an endpoint

Found by reading: with a service down in a large region, a request used up its six tries at gateways of its own region, each of which refused, and none was left for a region that could serve it. Now three are tried at most; the test failed before (6 refusals, 503). An empty record of streams is not written.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/stream_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/stream_records.py
@@ -66,7 +66,7 @@
         self._clock_s = clock_s
         self._lease: LeaseId | None = None
         self._leased_s = 0.0
-        self._written = b""
+        self._written = _encode([])
         self._next_write_s = float("-inf")
         self._read_s = float("-inf")
         self._found: Mapping[int, VersionHash] = {}
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -65,6 +65,8 @@
 MAX_TRIES = 6
 # How many gateways of one remote region a request is sent to.
 MAX_HOPS_PER_REGION = 2
+# The same for the own region; tries are left for the others if its endpoints are down.
+MAX_HOPS_IN_OWN_REGION = 3
 # After this many endpoints that could not be reached, another gateway of the region is tried.
 MAX_UNREACHED = 2
 # Retry-After is random between these bounds, so that rejected callers do not all retry at once.
@@ -285,7 +287,8 @@
         route = self._route
         if has_local and self._progress.unreached < MAX_UNREACHED:
             return None
-        if not route.permits(self._context.region):
+        is_tried_enough = self._hops[self._context.region] >= MAX_HOPS_IN_OWN_REGION
+        if is_tried_enough or not route.permits(self._context.region):
             return None
         generation = self._plan.generation
         summary = self._context.local.summary_beyond_reach(self._service, generation, self._binding)
@@ -362,7 +365,7 @@
                     option, self._service, plan, sink, self._caller_watch.set_current_attempt
                 )
             case RegionOption(region, peer):
-                self._hops[region] += region != self._context.region
+                self._hops[region] += 1
                 self._excluded_peers.add(peer.instance)
                 outcome = self._context.regions.run(
                     option,
--- a/packages/primroseferry-relay/tests/relay_tests/test_partition.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_partition.py
@@ -9,6 +9,7 @@
 import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import Fingerprint
+from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_relay.attempts.outcome import Lost
 from primroseferry_relay.crash_attribution import CrashAttribution
 from primroseferry_relay.crash_attribution import Verdict
@@ -16,10 +17,15 @@
 from primroseferry_relay.forwarding.hop import NO_ENDPOINT_DETAIL
 from primroseferry_relay.forwarding.hop import OUTCOME_HEADER
 from primroseferry_relay.forwarding.region_attempts import REFUSAL_S
+from primroseferry_relay.membership.datagrams import RegionSummary
+from primroseferry_relay.membership.peer import ControlStatus
 from primroseferry_relay.membership.peer import PeerAddress
+from primroseferry_relay.membership.peer import ServiceSummary
+from primroseferry_relay.request_run import MAX_HOPS_IN_OWN_REGION
 from primroseferry_relay.suspect import Suspect
 from primroseferry_transport.port_probe import PortState
 
+from .peer_samples import SOUTH
 from .peer_samples import peer_of
 from .peer_samples import roster_of
 from .relay_harness import NORTH
@@ -68,6 +74,17 @@
     harness.peers.put_roster(roster_of(NORTH, *peers))
 
 
+def add_remote_gateway(harness: RelayHarness, gateway: ScriptedEndpoint) -> None:
+    """Let one gateway of another region be known, with an endpoint of the service."""
+    address = PeerAddress("127.0.0.1:1", gateway.address, "127.0.0.1:1")
+    roster = roster_of(SOUTH, replace(peer_of("g-99", SOUTH), address=address))
+    harness.peers.put_roster(roster)
+    services = {SERVICE.name: ServiceSummary(1, 6, NO_WORK, 1.0, 0)}
+    control = ControlStatus(0, 0.0)
+    summary = RegionSummary(SOUTH, "127.0.0.1:1", roster.version, control, services)
+    harness.peers.put_summary(summary)
+
+
 def wait_until(condition: Callable[[], bool], harness: RelayHarness) -> bool:
     """Let the pings go on for up to 5 s until a condition holds."""
     limit_s = time.monotonic() + 5
@@ -127,6 +144,19 @@
     assert time.monotonic() - started_s < REFUSAL_S
 
 
+def test_remote_region_is_tried_though_many_gateways_of_the_own_have_no_endpoint(
+    loop: CurlLoop,
+) -> None:
+    harness = RelayHarness(loop, [closed_endpoint()])
+    cut = remote_gateway(f"refused;{NO_ENDPOINT_DETAIL}", "503 Service Unavailable")
+    add_peers(harness, *[cut] * 20)
+    far = remote_gateway("answered")
+    add_remote_gateway(harness, far)
+    assert b"through another" in harness.call("/once/", "POST", body=b"x")
+    assert len(far.requests) == 1
+    assert len(cut.requests) <= MAX_HOPS_IN_OWN_REGION
+
+
 def test_endpoint_that_answers_no_ping_gets_no_request_until_it_answers_one(
     loop: CurlLoop,
 ) -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_stream_versions.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_stream_versions.py
@@ -9,7 +9,6 @@
 import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import SoftwareVersion
-from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_relay.control.control_state import ControlState
 from primroseferry_relay.control.peer_sync import PeerSync
 from primroseferry_relay.control.watch_duty import WatchDuty
@@ -18,15 +17,9 @@
 from primroseferry_relay.forwarding.hop import OUTCOME_HEADER
 from primroseferry_relay.forwarding.hop_server import HopServer
 from primroseferry_relay.ingress.listener import Listener
-from primroseferry_relay.membership.datagrams import RegionSummary
-from primroseferry_relay.membership.peer import ControlStatus
-from primroseferry_relay.membership.peer import PeerAddress
-from primroseferry_relay.membership.peer import ServiceSummary
 from primroseferry_relay.streams.resumptions import OriginSource
 
 from .peer_samples import SOUTH
-from .peer_samples import peer_of
-from .peer_samples import roster_of
 from .relay_harness import LIMITS
 from .relay_harness import NORTH
 from .relay_harness import RelayHarness
@@ -40,6 +33,7 @@
 from .test_hop_server import HOP_REQUEST
 from .test_hop_server import INCARNATION
 from .test_hop_server import send_hop
+from .test_partition import add_remote_gateway
 from .test_relay import body_of
 from .test_relay import status_of
 from .test_route_table import SERVICE
@@ -281,14 +275,6 @@
         harness.catalog.entries()[EndpointId("e-0")], endpoint=EndpointId("s-0"), region=SOUTH
     )
     harness.catalog.put(far)
-    address = PeerAddress("127.0.0.1:1", remote.address, "127.0.0.1:1")
-    roster = roster_of(SOUTH, replace(peer_of("g-9", SOUTH), address=address))
-    harness.peers.put_roster(roster)
-    summary = ServiceSummary(1, 6, NO_WORK, 1.0, 0)
-    harness.peers.put_summary(
-        RegionSummary(
-            SOUTH, "127.0.0.1:1", roster.version, ControlStatus(0, 0.0), {SERVICE.name: summary}
-        )
-    )
+    add_remote_gateway(harness, remote)
     data = begin(harness, "r1")
     assert (b"data: far" in data) is (detail == f";version={V1:x}")
