Do not list a complete stream again when its report comes a second time

Found by reading: reports are sent twice, and the second copy made a stream that had ended meanwhile incomplete at its keepers, so that it stayed in the region's record for two minutes. The test failed before.

--- a/packages/primroseferry-relay/src/primroseferry_relay/streams/stream_origins.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/streams/stream_origins.py
@@ -55,15 +55,17 @@
     def note(self, origin: StreamOrigin, is_own: bool = True) -> None:
         """Record where a stream began; ``is_own`` if this gateway passed on its events.
 
-        A second, different version makes the origin unknown: callers may use an id twice.
+        A second, different version makes the origin unknown: callers may use an id twice. A report
+        of a stream that is complete may come again.
         """
         with self._lock:
             known = self._find(origin.key)
             version = origin.version
             if known is not None and known.version != version:
                 version = UNKNOWN_VERSION
+            is_complete = known is not None and known.is_complete and not is_own
             is_own = is_own or (known is not None and known.is_own)
-            self._known.put(origin.key, _Known(version, self._clock_s(), is_own))
+            self._known.put(origin.key, _Known(version, self._clock_s(), is_own, is_complete))
 
     def find(self, key: StreamKey) -> StreamOrigin | None:
         """Return the origin of a stream, ``None`` if this gateway never heard of it."""
--- a/packages/primroseferry-relay/tests/relay_tests/test_stream_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_stream_records.py
@@ -99,6 +99,15 @@
     assert gateway.records.find(StreamKey(8)) == origin(8)
 
 
+def test_report_that_comes_again_does_not_make_a_stream_incomplete() -> None:
+    origins = StreamOrigins(Clock())
+    origins.note(origin(7), is_own=False)
+    origins.complete(StreamKey(7))
+    origins.note(origin(7), is_own=False)
+    assert origins.incomplete() == []
+    assert origins.find(StreamKey(7)) == origin(7)
+
+
 def test_streams_that_records_dispute_are_of_an_unknown_version() -> None:
     store, clock = ListedStore(), Clock()
     for name, version in (("run-1", V1), ("run-2", V2)):
@@ -173,5 +182,5 @@
     record = StoredItem(f"{STREAM_PREFIX}run-1", json.dumps({}).encode(), 9)
     assert not state.apply(record)
     assert state.position == START
-    state.apply_listing("", [record, StoredItem("op/config", b"{}", 3)], 9)
-    assert [item.key for item in seen] == ["op/config"]
+    state.apply_listing("", [record, StoredItem("routes", b"{}", 3)], 9)
+    assert [item.key for item in seen] == ["routes"]
