--- a/packages/primroseferry-relay/tests/relay_tests/fleet_simulation.py
+++ b/packages/primroseferry-relay/tests/relay_tests/fleet_simulation.py
@@ -175,7 +175,7 @@
         rng = random.Random(len(self.gateways))
         permits = RequestPermits(RequestLimits(self.clock, rng), peers, rng)
         origins = StreamOrigins(self.clock)
-        streams = StreamSync(origins, peers, rng)
+        streams = StreamSync(origins, peers, random.Random(len(self.gateways)))
         exchange = Exchange(
             peers,
             local_state,
