Pause a watch of the store after stream records only, not after items known already

Found by reading the change: the pause that spares calls followed any batch that changed nothing, also items that a peer had supplied before the watch did, and held back the next change by up to 0.4 s. Now the keys decide. The new test fails with the condition before (known-item: one pause).

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
@@ -21,7 +21,7 @@
 from .metadata_store import START
 from .metadata_store import StoredItem
 from .metadata_store import StorePosition
-from .stream_records import STREAM_PREFIX
+from .stream_records import is_stream_record
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -100,7 +100,7 @@
 
         Records of streams are not stored: each gateway reads them itself when it needs them.
         """
-        if item.key.startswith(STREAM_PREFIX):
+        if is_stream_record(item.key):
             return False
         with self._lock:
             self.enter_era(item.era)
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -15,6 +15,7 @@
 
 from .metadata_store import START
 from .metadata_store import StoreFailure
+from .stream_records import is_stream_record
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,8 +28,8 @@
 WATCH_TIMEOUT_MS = 2_500
 # While items of an earlier era wait for a second listing.
 MAX_ERA_WATCH_MS = 500
-# After changes that are no control items, so that frequent ones do not cost a call each.
-IRRELEVANT_PAUSE_S = 0.4
+# After changes of stream records only, so that frequent ones do not cost a call each.
+STREAM_RECORDS_PAUSE_S = 0.4
 MIN_RETRY_S = 0.15
 MAX_RETRY_S = 1.5
 # Upper bound of the retry delay until the first items arrive. A gateway without items serves no
@@ -160,9 +161,10 @@
                 return None
             case Ok(changes):
                 self._record_answer()
-                applied = [self._state.apply(item) for item in changes.items]
-                if applied and not any(applied):
-                    time.sleep(IRRELEVANT_PAUSE_S)
+                for item in changes.items:
+                    self._state.apply(item)
+                if changes.items and all(is_stream_record(item.key) for item in changes.items):
+                    time.sleep(STREAM_RECORDS_PAUSE_S)
                 return max(after, changes.as_of)
             case Err(StoreFailure.HISTORY_LOST):
                 self._record_answer()
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/stream_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/stream_records.py
@@ -134,6 +134,11 @@
                 log_event(Event.STREAM_RECORDS_NOT_READ, reason=failure.value)
 
 
+def is_stream_record(key: str) -> bool:
+    """Whether a key of the store is a record of streams, which is no control item."""
+    return key.startswith(STREAM_PREFIX)
+
+
 def _short(key: StreamKey) -> int:
     return key & 0xFFFFFFFF
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_store_watch.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_store_watch.py
@@ -9,10 +9,13 @@
 from primroseferry_relay.control.control_state import ControlState
 from primroseferry_relay.control.counted_store import CountedStore
 from primroseferry_relay.control.counted_store import StoreCallLabels
+from primroseferry_relay.control.metadata_store import Changes
 from primroseferry_relay.control.metadata_store import StoredItem
 from primroseferry_relay.control.store_watch import MAX_PEER_FETCH_WAIT_S
 from primroseferry_relay.control.store_watch import StartDelay
 from primroseferry_relay.control.store_watch import StoreWatch
+from primroseferry_relay.control.stream_records import STREAM_PREFIX
+from result import Ok
 
 from .test_background import FailingOnceStore
 
@@ -108,3 +111,26 @@
         StoreCallLabels("watch", "unreachable"): 1,
         StoreCallLabels("list", "answered"): 1,
     }
+
+
+@pytest.mark.parametrize(
+    ("key", "pauses"),
+    [("servers/e-1", 0), (f"{STREAM_PREFIX}run-1", 1)],
+    ids=["known-item", "stream-record"],
+)
+def test_watch_pauses_after_stream_records_only(
+    monkeypatch: pytest.MonkeyPatch, key: str, pauses: int
+) -> None:
+    class ChangingStore(FailingOnceStore):
+        """Answers one watch with an item that a peer has supplied before."""
+
+        def watch(self, prefix: str, after: int, wait_ms: int):  # type: ignore[no-untyped-def]
+            return Ok(Changes((StoredItem(key, b"{}", 5),), 5))
+
+    state = ControlState(lambda _item: None)
+    state.apply(StoredItem(key, b"{}", 5))
+    slept_s: list[float] = []
+    monkeypatch.setattr(time, "sleep", slept_s.append)
+    watch = StoreWatch(ChangingStore(), state, "", lambda: None, lambda: True)
+    assert watch._watch(4) == 5
+    assert len(slept_s) == pauses
