--- a/packages/primroseferry-relay/src/primroseferry_relay/routes/route_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/routes/route_table.py
@@ -27,12 +27,14 @@
     """Routes by host and prefix.
 
     The cost of a look-up grows with the length of the path, not with the number of routes.
+    ``resumable_services`` are those of routes whose streams may go on at another endpoint.
     """
 
     revision: int
     by_host: Mapping[str, Mapping[str, Route]]
     services: Mapping[ServiceId, Service]
     limits: CallerLimits
+    resumable_services: frozenset[ServiceId]
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``, or ``None``."""
@@ -47,17 +49,6 @@
             end = path.rfind("/", 0, end - 1) + 1
         return None
 
-    @property
-    def resumable_services(self) -> frozenset[ServiceId]:
-        """The services of routes whose streams may go on at another endpoint."""
-        return frozenset(
-            share.service
-            for routes in self.by_host.values()
-            for route in routes.values()
-            if route.is_resumable
-            for share in route.shares
-        )
-
     def count_permitting(self, host: str, region: RegionId) -> int:
         """Return the number of routes of ``host`` that permit ``region``."""
         routes = self.by_host.get(host.lower(), {}).values()
@@ -76,13 +67,22 @@
     """
     by_service = {service.name: service for service in services}
     by_host: dict[str, dict[str, Route]] = {}
+    resumable_services: set[ServiceId] = set()
     for index, route in enumerate(routes):
         _check_route(f"routes[{index}]", route, by_service)
         prefixes = by_host.setdefault(route.host.lower(), {})
         if route.prefix in prefixes:
             raise RouteTableError(f"routes[{index}].prefix: duplicate prefix {route.prefix}")
         prefixes[route.prefix] = route
-    return RouteTable(revision, by_host, by_service, limits or CallerLimits())
+        if route.is_resumable:
+            resumable_services.update(share.service for share in route.shares)
+    return RouteTable(
+        revision,
+        by_host,
+        by_service,
+        limits or CallerLimits(),
+        frozenset(resumable_services),
+    )
 
 
 def _check_route(path: str, route: Route, services: Mapping[ServiceId, Service]) -> None:
