Merge what two sources say of a stream's version in one place

Four places had the rule that a second, different version makes it unknown. The lease of stream records is held by a plain branch instead of a match and a check after it.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/stream_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/stream_records.py
@@ -21,8 +21,8 @@
 from result import Err
 from result import Ok
 
-from ..endpoints.software_version import UNKNOWN_VERSION
 from ..endpoints.software_version import VersionHash
+from ..endpoints.software_version import agreed_version
 from ..streams.stream_origins import StreamOrigin
 
 if TYPE_CHECKING:
@@ -110,15 +110,14 @@
             self._write_lock.release()
 
     def _put(self, value: bytes) -> StoreFailure | None:
-        if self._lease is None or self._clock_s() - self._leased_s >= NEW_LEASE_S:
-            match self._store.grant_lease(LEASE_MS):
-                case Ok(lease):
-                    self._lease, self._leased_s = lease, self._clock_s()
-                case Err(failure):
-                    return failure
-        if self._lease is None:
-            return None
-        return self._store.put(self._key, value, self._lease).err()
+        lease = self._lease
+        if lease is None or self._clock_s() - self._leased_s >= NEW_LEASE_S:
+            granted = self._store.grant_lease(LEASE_MS)
+            if isinstance(granted, Err):
+                return granted.err_value
+            lease = self._lease = granted.ok_value
+            self._leased_s = self._clock_s()
+        return self._store.put(self._key, value, lease).err()
 
     def _read(self) -> None:
         match self._store.list_items(STREAM_PREFIX):
@@ -126,8 +125,7 @@
                 found: dict[int, VersionHash] = {}
                 for item in listing.items:
                     for short, version in _decode(item.value or b"").items():
-                        is_disputed = found.get(short, version) != version
-                        found[short] = UNKNOWN_VERSION if is_disputed else version
+                        found[short] = agreed_version(found.get(short), version)
                 self._found = found
                 log_event(Event.STREAM_RECORDS_READ, records=len(listing.items), streams=len(found))
             case Err(failure):
@@ -160,7 +158,7 @@
         for version_text, keys_text in json.loads(value).items():
             version = VersionHash(int(version_text, 16))
             for (short,) in _KEY.iter_unpack(base64.b64decode(keys_text)):
-                found[short] = UNKNOWN_VERSION if found.get(short, version) != version else version
+                found[short] = agreed_version(found.get(short), version)
     except (ValueError, TypeError, AttributeError, struct.error) as error:
         log_event(Event.CONTROL_ITEM_IGNORED, key=STREAM_PREFIX, reason=repr(error)[:200])
         return {}
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/software_version.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/software_version.py
@@ -17,6 +17,14 @@
 UNKNOWN_VERSION = VersionHash(0)
 
 
+def agreed_version(known: VersionHash | None, told: VersionHash) -> VersionHash:
+    """Return the version of a stream by two sources, unknown if they differ.
+
+    ``known`` is ``None`` if only one source names the stream.
+    """
+    return told if known in (None, told) else UNKNOWN_VERSION
+
+
 def version_hash(service: ServiceId, version: SoftwareVersion) -> VersionHash:
     """Return a 64-bit hash, above 0, that identifies a version of a service's software.
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/stream_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/stream_sync.py
@@ -17,7 +17,7 @@
 from primroseferry_core.hashing import rendezvous_order
 from primroseferry_core.ids import RegionId
 
-from ..endpoints.software_version import UNKNOWN_VERSION
+from ..endpoints.software_version import agreed_version
 from ..streams.stream_origins import StreamOrigin
 from .codec import encode
 from .datagrams import OriginQuery
@@ -184,11 +184,9 @@
                 return
             query.waiting_for.discard(reply.sender)
             if reply.origin is not None and reply.origin.key == query.key:
-                known = query.origin
-                if known is not None and known.version != reply.origin.version:
-                    query.origin = StreamOrigin(query.key, UNKNOWN_VERSION)
-                else:
-                    query.origin = reply.origin
+                known = query.origin.version if query.origin is not None else None
+                version = agreed_version(known, reply.origin.version)
+                query.origin = StreamOrigin(query.key, version)
                 query.done.set()
             elif not query.waiting_for:
                 query.done.set()
--- a/packages/primroseferry-relay/src/primroseferry_relay/streams/stream_origins.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/streams/stream_origins.py
@@ -12,7 +12,7 @@
 import xxhash
 from primroseferry_core.bounded_map import BoundedMap
 
-from ..endpoints.software_version import UNKNOWN_VERSION
+from ..endpoints.software_version import agreed_version
 from ..endpoints.version_history import STREAM_LIFETIME_S
 
 if TYPE_CHECKING:
@@ -60,9 +60,7 @@
         """
         with self._lock:
             known = self._find(origin.key)
-            version = origin.version
-            if known is not None and known.version != version:
-                version = UNKNOWN_VERSION
+            version = agreed_version(known.version if known is not None else None, origin.version)
             is_complete = known is not None and known.is_complete and not is_own
             is_own = is_own or (known is not None and known.is_own)
             self._known.put(origin.key, _Known(version, self._clock_s(), is_own, is_complete))
