Let one writer divide quarantine and version records among the gateways

Both had the same order by hash, failover by groups, interval, thread and handling of errors. What is left to each is what it has to record and what a record holds. Their tests keep their assertions; two reach for the lock at its new place.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
@@ -24,10 +24,12 @@
 from ..membership.codec import decode_suspicion
 from ..membership.codec import encode_suspicion
 from .leased_record import put_leased
+from .record_writer import RecordWriter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
+    from collections.abc import Mapping
 
     from primroseferry_policy.quarantine import Quarantine
     from primroseferry_policy.suspicion import Suspicion
@@ -39,11 +41,6 @@
 QUARANTINE_PREFIX = "quarantine/"
 # The longest lease that the platform grants. A quarantine that lasts longer is written again.
 LEASE_MS = 600_000
-CHECK_INTERVAL_S = 0.25
-# How long a group of gateways waits for those before it in the order to write a record. Each group
-# is twice as large as the one before it, so that the wait does not grow with the fleet.
-WRITER_FAILOVER_S = 1.0
-RETRY_S = 1.0
 
 
 class QuarantineRecords:
@@ -58,12 +55,10 @@
     ) -> None:
         self._store = store
         self._quarantine = quarantine
-        self._peers = peers
-        self._clock_s = clock_s
         self._stored: dict[Fingerprint, Suspicion] = {}
-        self._due_since_s: dict[Fingerprint, float] = {}
-        self._next_check_s = float("-inf")
-        self._write_lock = threading.Lock()
+        self._writer = RecordWriter(
+            "quarantine records", peers, self._unrecorded, self._write, clock_s
+        )
         self._lock = threading.Lock()
 
     def apply(self, item: StoredItem) -> None:
@@ -91,28 +86,10 @@
             }
 
     def tick(self) -> None:
-        """Start to write a record if this gateway is to write one.
+        """Start to write a record if this gateway is to write one; never blocks."""
+        self._writer.tick()
 
-        Called many times a second, checks every ``CHECK_INTERVAL_S`` and never blocks.
-        """
-        now_s = self._clock_s()
-        if now_s < self._next_check_s:
-            return
-        self._next_check_s = now_s + CHECK_INTERVAL_S
-        due = self._next_due(now_s)
-        if due is not None and self._write_lock.acquire(blocking=False):
-            threading.Thread(target=self._write, args=(due,), daemon=True).start()
-
-    def _next_due(self, now_s: float) -> SuspicionReport | None:
-        unrecorded = {entry.suspicion.fingerprint: entry for entry in self._unrecorded()}
-        self._due_since_s = {name: self._due_since_s.get(name, now_s) for name in unrecorded}
-        for name, record in unrecorded.items():
-            group = self._peers.rank_among_live(name).bit_length()
-            if now_s - self._due_since_s[name] >= group * WRITER_FAILOVER_S:
-                return record
-        return None
-
-    def _unrecorded(self) -> list[SuspicionReport]:
+    def _unrecorded(self) -> Mapping[str, SuspicionReport]:
         with self._lock:
             stored = dict(self._stored)
         grown = [
@@ -129,28 +106,19 @@
             and (record := self._quarantine.find(fingerprint)) is not None
             and record.suspicion.level < DEATHS_TO_QUARANTINE
         ]
-        return [*grown, *cleared]
+        return {str(entry.suspicion.fingerprint): entry for entry in (*grown, *cleared)}
 
-    def _write(self, record: SuspicionReport) -> None:
+    def _write(self, record: SuspicionReport) -> bool:
         fingerprint = record.suspicion.fingerprint
-        try:
-            key = f"{QUARANTINE_PREFIX}{fingerprint}"
-            failure = put_leased(self._store, key, _encode(record), LEASE_MS)
-            if failure is None:
-                with self._lock:
-                    self._stored[fingerprint] = record.suspicion
-                log_event(
-                    Event.QUARANTINE_RECORDED, fingerprint=fingerprint, level=record.suspicion.level
-                )
-                return
+        key = f"{QUARANTINE_PREFIX}{fingerprint}"
+        failure = put_leased(self._store, key, _encode(record), LEASE_MS)
+        if failure is not None:
             log_event(Event.QUARANTINE_NOT_RECORDED, fingerprint=fingerprint, reason=failure.value)
-            self._next_check_s = self._clock_s() + RETRY_S
-        except Exception as error:
-            log_event(
-                Event.BACKGROUND_TASK_FAILED, task="quarantine records", error=repr(error)[:300]
-            )
-        finally:
-            self._write_lock.release()
+            return False
+        with self._lock:
+            self._stored[fingerprint] = record.suspicion
+        log_event(Event.QUARANTINE_RECORDED, fingerprint=fingerprint, level=record.suspicion.level)
+        return True
 
 
 def _encode(record: SuspicionReport) -> bytes:
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/version_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/version_records.py
@@ -1,9 +1,8 @@
 """Keeps in the platform's store which software versions serve, so that it outlives all gateways.
 
 A gateway that starts after all others have ended sees only the versions that are listed then. The
-record of a version that has left stays for its lease, longer than any stream of it. Gateways write
-a record when a version appears and again before it is too old. For each version they are ordered by
-a hash: the first one writes, the others only if those before fail.
+record of a version that has left stays for its lease, longer than any stream of it. A record is
+written when a version appears, and again before it is too old.
 """
 
 from __future__ import annotations
@@ -22,6 +21,7 @@
 from ..endpoints.software_version import version_hash
 from ..endpoints.version_history import STREAM_LIFETIME_S
 from .leased_record import put_leased
+from .record_writer import RecordWriter
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,11 +38,6 @@
 REWRITE_S = 150.0
 # A version that has just left was recorded at most ``REWRITE_S`` ago.
 LEASE_MS = round((REWRITE_S + STREAM_LIFETIME_S + 30.0) * 1000)
-CHECK_INTERVAL_S = 0.25
-RETRY_S = 1.0
-# How long a group of gateways waits for those before it to write a record. Each group is twice as
-# large as the one before it.
-WRITER_FAILOVER_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +46,12 @@
     written_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _ListedVersion:
+    version: VersionHash
+    service: ServiceId
+
+
 class VersionRecords:
     """Writes this gateway's share of the records and knows those of all gateways.
 
@@ -69,14 +70,12 @@
     ) -> None:
         self._store = store
         self._catalog = catalog
-        self._peers = peers
         self._current_table = current_table
-        self._clock_s = clock_s
         self._wall_clock_s = wall_clock_s
         self._records: dict[VersionHash, _Record] = {}
-        self._due_since_s: dict[VersionHash, float] = {}
-        self._next_check_s = float("-inf")
-        self._write_lock = threading.Lock()
+        self._writer = RecordWriter(
+            "version records", peers, self._unrecorded, self._write, clock_s
+        )
         self._lock = threading.Lock()
 
     def apply(self, item: StoredItem) -> None:
@@ -115,61 +114,39 @@
 
     def tick(self) -> None:
         """Start to write a record if this gateway is to write one; never blocks."""
-        now_s = self._clock_s()
-        if now_s < self._next_check_s:
-            return
-        self._next_check_s = now_s + CHECK_INTERVAL_S
-        due = self._next_due(now_s)
-        if due is not None and self._write_lock.acquire(blocking=False):
-            threading.Thread(target=self._write, args=due, daemon=True).start()
-
-    def _next_due(self, now_s: float) -> tuple[VersionHash, ServiceId] | None:
-        unrecorded = self._unrecorded()
-        self._due_since_s = {
-            version: self._due_since_s.get(version, now_s) for version in unrecorded
-        }
-        for version, service in unrecorded.items():
-            group = self._peers.rank_among_live(_key(version)).bit_length()
-            if now_s - self._due_since_s[version] >= group * WRITER_FAILOVER_S:
-                return version, service
-        return None
-
-    def _unrecorded(self) -> Mapping[VersionHash, ServiceId]:
+        self._writer.tick()
+
+    def _unrecorded(self) -> Mapping[str, _ListedVersion]:
         table = self._current_table()
-        services = table.resumable_services if table is not None else ()
         oldest_s = self._wall_clock_s() - REWRITE_S
-        listed = {
-            version_hash(service, version): service
-            for service in services
+        listed = [
+            _ListedVersion(version_hash(service, version), service)
+            for service in (table.resumable_services if table is not None else ())
             for version in self._catalog.listed_versions(service)
-        }
+        ]
         with self._lock:
             return {
-                version: service
-                for version, service in listed.items()
-                if version not in self._records or self._records[version].written_s < oldest_s
+                _key(entry.version): entry
+                for entry in listed
+                if entry.version not in self._records
+                or self._records[entry.version].written_s < oldest_s
             }
 
-    def _write(self, version: VersionHash, service: ServiceId) -> None:
-        try:
-            written_s = round(self._wall_clock_s(), 1)
-            value = json.dumps({"service": service, "written_s": written_s}).encode()
-            failure = put_leased(self._store, _key(version), value, LEASE_MS)
-            if failure is None:
-                with self._lock:
-                    self._records[version] = _Record(service, written_s)
-                return
+    def _write(self, listed: _ListedVersion) -> bool:
+        written_s = round(self._wall_clock_s(), 1)
+        value = json.dumps({"service": listed.service, "written_s": written_s}).encode()
+        failure = put_leased(self._store, _key(listed.version), value, LEASE_MS)
+        if failure is not None:
             log_event(
                 Event.VERSION_NOT_RECORDED,
-                service=service,
-                version=f"{version:016x}",
+                service=listed.service,
+                version=f"{listed.version:016x}",
                 reason=failure.value,
             )
-            self._next_check_s = self._clock_s() + RETRY_S
-        except Exception as error:
-            log_event(Event.BACKGROUND_TASK_FAILED, task="version records", error=repr(error)[:300])
-        finally:
-            self._write_lock.release()
+            return False
+        with self._lock:
+            self._records[listed.version] = _Record(listed.service, written_s)
+        return True
 
 
 def _key(version: VersionHash) -> str:
--- a/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_quarantine_records.py
@@ -13,8 +13,8 @@
 from primroseferry_relay.control.control_feed import ControlFeed
 from primroseferry_relay.control.control_state import ControlState
 from primroseferry_relay.control.metadata_store import StoredItem
-from primroseferry_relay.control.quarantine_records import WRITER_FAILOVER_S
 from primroseferry_relay.control.quarantine_records import QuarantineRecords
+from primroseferry_relay.control.record_writer import WRITER_FAILOVER_S
 from primroseferry_relay.control.version_records import VersionRecords
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
 from primroseferry_relay.membership.peer_table import PeerTable
@@ -90,8 +90,8 @@
             self.clock.now_s += 0.3
             for records in self.records:
                 records.tick()
-                if records._write_lock.acquire(timeout=5):
-                    records._write_lock.release()
+                if records._writer._write_lock.acquire(timeout=5):
+                    records._writer._write_lock.release()
             self.deliver_items()
 
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_version_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_version_records.py
@@ -12,10 +12,10 @@
 from primroseferry_core.ids import SoftwareVersion
 from primroseferry_core.ids import new_incarnation_id
 from primroseferry_relay.control.metadata_store import StoredItem
+from primroseferry_relay.control.record_writer import WRITER_FAILOVER_S
 from primroseferry_relay.control.stream_records import StreamRecords
 from primroseferry_relay.control.version_records import LEASE_MS
 from primroseferry_relay.control.version_records import REWRITE_S
-from primroseferry_relay.control.version_records import WRITER_FAILOVER_S
 from primroseferry_relay.control.version_records import VersionRecords
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
 from primroseferry_relay.endpoints.endpoint import Endpoint
@@ -114,8 +114,8 @@
             for name, records in zip(NAMES, self.records, strict=True):
                 if name in self.running:
                     records.tick()
-                    if records._write_lock.acquire(timeout=5):
-                        records._write_lock.release()
+                    if records._writer._write_lock.acquire(timeout=5):
+                        records._writer._write_lock.release()
             self.deliver()
 
     def confirm(self) -> None:
