--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -87,7 +87,6 @@
         "error",
         "part of prompts crashes endpoints, requests with it refused",
     )
-    ENDPOINTS_BRITTLE = (5030, "warning", "endpoints of a service said that they are brittle")
     ENDPOINT_REACH_CHANGED = (5027, "warning", "endpoint became reachable or unreachable")
     GATEWAY_PARTITIONED = (
         5028,
@@ -95,6 +94,7 @@
         "no endpoint of the region is reachable, requests go through other gateways",
     )
     GATEWAY_PARTITION_ENDED = (5029, "warning", "endpoints of the region are reachable again")
+    ENDPOINTS_BRITTLE = (5030, "warning", "endpoints of a service said that they are brittle")
     PROMPT_PART_RELEASED = (5026, "info", "part of prompts no longer held to crash endpoints")
     KEY_CLAIMED = (6001, "info", "idempotency key claimed in the key-value service")
     KEY_CLAIM_FAILED = (6002, "warning", "idempotency key could not be claimed")
