--- a/review/harness.py
+++ b/review/harness.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -37,6 +38,19 @@
 REGIONS = {"casa-a": "casablanca", "mrk-a": "marrakech", "tng-a": "tanger"}
 
 
+class Store(StoreStandin):
+    """The project's store stand-in, which can also reset the connections of all calls."""
+
+    is_resetting = False
+
+    def _serve(self, handler: Any, body: Any) -> None:
+        if not self.is_resetting:
+            super()._serve(handler, body)
+            return
+        handler.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        handler.close_connection = True
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
@@ -61,7 +75,7 @@
         self.started_s = time.monotonic()
         self.directory = tempfile.TemporaryDirectory()
         self.path = Path(self.directory.name)
-        self.store = StoreStandin()
+        self.store = Store()
         self.processes: list[subprocess.Popen[Any]] = []
         self.workers: dict[str, subprocess.Popen[Any]] = {}
         self.entries: dict[str, dict[str, Any]] = {}
@@ -169,7 +183,7 @@
         return False
 
     def start_worker(self, name: str, service: str, zone: str, *options: str) -> None:
-        number = len(self.entries) + 1
+        number = int(name.removeprefix("i-"))
         address = f"{self.net}.200.{number}:{9000 + number}"
         process = subprocess.Popen(
             [sys.executable, str(REVIEW / "worker.py"), "--id", name, "--address", address, "--log", str(self.worker_log), *options],
@@ -193,6 +207,18 @@
         self.store.put(f"servers/{name}", self.entries[name])
         self.note("entry written", worker=name, **changes)
 
+    def replace_crashed(self, zone: str, service: str, back_s: float, expiry_s: float, *options: str) -> None:
+        """Start a new worker for each that has crashed; remove the old entry when it expires."""
+        for name, process in list(self.workers.items()):
+            if process.poll() is None:
+                continue
+            del self.workers[name]
+            self.note("worker crashed", worker=name)
+            threading.Timer(expiry_s, self.remove_entry, (name,)).start()
+            number = len(self.entries) + 1
+            self.entries[f"i-{number}"] = {}
+            threading.Timer(back_s, self.start_worker, (f"i-{number}", service, zone, *options)).start()
+
     def remove_entry(self, name: str) -> None:
         self.store.remove(f"servers/{name}")
         self.note("entry removed", worker=name)
@@ -358,6 +384,9 @@
 def main(record: Path, case: Any) -> None:
     """Run a case and exit with 1 if it saw the rule broken, 0 if not, 2 if it could not run."""
     is_disturbed = os.environ.get("TROUBLE", "1") != "0"
+    record = Path(os.environ.get("RECORD", record))
+    # Ends the processes of the case too: the handler raises in the main thread.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(2))
     try:
         is_broken = case(record, is_disturbed)
     except CannotRun as error:
--- a/review/worker.py
+++ b/review/worker.py
@@ -8,6 +8,7 @@
 
 import argparse
 import json
+import os
 import socket
 import sys
 import threading
@@ -15,6 +16,10 @@
 from typing import Any
 
 
+# A request with this body crashes the worker that begins to run it.
+CRASHING_BODY = b"crash"
+
+
 def read_request(connection: socket.socket, buffer: bytearray) -> tuple[str, str, dict[str, str], bytes] | None:
     while b"\r\n\r\n" not in buffer:
         data = connection.recv(65_536)
@@ -84,6 +89,8 @@
             self.running += 1
         try:
             self.note(run=request_id, gateway=connection.getpeername()[0], path=path, method=method)
+            if body == CRASHING_BODY:
+                os._exit(1)
             head = f"HTTP/1.1 200 OK\r\n{common}Response-Stamp: {options.id}.{request_id}\r\n"
             if "/stream/" in path:
                 return self.stream(connection, head, request_id, int(headers.get("last-event-id") or 0))
@@ -120,8 +127,6 @@
             threading.Thread(target=self.serve_connection, args=(connection,), daemon=True).start()
 
     def read_commands(self) -> None:
-        import os
-
         for line in sys.stdin:
             if line.strip() == "leave":
                 self.is_leaving = True
