--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,7 +16,7 @@
 GATEWAYS_DOWN_S = 1.5
 # A crashed worker is back after some seconds; its entry goes after three heartbeats.
 BACK_S, EXPIRY_S = 3.0, 3.6
-PAUSE_S = 0.5
+PAUSE_S = 0.2
 OBSERVED_S = 60.0
 ALLOWED_RETRIES = 3
 WORKERS = 6
