Log what a graceful shutdown waits for, and each request that it cuts off

The event of an incomplete stop counted connections: a caller's request, an attempt for another gateway and a connection that never sent a request looked the same, and a request that ended with the process left no line. The events of a stop name the three apart and the age of the signal; event 1011 names each request that is open at the end, its age, and whether it came before or after the stop began.

--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -22,6 +22,7 @@
     SETTINGS_REJECTED = (1008, "error", "changed settings are invalid, previous ones stay in use")
     PORT_NOT_OPENED = (1009, "warning", "port could not be opened")
     BACKGROUND_TASK_FAILED = (1010, "error", "background task failed and continues")
+    REQUEST_OPEN_AT_STOP = (1011, "error", "request open when the graceful shutdown ended")
     REQUEST_ANSWERED = (2001, "info", "request answered")
     REQUEST_REFUSED = (2002, "warning", "request ended with a problem")
     CALLER_DISCONNECTED = (2003, "warning", "caller disconnected before the answer was complete")
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -36,6 +36,8 @@
 from ..messages import CompleteAnswer
 from ..messages import RelayRequest
 from ..messages import problem_answer
+from ..open_requests import OpenRequests
+from ..open_requests import Origin
 from ..streams.stream_binding import StreamBinding
 from ..suspect import suspect_of_request
 from .hop import HOP_HEADER
@@ -79,6 +81,7 @@
         get_route_table: Callable[[], RouteTable | None],
         local: LocalAttempts,
         sync: PeerSync,
+        open_requests: OpenRequests | None = None,
     ) -> None:
         self._region = region
         self._incarnation = incarnation
@@ -87,6 +90,7 @@
         self._get_route_table = get_route_table
         self._local = local
         self._sync = sync
+        self._open_requests = open_requests or OpenRequests()
         self._seen_hop_ids: BoundedMap[str, None] = BoundedMap(MAX_REMEMBERED_HOP_IDS)
         self._lock = threading.Lock()
 
@@ -117,7 +121,10 @@
         if self._is_duplicate(hop_request):
             _send_outcome(channel, HopOutcome.LOST, "this gateway already received this attempt")
             return
-        _HopAttempt(self, request, hop_request, channel).run()
+        with self._open_requests.serving(
+            hop_request.request_id, Origin.GATEWAY, request.received_s
+        ):
+            _HopAttempt(self, request, hop_request, channel).run()
 
     def _control_answer(self, request: RelayRequest) -> CompleteAnswer:
         query = parse_qs(request.target.partition("?")[2])
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -52,6 +52,8 @@
 from ..membership.reporter import Reporter
 from ..membership.request_permits import RequestPermits
 from ..membership.stream_sync import StreamSync
+from ..open_requests import OpenRequests
+from ..open_requests import Origin
 from ..relay import Relay
 from ..relay_policy import RelayPolicy
 from ..request_run import RelayContext
@@ -95,6 +97,8 @@
 # end in time.
 STOP_RESERVE_S = 0.4
 DIRECTORY_MAX_CONNECTIONS = 256
+# Requests that are logged one by one at the end of an incomplete stop.
+MAX_LOGGED_REQUESTS = 50
 INSPECTION_MAX_CONNECTIONS = 16
 SUMMARY_MAX_AGE_S = 0.15
 _DEFAULT_LIMITS = CallerLimits()
@@ -127,6 +131,8 @@
         self._summarized_s = 0.0
         self._stopping = threading.Event()
         self._stop_gate = StopGate()
+        self._open_requests = OpenRequests()
+        self._stop_signal_s: float | None = None
         limits = settings.retry_limits
         budget = SharedRetryBudget(
             limits.window_s,
@@ -227,7 +233,13 @@
             self._resumptions,
             self._record_decision,
         )
-        relay = Relay(parts, endpoint_adapter, self._feed.table, self._stop_gate.refuses)
+        relay = Relay(
+            parts,
+            endpoint_adapter,
+            self._feed.table,
+            self._stop_gate.refuses,
+            self._open_requests,
+        )
         hops = HopServer(
             settings.region,
             self._incarnation,
@@ -236,6 +248,7 @@
             self._feed.table,
             local,
             self._sync,
+            self._open_requests,
         )
         self._front_listener = self._listener(
             "front", settings.front_port, relay.serve, settings.max_connections
@@ -313,11 +326,7 @@
         """
         stopped_s = time.monotonic()
         limit_s = stopped_s + self._settings.stop_timeout_ms / 1000 - STOP_RESERVE_S
-        log_event(
-            Event.DRAIN_STARTED,
-            open_requests=self._front_listener.busy_connections
-            + self._hop_listener.busy_connections,
-        )
+        log_event(Event.DRAIN_STARTED, **self._drain_status(stopped_s))
         self._stop_gate.stop_at(limit_s)
         self._peers.own_state = GatewayState.DRAINING
         self._front_listener.drain()
@@ -329,12 +338,36 @@
         self._front_listener.stop_accepting()
         while time.monotonic() < limit_s and self._in_flight_requests() > 0:
             time.sleep(0.05)
-        unfinished = self._in_flight_requests()
-        if unfinished == 0:
-            log_event(Event.DRAIN_FINISHED)
+        is_finished = self._in_flight_requests() == 0
+        if is_finished:
+            log_event(Event.DRAIN_FINISHED, **self._drain_status(stopped_s))
         else:
-            log_event(Event.DRAIN_INCOMPLETE, open_requests=unfinished)
-        return unfinished == 0
+            log_event(Event.DRAIN_INCOMPLETE, **self._drain_status(stopped_s))
+            self._log_open_requests(stopped_s)
+        return is_finished
+
+    def _drain_status(self, stopped_s: float) -> dict[str, int]:
+        """Return what a graceful shutdown waits for, as fields of a log line."""
+        now_s = time.monotonic()
+        caller_requests = self._open_requests.count(Origin.CALLER)
+        signal_s = self._stop_signal_s if self._stop_signal_s is not None else stopped_s
+        return {
+            "signal_age_ms": round((now_s - signal_s) * 1000),
+            "open_requests": caller_requests,
+            "gateway_requests": self._open_requests.count(Origin.GATEWAY),
+            "waiting_connections": max(0, self._front_listener.open_connections - caller_requests),
+        }
+
+    def _log_open_requests(self, stopped_s: float) -> None:
+        """Write one line for each request that the end of the process breaks off."""
+        for request in self._open_requests.all()[:MAX_LOGGED_REQUESTS]:
+            log_event(
+                Event.REQUEST_OPEN_AT_STOP,
+                request_id=request.request_id,
+                origin=request.origin.value,
+                age_ms=request.age_ms,
+                received_after_stop_ms=round((request.started_s - stopped_s) * 1000),
+            )
 
     def _health_path(self, endpoint: Endpoint) -> str:
         table = self._feed.table()
@@ -349,6 +382,7 @@
         return table.limits if table is not None else _DEFAULT_LIMITS
 
     def _on_stop(self, _number: int, _frame: object) -> None:
+        self._stop_signal_s = self._stop_signal_s or time.monotonic()
         self._stopping.set()
 
     def _on_reload(self, _number: int, _frame: object) -> None:
--- /dev/null
+++ b/packages/primroseferry-relay/src/primroseferry_relay/open_requests.py
@@ -0,0 +1,67 @@
+"""The requests that a gateway is serving, for its callers and for other gateways."""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+import time
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from primroseferry_core.ids import RequestId
+
+
+class Origin(Enum):
+    """Who sent a request to this gateway."""
+
+    CALLER = "caller"
+    GATEWAY = "gateway"
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class OpenRequest:
+    """A request that is being served. ``started_s`` is the monotonic time at which it arrived."""
+
+    request_id: RequestId
+    origin: Origin
+    started_s: float
+
+    @property
+    def age_ms(self) -> int:
+        """Whole milliseconds since the request arrived."""
+        return round((time.monotonic() - self.started_s) * 1000)
+
+
+class OpenRequests:
+    """Registers requests while they are served; safe to use from any thread."""
+
+    def __init__(self) -> None:
+        self._requests: dict[OpenRequest, None] = {}
+        self._lock = threading.Lock()
+
+    @contextlib.contextmanager
+    def serving(
+        self, request_id: RequestId, origin: Origin, started_s: float
+    ) -> Iterator[OpenRequest]:
+        """Register a request within the ``with`` block."""
+        request = OpenRequest(request_id, origin, started_s)
+        with self._lock:
+            self._requests[request] = None
+        try:
+            yield request
+        finally:
+            with self._lock:
+                del self._requests[request]
+
+    def all(self) -> list[OpenRequest]:
+        """Return the open requests, those that were registered first come first."""
+        with self._lock:
+            return list(self._requests)
+
+    def count(self, origin: Origin) -> int:
+        """Return how many requests of an origin are open."""
+        return sum(request.origin is origin for request in self.all())
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -11,6 +11,8 @@
 
 from .decision import DecisionRecord
 from .messages import problem_answer
+from .open_requests import OpenRequests
+from .open_requests import Origin
 from .request_run import RelayContext
 from .request_run import RequestRun
 
@@ -20,6 +22,7 @@
     from primroseferry_core.ids import ServiceId
 
     from .endpoint_adapter import EndpointAdapter
+    from .endpoint_adapter import RequestMetadata
     from .ingress.answer_channel import AnswerChannel
     from .messages import RelayRequest
     from .routes.route_table import RouteTable
@@ -41,9 +44,11 @@
         adapter: EndpointAdapter,
         current_table: Callable[[], RouteTable | None],
         refuses: Callable[[ServiceId], bool] = lambda _service: False,
+        open_requests: OpenRequests | None = None,
     ) -> None:
         """``refuses`` returns whether requests for a service come too late before a stop."""
         self._refuses = refuses
+        self._open_requests = open_requests or OpenRequests()
         self._context = context
         self._adapter = adapter
         self._current_table = current_table
@@ -51,6 +56,12 @@
     def serve(self, request: RelayRequest, channel: AnswerChannel) -> None:
         """Answer one request on ``channel``, and report its record when it is done."""
         metadata = self._adapter.read_request(request.headers)
+        with self._open_requests.serving(metadata.request_id, Origin.CALLER, request.received_s):
+            self._serve(request, metadata, channel)
+
+    def _serve(
+        self, request: RelayRequest, metadata: RequestMetadata, channel: AnswerChannel
+    ) -> None:
         record = DecisionRecord(metadata.request_id, request.received_s)
         table = self._current_table()
         if table is None:
