Take a request during a stop only if its answer is sure to come before the end

Callers saw streams without their end when a gateway that had been started seconds ago was stopped again: it took the first requests of open connections until its limit and cut them there. Cause: the stop gate took an unknown duration for none, kept one figure a service, and counted answered requests only, so a pause of the endpoints was not in it. Now a request is taken if its own time limit is before the end of the process, or if twice the longest recent request of its route, answered or open, and a pause of 1.5 s fit in; otherwise it is refused at once with 503 and 0.1 s.

--- a/packages/primroseferry-relay/src/primroseferry_relay/decision.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -71,6 +71,11 @@
         """Whole milliseconds since the request arrived."""
         return round((time.monotonic() - self.started_s) * 1000)
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether the request ended with an endpoint's answer."""
+        return self.outcome == "answered"
+
     def close(self, outcome: str, status: int) -> None:
         """Record the outcome and the status sent to the caller, 0 if none was sent."""
         self.outcome = outcome
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -31,12 +31,13 @@
 from ..endpoints.software_version import UNKNOWN_VERSION
 from ..endpoints.software_version import VersionHash
 from ..ingress.channel_sink import ChannelSink
+from ..lifecycle.stop_gate import StopGate
 from ..local_attempts import AttemptPlan
 from ..messages import AnswerHead
 from ..messages import CompleteAnswer
 from ..messages import RelayRequest
 from ..messages import problem_answer
-from ..open_requests import OpenRequests
+from ..open_requests import OpenRequest
 from ..open_requests import Origin
 from ..streams.stream_binding import StreamBinding
 from ..suspect import suspect_of_request
@@ -81,7 +82,7 @@
         get_route_table: Callable[[], RouteTable | None],
         local: LocalAttempts,
         sync: PeerSync,
-        open_requests: OpenRequests | None = None,
+        stop_gate: StopGate | None = None,
     ) -> None:
         self._region = region
         self._incarnation = incarnation
@@ -90,7 +91,7 @@
         self._get_route_table = get_route_table
         self._local = local
         self._sync = sync
-        self._open_requests = open_requests or OpenRequests()
+        self._stop_gate = stop_gate or StopGate()
         self._seen_hop_ids: BoundedMap[str, None] = BoundedMap(MAX_REMEMBERED_HOP_IDS)
         self._lock = threading.Lock()
 
@@ -121,10 +122,7 @@
         if self._is_duplicate(hop_request):
             _send_outcome(channel, HopOutcome.LOST, "this gateway already received this attempt")
             return
-        with self._open_requests.serving(
-            hop_request.request_id, Origin.GATEWAY, request.received_s
-        ):
-            _HopAttempt(self, request, hop_request, channel).run()
+        _HopAttempt(self, request, hop_request, channel).run()
 
     def _control_answer(self, request: RelayRequest) -> CompleteAnswer:
         query = parse_qs(request.target.partition("?")[2])
@@ -185,8 +183,17 @@
                 self._channel, HopOutcome.REFUSED, "the route does not permit this region"
             )
             return
-        with watch_disconnect(
-            self._server._loop, self._channel.connection, self._watch.note_disconnected
+        open_request = OpenRequest(
+            self._hop_request.request_id,
+            Origin.GATEWAY,
+            route.name if route is not None else "",
+            self._request.received_s,
+        )
+        with (
+            self._server._stop_gate.open_requests.serving(open_request),
+            watch_disconnect(
+                self._server._loop, self._channel.connection, self._watch.note_disconnected
+            ),
         ):
             target_ms = route.latency_target_ms if route is not None else 0.0
             self._answer(self._attempt(table, target_ms))
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -52,7 +52,6 @@
 from ..membership.reporter import Reporter
 from ..membership.request_permits import RequestPermits
 from ..membership.stream_sync import StreamSync
-from ..open_requests import OpenRequests
 from ..open_requests import Origin
 from ..relay import Relay
 from ..relay_policy import RelayPolicy
@@ -131,7 +130,7 @@
         self._summarized_s = 0.0
         self._stopping = threading.Event()
         self._stop_gate = StopGate()
-        self._open_requests = OpenRequests()
+        self._open_requests = self._stop_gate.open_requests
         self._stop_signal_s: float | None = None
         limits = settings.retry_limits
         budget = SharedRetryBudget(
@@ -233,13 +232,7 @@
             self._resumptions,
             self._record_decision,
         )
-        relay = Relay(
-            parts,
-            endpoint_adapter,
-            self._feed.table,
-            self._stop_gate.refuses,
-            self._open_requests,
-        )
+        relay = Relay(parts, endpoint_adapter, self._feed.table, self._stop_gate)
         hops = HopServer(
             settings.region,
             self._incarnation,
@@ -248,7 +241,7 @@
             self._feed.table,
             local,
             self._sync,
-            self._open_requests,
+            self._stop_gate,
         )
         self._front_listener = self._listener(
             "front", settings.front_port, relay.serve, settings.max_connections
@@ -408,7 +401,8 @@
 
     def _record_decision(self, record: DecisionRecord) -> None:
         self._metrics.count(record)
-        self._stop_gate.note(record)
+        if record.is_answered:
+            self._stop_gate.note_duration(record.route, record.elapsed_ms)
         record.log()
 
     def _gauges(self) -> RelayGauges:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/stop_gate.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/stop_gate.py
@@ -8,44 +8,65 @@
 
 from primroseferry_policy.recent_maximum import RecentMaximum
 
+from ..open_requests import OpenRequests
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from primroseferry_core.ids import ServiceId
-
-    from ..decision import DecisionRecord
-
+LATE_FOR_STOP_DETAIL = "the answer would come after the stop"
+# Another gateway serves the request at once.
+STOPPING_RETRY_AFTER_S = 0.1
 # How long the duration of an answered request is remembered.
 DURATION_RETENTION_S = 30.0
+# A request may take longer than the longest of the recent ones, by this factor.
+DURATION_MARGIN = 2.0
+# Endpoints may stand still for a while; the requests that they serve take longer by as much.
+ENDPOINT_PAUSE_S = 1.5
 
 
 class StopGate:
-    """The longest recent duration of each service's requests, against the time that is left."""
+    """Compares the longest recent duration of a route's requests with the time that is left.
+
+    The durations are those of this process. A request of a route for which none is known is refused
+    too, unless its own time limit is before the end of the process. ``open_requests`` are those
+    that are being served.
+    """
 
     def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
+        self.open_requests = OpenRequests()
         self._clock_s = clock_s
         self._limit_s: float | None = None
         self._recent: dict[str, RecentMaximum] = {}
         self._longest_ms: dict[str, int] = {}
         self._lock = threading.Lock()
 
-    def note(self, record: DecisionRecord) -> None:
-        """Record how long a request took, if it was answered."""
-        if record.outcome != "answered":
-            return
+    def note_duration(self, route: str, elapsed_ms: int) -> None:
+        """Record how long a request took that was answered."""
         with self._lock:
             recent = self._recent.setdefault(
-                record.service, RecentMaximum(DURATION_RETENTION_S, self._clock_s)
+                route, RecentMaximum(DURATION_RETENTION_S, self._clock_s)
             )
-            self._longest_ms[record.service] = recent.add(record.elapsed_ms)
+            self._longest_ms[route] = recent.add(elapsed_ms)
 
     def stop_at(self, limit_s: float) -> None:
         """Set the monotonic time at which open requests are aborted."""
         self._limit_s = limit_s
 
-    def refuses(self, service: ServiceId) -> bool:
-        """Whether a request that begins now would probably be aborted."""
-        if self._limit_s is None:
+    def refuses(self, route: str, time_limit_s: float) -> bool:
+        """Whether a request that begins now might be aborted.
+
+        ``time_limit_s`` is the monotonic time at which the request is given up in any case.
+        """
+        if self._limit_s is None or time_limit_s <= self._limit_s:
             return False
-        longest_s = self._longest_ms.get(service, 0) / 1000
-        return self._clock_s() + longest_s >= self._limit_s
+        longest_s = self._longest_s(route)
+        if longest_s is None:
+            return True
+        return self._clock_s() + longest_s * DURATION_MARGIN + ENDPOINT_PAUSE_S >= self._limit_s
+
+    def _longest_s(self, route: str) -> float | None:
+        """Return the longest known duration of a route's requests, also of those still open."""
+        answered_ms = self._longest_ms.get(route)
+        if answered_ms is None:
+            return None
+        return max(answered_ms, self.open_requests.longest_ms(route)) / 1000
--- a/packages/primroseferry-relay/src/primroseferry_relay/open_requests.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/open_requests.py
@@ -24,10 +24,14 @@
 
 @dataclass(frozen=True, slots=True, eq=False)
 class OpenRequest:
-    """A request that is being served. ``started_s`` is the monotonic time at which it arrived."""
+    """A request that is being served. ``started_s`` is the monotonic time at which it arrived.
+
+    ``route`` is the name of its route, empty if no route matches it.
+    """
 
     request_id: RequestId
     origin: Origin
+    route: str
     started_s: float
 
     @property
@@ -44,15 +48,12 @@
         self._lock = threading.Lock()
 
     @contextlib.contextmanager
-    def serving(
-        self, request_id: RequestId, origin: Origin, started_s: float
-    ) -> Iterator[OpenRequest]:
+    def serving(self, request: OpenRequest) -> Iterator[None]:
         """Register a request within the ``with`` block."""
-        request = OpenRequest(request_id, origin, started_s)
         with self._lock:
             self._requests[request] = None
         try:
-            yield request
+            yield
         finally:
             with self._lock:
                 del self._requests[request]
@@ -65,3 +66,7 @@
     def count(self, origin: Origin) -> int:
         """Return how many requests of an origin are open."""
         return sum(request.origin is origin for request in self.all())
+
+    def longest_ms(self, route: str) -> int:
+        """Return the age of a route's oldest open request in milliseconds, 0 if none is open."""
+        return max((request.age_ms for request in self.all() if request.route == route), default=0)
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -10,8 +10,11 @@
 from primroseferry_core.errors import Problem
 
 from .decision import DecisionRecord
+from .lifecycle.stop_gate import LATE_FOR_STOP_DETAIL
+from .lifecycle.stop_gate import STOPPING_RETRY_AFTER_S
+from .lifecycle.stop_gate import StopGate
 from .messages import problem_answer
-from .open_requests import OpenRequests
+from .open_requests import OpenRequest
 from .open_requests import Origin
 from .request_run import RelayContext
 from .request_run import RequestRun
@@ -19,10 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from primroseferry_core.ids import ServiceId
-
     from .endpoint_adapter import EndpointAdapter
-    from .endpoint_adapter import RequestMetadata
     from .ingress.answer_channel import AnswerChannel
     from .messages import RelayRequest
     from .routes.route_table import RouteTable
@@ -31,8 +31,6 @@
 # none from the store or a peer.
 MIN_STARTUP_RETRY_AFTER_S = 1.0
 MAX_STARTUP_RETRY_AFTER_S = 2.5
-# Another gateway serves the request at once.
-STOPPING_RETRY_AFTER_S = 0.1
 
 
 class Relay:
@@ -43,12 +41,9 @@
         context: RelayContext,
         adapter: EndpointAdapter,
         current_table: Callable[[], RouteTable | None],
-        refuses: Callable[[ServiceId], bool] = lambda _service: False,
-        open_requests: OpenRequests | None = None,
+        stop_gate: StopGate | None = None,
     ) -> None:
-        """``refuses`` returns whether requests for a service come too late before a stop."""
-        self._refuses = refuses
-        self._open_requests = open_requests or OpenRequests()
+        self._stop_gate = stop_gate or StopGate()
         self._context = context
         self._adapter = adapter
         self._current_table = current_table
@@ -56,12 +51,6 @@
     def serve(self, request: RelayRequest, channel: AnswerChannel) -> None:
         """Answer one request on ``channel``, and report its record when it is done."""
         metadata = self._adapter.read_request(request.headers)
-        with self._open_requests.serving(metadata.request_id, Origin.CALLER, request.received_s):
-            self._serve(request, metadata, channel)
-
-    def _serve(
-        self, request: RelayRequest, metadata: RequestMetadata, channel: AnswerChannel
-    ) -> None:
         record = DecisionRecord(metadata.request_id, request.received_s)
         table = self._current_table()
         if table is None:
@@ -81,12 +70,17 @@
         service = table.services[route.service_for(request_hash)]
         record.route = route.name
         record.service = service.name
-        if self._refuses(service.name):
-            problem = Problem(ErrorKind.GATEWAY_DRAINING, "the answer would come after the stop")
-            self._refuse(channel, record, problem, STOPPING_RETRY_AFTER_S)
-            return
-        self._context.policy.budget.note_request(service.name, self._context.peers.live_count())
-        RequestRun(self._context, request, metadata, channel, route, service, record).run()
+        run = RequestRun(self._context, request, metadata, channel, route, service, record)
+        open_request = OpenRequest(
+            metadata.request_id, Origin.CALLER, route.name, request.received_s
+        )
+        with self._stop_gate.open_requests.serving(open_request):
+            if self._stop_gate.refuses(route.name, run.time_limit_s):
+                problem = Problem(ErrorKind.GATEWAY_DRAINING, LATE_FOR_STOP_DETAIL)
+                self._refuse(channel, record, problem, STOPPING_RETRY_AFTER_S)
+                return
+            self._context.policy.budget.note_request(service.name, self._context.peers.live_count())
+            run.run()
 
     def _refuse(
         self,
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -164,6 +164,11 @@
             target_ms=route.latency_target_ms,
         )
 
+    @property
+    def time_limit_s(self) -> float:
+        """The monotonic time at which the request is given up."""
+        return self._plan.deadline_s
+
     @property
     def _is_urgent(self) -> bool:
         return self._plan.is_urgent
--- a/packages/primroseferry-relay/tests/relay_tests/test_stop_gate.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_stop_gate.py
@@ -1,53 +1,79 @@
-"""Requests that a stopping gateway could not answer in time are refused, and no others."""
+"""Requests that a stopping gateway may not answer in time are refused, and no others."""
 
 from __future__ import annotations
 
 import time
 
-from primroseferry_core.ids import ServiceId
-from primroseferry_relay.decision import DecisionRecord
+import pytest
+from primroseferry_core.ids import RequestId
+from primroseferry_relay.lifecycle.stop_gate import DURATION_MARGIN
 from primroseferry_relay.lifecycle.stop_gate import DURATION_RETENTION_S
+from primroseferry_relay.lifecycle.stop_gate import ENDPOINT_PAUSE_S
 from primroseferry_relay.lifecycle.stop_gate import StopGate
+from primroseferry_relay.open_requests import OpenRequest
+from primroseferry_relay.open_requests import Origin
 
 from .peer_samples import Clock
 
-SLOW, FAST = ServiceId("slow"), ServiceId("fast")
+SLOW, FAST = "slow", "fast"
+STOP_S = 7.6
 
 
-def answered(service: ServiceId, elapsed_ms: int, outcome: str = "answered") -> DecisionRecord:
-    record = DecisionRecord("r1", time.monotonic() - elapsed_ms / 1000)
-    record.service, record.outcome = service, outcome
-    return record
+@pytest.fixture
+def clock() -> Clock:
+    return Clock()
 
 
-def test_nothing_is_refused_before_a_stop() -> None:
-    gate = StopGate(Clock())
-    gate.note(answered(SLOW, 60_000))
-    assert not gate.refuses(SLOW)
+@pytest.fixture
+def gate(clock: Clock) -> StopGate:
+    return StopGate(clock)
 
 
-def test_requests_longer_than_the_time_left_are_refused() -> None:
-    clock = Clock()
-    gate = StopGate(clock)
-    gate.note(answered(SLOW, 2_200))
-    gate.note(answered(FAST, 50))
-    gate.note(answered(FAST, 9_000, "deadline-passed"))
-    gate.stop_at(clock.now_s + 3.6)
-    clock.now_s += 1.2
-    assert not gate.refuses(SLOW)
-    clock.now_s += 0.3
-    assert gate.refuses(SLOW)
-    assert not gate.refuses(FAST)
-    assert not gate.refuses(ServiceId("unknown"))
-    clock.now_s += 2.1
-    assert gate.refuses(FAST)
+def test_nothing_is_refused_before_a_stop(gate: StopGate, clock: Clock) -> None:
+    gate.note_duration(SLOW, 60_000)
+    assert not gate.refuses(SLOW, clock.now_s + 90)
+    assert not gate.refuses("unknown", clock.now_s + 90)
 
 
-def test_long_requests_are_forgotten() -> None:
-    clock = Clock()
-    gate = StopGate(clock)
-    gate.note(answered(SLOW, 2_200))
+def test_requests_that_may_outlast_the_stop_are_refused(gate: StopGate, clock: Clock) -> None:
+    gate.note_duration(SLOW, 2_200)
+    gate.note_duration(FAST, 50)
+    stop_s = clock.now_s + STOP_S
+    gate.stop_at(stop_s)
+    late_s = stop_s + 9
+    clock.now_s = stop_s - 2.2 * DURATION_MARGIN - ENDPOINT_PAUSE_S - 0.1
+    assert not gate.refuses(SLOW, late_s)
+    clock.now_s += 0.2
+    assert gate.refuses(SLOW, late_s)
+    assert not gate.refuses(FAST, late_s)
+    clock.now_s = stop_s - 0.05 * DURATION_MARGIN - ENDPOINT_PAUSE_S + 0.01
+    assert gate.refuses(FAST, late_s)
+
+
+def test_gateway_that_has_answered_none_takes_only_what_must_end_in_time(
+    gate: StopGate, clock: Clock
+) -> None:
+    stop_s = clock.now_s + STOP_S
+    gate.stop_at(stop_s)
+    assert gate.refuses("unknown", stop_s + 0.1)
+    assert not gate.refuses("unknown", stop_s - 0.1)
+
+
+def test_open_request_that_takes_longer_than_the_answered_ones_counts(
+    gate: StopGate, clock: Clock
+) -> None:
+    gate.note_duration(SLOW, 200)
+    gate.stop_at(clock.now_s + STOP_S)
+    stalled = OpenRequest(RequestId("r1"), Origin.CALLER, SLOW, time.monotonic() - STOP_S)
+    assert not gate.refuses(SLOW, clock.now_s + 90)
+    with gate.open_requests.serving(stalled):
+        assert gate.refuses(SLOW, clock.now_s + 90)
+    assert not gate.refuses(SLOW, clock.now_s + 90)
+
+
+def test_long_requests_are_forgotten(gate: StopGate, clock: Clock) -> None:
+    gate.note_duration(SLOW, 20_000)
     clock.now_s += DURATION_RETENTION_S + 1
-    gate.note(answered(SLOW, 40))
-    gate.stop_at(clock.now_s + 1)
-    assert not gate.refuses(SLOW)
+    gate.note_duration(SLOW, 40)
+    gate.stop_at(clock.now_s + STOP_S)
+    assert not gate.refuses(SLOW, clock.now_s + 90)
