Refuse attempts for other gateways that a stopping gateway might cut off

Callers lost streams at an entry gateway that had time left: the gateway of the other region that made the attempt had taken it after its own SIGTERM, and cut it at its limit. Cause: attempts for other gateways did not pass the stop gate; only the roster kept them away, so each one counted that was sent before the news of the stop arrived. Now the same gate decides, and the durations of such attempts count in it. The refusal says that nothing ran; the entry gateway sends the request through another gateway, and asks the stopping one no more for 2 s.

--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -31,6 +31,8 @@
 from ..endpoints.software_version import UNKNOWN_VERSION
 from ..endpoints.software_version import VersionHash
 from ..ingress.channel_sink import ChannelSink
+from ..lifecycle.stop_gate import LATE_FOR_STOP_DETAIL
+from ..lifecycle.stop_gate import STOPPING_RETRY_AFTER_S
 from ..lifecycle.stop_gate import StopGate
 from ..local_attempts import AttemptPlan
 from ..messages import AnswerHead
@@ -183,20 +185,26 @@
                 self._channel, HopOutcome.REFUSED, "the route does not permit this region"
             )
             return
-        open_request = OpenRequest(
-            self._hop_request.request_id,
-            Origin.GATEWAY,
-            route.name if route is not None else "",
-            self._request.received_s,
-        )
+        hop_request, received_s = self._hop_request, self._request.received_s
+        route_name = route.name if route is not None else ""
+        stop_gate = self._server._stop_gate
+        if stop_gate.refuses(route_name, received_s + hop_request.deadline_ms / 1000):
+            _send_outcome(
+                self._channel, HopOutcome.REFUSED, LATE_FOR_STOP_DETAIL, STOPPING_RETRY_AFTER_S
+            )
+            return
+        open_request = OpenRequest(hop_request.request_id, Origin.GATEWAY, route_name, received_s)
         with (
-            self._server._stop_gate.open_requests.serving(open_request),
+            stop_gate.open_requests.serving(open_request),
             watch_disconnect(
                 self._server._loop, self._channel.connection, self._watch.note_disconnected
             ),
         ):
             target_ms = route.latency_target_ms if route is not None else 0.0
-            self._answer(self._attempt(table, target_ms))
+            outcome = self._attempt(table, target_ms)
+            if isinstance(outcome, Answered | StreamEnded):
+                stop_gate.note_duration(route_name, open_request.age_ms)
+            self._answer(outcome)
 
     def _attempt(self, table: RouteTable, target_ms: float) -> AttemptOutcome:
         hop_request = self._hop_request
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/region_attempts.py
@@ -25,6 +25,7 @@
 from ..attempts.outcome import StreamBroken
 from ..attempts.outcome import StreamEnded
 from ..endpoints.software_version import UNKNOWN_VERSION
+from ..lifecycle.stop_gate import LATE_FOR_STOP_DETAIL
 from ..region_choice import LOCAL_ROUND_TRIP_MS
 from ..region_choice import ROUND_TRIP_MS
 from ..region_choice import STALENESS_MS
@@ -59,9 +60,10 @@
 # Added to a region's estimate for each open request of this gateway there, divided by the number of
 # endpoints there.
 OWN_OPEN_REQUEST_MS = 25.0
-# A gateway that had no endpoint for a service is not asked again for this long, because it may be
-# partitioned from the endpoints.
+# A gateway that had no endpoint for a service, or is stopping, is not asked again for this long. It
+# may be partitioned from the endpoints, and the news of its stop may be lost.
 REFUSAL_S = 2.0
+REFUSAL_DETAILS = (NO_ENDPOINT_DETAIL, LATE_FOR_STOP_DETAIL)
 MAX_REFUSALS = 4_096
 MAX_SERVING_PEERS = 1_024
 
@@ -189,7 +191,7 @@
         self, option: RegionOption, service: ServiceId, outcome: AttemptOutcome, call: HopCall
     ) -> None:
         with self._lock:
-            if isinstance(outcome, NotRun) and outcome.reason == NO_ENDPOINT_DETAIL:
+            if isinstance(outcome, NotRun) and outcome.reason in REFUSAL_DETAILS:
                 key = _RefusalKey(option.peer.instance, service)
                 self._refused_until_s.put(key, time.monotonic() + REFUSAL_S)
             elif isinstance(outcome, Answered | StreamEnded):
--- a/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import time
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
 from primroseferry_relay.forwarding.hop_server import MAX_ENDPOINT_ATTEMPTS
 from primroseferry_relay.forwarding.hop_server import HopServer
 from primroseferry_relay.ingress.listener import Listener
+from primroseferry_relay.lifecycle.stop_gate import StopGate
 
 from .relay_harness import LIMITS
 from .relay_harness import NORTH
@@ -64,7 +66,10 @@
 
 
 def hop_listener(
-    loop: CurlLoop, *endpoints: ScriptedEndpoint, limited_endpoints: int = 0
+    loop: CurlLoop,
+    *endpoints: ScriptedEndpoint,
+    limited_endpoints: int = 0,
+    stop_gate: StopGate | None = None,
 ) -> Listener:
     """Return the listener of a hop server with these endpoints.
 
@@ -76,7 +81,14 @@
         limits.note_answer(entry.run, 1.0, limits.now_s())
     sync = PeerSync(loop, harness.peers, ControlState(lambda _item: None), WatchDuty(harness.peers))
     server = HopServer(
-        NORTH, INCARNATION, loop, TestAdapter(), lambda: harness.table, harness.local, sync
+        NORTH,
+        INCARNATION,
+        loop,
+        TestAdapter(),
+        lambda: harness.table,
+        harness.local,
+        sync,
+        stop_gate,
     )
     listener = Listener("hops", "127.0.0.1", 0, server.serve, lambda: LIMITS, loop, 8)
     listener.start()
@@ -146,6 +158,20 @@
     assert endpoint.requests == []
 
 
+def test_stopping_gateway_refuses_an_attempt_that_it_might_cut_off(loop: CurlLoop) -> None:
+    endpoint = answering_endpoint()
+    gate = StopGate()
+    listener = hop_listener(loop, endpoint, stop_gate=gate)
+    harness = RelayHarness(loop, [])
+    gate.stop_at(time.monotonic() + 4)
+    late = replace(HOP_REQUEST, hop_id="h0", deadline_ms=9_000)
+    assert b"X-Primroseferry-Outcome: refused" in send_hop(harness, listener, late)
+    assert endpoint.requests == []
+    assert b"X-Primroseferry-Outcome: answered" in send_hop(harness, listener, HOP_REQUEST)
+    late = replace(late, hop_id="h2")
+    assert b"X-Primroseferry-Outcome: answered" in send_hop(harness, listener, late)
+
+
 def test_crashing_request_of_another_region_is_not_sent_to_a_third_endpoint(loop: CurlLoop) -> None:
     def crashing_endpoint() -> ScriptedEndpoint:
         def script(connection: socket.socket, _request: Received) -> None:
