Answer each request whose answer has not begun before a stopping process ends

Callers whose endpoint was silent at the end of a stop got a closed connection and could not tell what had become of their request. Cause: at the limit of a stop the process ended with its open requests, and their threads with it; neither the caller nor the log learnt how they ended. Now requests whose answer has not begun are given up 0.3 s before the limit: 503 if they have not been sent, else the endpoint's last failure or 502; other gateways get the outcome 'lost' in place of a broken connection. Streams go on until the limit; those that are cut are logged by their id.

--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/caller_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/caller_watch.py
@@ -1,4 +1,4 @@
-"""Cancels the running attempt when the caller disconnects."""
+"""Cancels the running attempt when the caller disconnects or the gateway stops."""
 
 from __future__ import annotations
 
@@ -9,11 +9,15 @@
 
 
 class CallerWatch:
-    """Tracks whether the caller has disconnected, and the attempt to cancel in that case."""
+    """Tracks whether a request is to end early, and the attempt to cancel in that case.
+
+    ``is_given_up`` is set when the request must be answered at once, since the process will end.
+    """
 
     def __init__(self) -> None:
         self._call: AttemptCall | None = None
         self.is_disconnected = False
+        self.is_given_up = False
 
     def note_disconnected(self) -> None:
         """Record that the caller has disconnected, and cancel the running attempt.
@@ -21,11 +25,19 @@
         Runs on the thread of the event loop.
         """
         self.is_disconnected = True
-        if self._call is not None:
-            self._call.cancel()
+        self._cancel()
+
+    def give_up(self) -> None:
+        """Record that the request must be answered at once, and cancel the running attempt."""
+        self.is_given_up = True
+        self._cancel()
 
     def set_current_attempt(self, call: AttemptCall) -> None:
-        """Record the attempt that starts; cancel it if the caller has already disconnected."""
+        """Record the attempt that starts; cancel it if the request is to end already."""
         self._call = call
-        if self.is_disconnected:
+        if self.is_disconnected or self.is_given_up:
             call.cancel()
+
+    def _cancel(self) -> None:
+        if self._call is not None:
+            self._call.cancel()
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -30,8 +30,10 @@
 from ..crash_attribution import HELD_PART_DETAIL
 from ..endpoints.software_version import UNKNOWN_VERSION
 from ..endpoints.software_version import VersionHash
+from ..ingress.answer_channel import ChannelState
 from ..ingress.channel_sink import ChannelSink
 from ..lifecycle.stop_gate import LATE_FOR_STOP_DETAIL
+from ..lifecycle.stop_gate import STOP_DETAIL
 from ..lifecycle.stop_gate import STOPPING_RETRY_AFTER_S
 from ..lifecycle.stop_gate import StopGate
 from ..local_attempts import AttemptPlan
@@ -193,7 +195,9 @@
                 self._channel, HopOutcome.REFUSED, LATE_FOR_STOP_DETAIL, STOPPING_RETRY_AFTER_S
             )
             return
-        open_request = OpenRequest(hop_request.request_id, Origin.GATEWAY, route_name, received_s)
+        open_request = OpenRequest(
+            hop_request.request_id, Origin.GATEWAY, route_name, received_s, self._give_up
+        )
         with (
             stop_gate.open_requests.serving(open_request),
             watch_disconnect(
@@ -206,6 +210,10 @@
                 stop_gate.note_duration(route_name, open_request.age_ms)
             self._answer(outcome)
 
+    def _give_up(self, ends_begun: bool) -> None:
+        if ends_begun or self._channel.state is ChannelState.UNANSWERED:
+            self._watch.give_up()
+
     def _attempt(self, table: RouteTable, target_ms: float) -> AttemptOutcome:
         hop_request = self._hop_request
         service = table.services[hop_request.service]
@@ -287,6 +295,10 @@
                 _send_outcome(
                     channel, HopOutcome.DIED if is_connection_lost else HopOutcome.LOST, reason
                 )
+            case CallerLeft() if (
+                channel.state is ChannelState.UNANSWERED and self._watch.is_given_up
+            ):
+                _send_outcome(channel, HopOutcome.LOST, STOP_DETAIL)
             case CallerLeft():
                 channel.abort()
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -92,6 +92,11 @@
 ACCEPT_AFTER_STOP_S = 2.5
 # How long kept-alive connections stay usable after a stop signal while they wait for a request.
 IDLE_AFTER_STOP_S = 1.0
+# Requests whose answer has not begun get a final one this long before the others are aborted.
+FINAL_ANSWER_S = 0.3
+# How long aborted requests may take to log how they ended.
+ABORT_S = 0.1
+DRAIN_CHECK_S = 0.02
 # In-flight requests are aborted this long before the stop timeout, so that the process can still
 # end in time.
 STOP_RESERVE_S = 0.4
@@ -329,16 +334,23 @@
         self._front_listener.close_idle()
         time.sleep(max(0.0, ACCEPT_AFTER_STOP_S - (time.monotonic() - stopped_s)))
         self._front_listener.stop_accepting()
-        while time.monotonic() < limit_s and self._in_flight_requests() > 0:
-            time.sleep(0.05)
+        self._wait_drained(limit_s - FINAL_ANSWER_S)
+        self._open_requests.give_up(ends_begun=False)
+        self._wait_drained(limit_s)
         is_finished = self._in_flight_requests() == 0
         if is_finished:
             log_event(Event.DRAIN_FINISHED, **self._drain_status(stopped_s))
         else:
             log_event(Event.DRAIN_INCOMPLETE, **self._drain_status(stopped_s))
             self._log_open_requests(stopped_s)
+            self._open_requests.give_up(ends_begun=True)
+            time.sleep(ABORT_S)
         return is_finished
 
+    def _wait_drained(self, until_s: float) -> None:
+        while time.monotonic() < until_s and self._in_flight_requests() > 0:
+            time.sleep(DRAIN_CHECK_S)
+
     def _drain_status(self, stopped_s: float) -> dict[str, int]:
         """Return what a graceful shutdown waits for, as fields of a log line."""
         now_s = time.monotonic()
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/stop_gate.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/stop_gate.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
 LATE_FOR_STOP_DETAIL = "the answer would come after the stop"
+STOP_DETAIL = "the gateway stops before the endpoint has answered"
 # Another gateway serves the request at once.
 STOPPING_RETRY_AFTER_S = 0.1
 # How long the duration of an answered request is remembered.
--- a/packages/primroseferry-relay/src/primroseferry_relay/open_requests.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/open_requests.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from primroseferry_core.ids import RequestId
@@ -26,13 +27,15 @@
 class OpenRequest:
     """A request that is being served. ``started_s`` is the monotonic time at which it arrived.
 
-    ``route`` is the name of its route, empty if no route matches it.
+    ``route`` is the name of its route, empty if no route matches it. ``give_up`` ends the request
+    because the process is about to end; with ``False`` only if its answer has not begun.
     """
 
     request_id: RequestId
     origin: Origin
     route: str
     started_s: float
+    give_up: Callable[[bool], None] = lambda _is_begun_ended: None
 
     @property
     def age_ms(self) -> int:
@@ -67,6 +70,11 @@
         """Return how many requests of an origin are open."""
         return sum(request.origin is origin for request in self.all())
 
+    def give_up(self, ends_begun: bool) -> None:
+        """End the requests without an answer, and also those with a begun one if ``ends_begun``."""
+        for request in self.all():
+            request.give_up(ends_begun)
+
     def longest_ms(self, route: str) -> int:
         """Return the age of a route's oldest open request in milliseconds, 0 if none is open."""
         return max((request.age_ms for request in self.all() if request.route == route), default=0)
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay.py
@@ -72,7 +72,7 @@
         record.service = service.name
         run = RequestRun(self._context, request, metadata, channel, route, service, record)
         open_request = OpenRequest(
-            metadata.request_id, Origin.CALLER, route.name, request.received_s
+            metadata.request_id, Origin.CALLER, route.name, request.received_s, run.give_up
         )
         with self._stop_gate.open_requests.serving(open_request):
             if self._stop_gate.refuses(route.name, run.time_limit_s):
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -26,6 +26,8 @@
 from .endpoints.software_version import UNKNOWN_VERSION
 from .ingress.answer_channel import ChannelState
 from .ingress.channel_sink import ChannelSink
+from .lifecycle.stop_gate import STOP_DETAIL
+from .lifecycle.stop_gate import STOPPING_RETRY_AFTER_S
 from .local_attempts import BASE_PRIORITY
 from .local_attempts import AttemptPlan
 from .local_attempts import LocalOption
@@ -184,6 +186,9 @@
         connection = self._channel.connection
         with watch_disconnect(self._context.loop, connection, self._caller_watch.note_disconnected):
             while not self._caller_watch.is_disconnected:
+                if self._caller_watch.is_given_up:
+                    self._give_up_at_stop()
+                    return
                 if self._plan.remaining_ms <= 0:
                     self._give_up_past_deadline()
                     return
@@ -207,6 +212,11 @@
                     return
         self._finish("caller-left")
 
+    def give_up(self, ends_begun: bool) -> None:
+        """Answer at once, because the process ends; a begun stream only if ``ends_begun``."""
+        if ends_begun or self._channel.state is ChannelState.UNANSWERED:
+            self._caller_watch.give_up()
+
     def _is_admitted(self) -> bool:
         """Return whether the quarantine admits the request; answer it if not."""
         admittance = self._context.local.crash_attribution.admit(self._plan.suspect)
@@ -432,7 +442,10 @@
                 return False
             case CallerLeft():
                 progress.may_have_run = True
-                self._finish("caller-left")
+                if self._caller_watch.is_given_up and not self._caller_watch.is_disconnected:
+                    self._give_up_at_stop()
+                else:
+                    self._finish("caller-left")
                 return True
 
     def _send_answer(self, answer: CompleteAnswer) -> bool:
@@ -452,6 +465,14 @@
             Problem(kind, f"no answer before the deadline; {self._progress.reason}"), None
         )
 
+    def _give_up_at_stop(self) -> None:
+        if self._progress.last_failure is not None:
+            self._send_answer(self._progress.last_failure)
+        elif self._progress.may_have_run:
+            self._give_up(Problem(ErrorKind.ENDPOINT_FAILED, STOP_DETAIL), None)
+        else:
+            self._give_up(Problem(ErrorKind.GATEWAY_DRAINING, STOP_DETAIL), STOPPING_RETRY_AFTER_S)
+
     def _give_up_without_option(self) -> None:
         if self._progress.may_have_run:
             self._give_up_after_failure("no other endpoint is available")
