Do not take a stopping gateway for its region's collector again

Callers got 503 'no endpoint is available' in other regions, from 3 s after a SIGTERM of a region's collector until its process had ended, where two or three gateways make the region. Cause: the successor heard of the stopping gateway once more through an introduction, put it back among the possible collectors, and followed it; the stopping one followed the successor. So nobody reported to other regions, and after 3 s they held the region for gone (4003). Now what the roster says of a stopping gateway counts, unless another incarnation was introduced.

--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -475,17 +475,15 @@
 
     def _known_members(self, now_s: float) -> list[Peer]:
         """Return the region's gateways that can be collectors, including this one."""
-        members = {
-            peer.instance: peer
-            for peer in self._peers.live_in(self._own.region)
-            if peer.state is not GatewayState.DRAINING
-        }
-        for peer in self._introductions.unknown_peers(now_s):
-            if peer.instance != self._own.instance:
-                members.setdefault(peer.instance, peer)
-        if self._own.state is not GatewayState.DRAINING:
-            members[self._own.instance] = self._own
-        return list(members.values())
+        members = {peer.instance: peer for peer in self._introductions.unknown_peers(now_s)}
+        for peer in self._peers.live_in(self._own.region):
+            is_draining = peer.state is GatewayState.DRAINING
+            introduced = members.get(peer.instance, peer)
+            # A listed gateway that is stopping may have been introduced again after its restart.
+            if not is_draining or introduced.incarnation == peer.incarnation:
+                members[peer.instance] = peer
+        members[self._own.instance] = self._own
+        return [peer for peer in members.values() if peer.state is not GatewayState.DRAINING]
 
     def _check_view_age(self) -> None:
         if not self._is_view_lost and self._follower.view_age_s > 2 * MAX_VIEW_AGE_S:
--- a/packages/primroseferry-relay/tests/relay_tests/test_exchange.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_exchange.py
@@ -298,3 +298,21 @@
     assert max(fleet.received[name] for name in members if name[:5] == "north") / 4 < 60
     assert max(fleet.sent_bytes[name] for name in members) / 4 < MAX_BYTES_PER_S
     assert sum(errors) / len(errors) < 0.3
+
+
+@pytest.mark.parametrize("size", [2, 3, 10])
+@pytest.mark.parametrize("number", [0, 1])
+def test_region_stays_known_while_one_of_its_gateways_stops(size: int, number: int) -> None:
+    fleet = settled_fleet({"north": size, "south": size})
+    stopping = fleet.gateways[f"north-{number}"]
+    stopping.peers.own_state = GatewayState.DRAINING
+    stopping.exchange.send_state()
+    unknown: list[float] = []
+
+    def look() -> None:
+        for gateway in fleet.region("south"):
+            if not gateway.peers.ready_in(RegionId("north")):
+                unknown.append(fleet.clock.now_s)
+
+    fleet.run(8, look)
+    assert unknown == []
