--- a/Makefile
+++ b/Makefile
@@ -34,11 +34,13 @@
 # The part of the soak that CI runs.
 soak-fixed: venv
 	cd platform/tests && $(CURDIR)/$(BIN)/python -m fleet_soak --seeds 1 --first-seed 7 --seconds 6
+	cd platform/tests && $(CURDIR)/$(BIN)/python -m fleet_soak.stops --seeds 1 --first-seed 101 --seconds 8
 
 # Fresh seeds; SEEDS says how many.
 SEEDS := 4
 soak: venv
 	cd platform/tests && $(CURDIR)/$(BIN)/python -m fleet_soak --seeds $(SEEDS) --jobs 3
+	cd platform/tests && $(CURDIR)/$(BIN)/python -m fleet_soak.stops --seeds $(SEEDS) --jobs 3
 
 demo: venv
 	$(BIN)/python demo/run.py
