--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -30,12 +30,19 @@
 from ..crash_attribution import HELD_PART_DETAIL
 from ..endpoints.software_version import UNKNOWN_VERSION
 from ..endpoints.software_version import VersionHash
+from ..ingress.answer_channel import ChannelState
 from ..ingress.channel_sink import ChannelSink
+from ..lifecycle.stop_gate import LATE_FOR_STOP_DETAIL
+from ..lifecycle.stop_gate import STOP_DETAIL
+from ..lifecycle.stop_gate import STOPPING_RETRY_AFTER_S
+from ..lifecycle.stop_gate import StopGate
 from ..local_attempts import AttemptPlan
 from ..messages import AnswerHead
 from ..messages import CompleteAnswer
 from ..messages import RelayRequest
 from ..messages import problem_answer
+from ..open_requests import OpenRequest
+from ..open_requests import Origin
 from ..streams.stream_binding import StreamBinding
 from ..suspect import suspect_of_request
 from .hop import HOP_HEADER
@@ -79,6 +86,7 @@
         get_route_table: Callable[[], RouteTable | None],
         local: LocalAttempts,
         sync: PeerSync,
+        stop_gate: StopGate | None = None,
     ) -> None:
         self._region = region
         self._incarnation = incarnation
@@ -87,6 +95,7 @@
         self._get_route_table = get_route_table
         self._local = local
         self._sync = sync
+        self._stop_gate = stop_gate or StopGate()
         self._seen_hop_ids: BoundedMap[str, None] = BoundedMap(MAX_REMEMBERED_HOP_IDS)
         self._lock = threading.Lock()
 
@@ -178,11 +187,32 @@
                 self._channel, HopOutcome.REFUSED, "the route does not permit this region"
             )
             return
-        with watch_disconnect(
-            self._server._loop, self._channel.connection, self._watch.note_disconnected
+        hop_request, received_s = self._hop_request, self._request.received_s
+        route_name = route.name if route is not None else ""
+        stop_gate = self._server._stop_gate
+        if stop_gate.refuses(route_name, received_s + hop_request.deadline_ms / 1000):
+            _send_outcome(
+                self._channel, HopOutcome.REFUSED, LATE_FOR_STOP_DETAIL, STOPPING_RETRY_AFTER_S
+            )
+            return
+        open_request = OpenRequest(
+            hop_request.request_id, Origin.GATEWAY, route_name, received_s, self._give_up
+        )
+        with (
+            stop_gate.open_requests.serving(open_request),
+            watch_disconnect(
+                self._server._loop, self._channel.connection, self._watch.note_disconnected
+            ),
         ):
             target_ms = route.latency_target_ms if route is not None else 0.0
-            self._answer(self._attempt(table, target_ms))
+            outcome = self._attempt(table, target_ms)
+            if isinstance(outcome, Answered | StreamEnded):
+                stop_gate.note_duration(route_name, open_request.age_ms)
+            self._answer(outcome)
+
+    def _give_up(self, ends_begun: bool) -> None:
+        if ends_begun or self._channel.state is ChannelState.UNANSWERED:
+            self._watch.give_up()
 
     def _attempt(self, table: RouteTable, target_ms: float) -> AttemptOutcome:
         hop_request = self._hop_request
@@ -265,6 +295,10 @@
                 _send_outcome(
                     channel, HopOutcome.DIED if is_connection_lost else HopOutcome.LOST, reason
                 )
+            case CallerLeft() if (
+                channel.state is ChannelState.UNANSWERED and self._watch.is_given_up
+            ):
+                _send_outcome(channel, HopOutcome.LOST, STOP_DETAIL)
             case CallerLeft():
                 channel.abort()
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -52,6 +52,7 @@
 from ..membership.reporter import Reporter
 from ..membership.request_permits import RequestPermits
 from ..membership.stream_sync import StreamSync
+from ..open_requests import Origin
 from ..relay import Relay
 from ..relay_policy import RelayPolicy
 from ..request_run import RelayContext
@@ -61,6 +62,7 @@
 from .inspection import Inspection
 from .relay_metrics import RelayGauges
 from .relay_metrics import RelayMetrics
+from .signal_wakeup import SignalWakeup
 from .state_dump import dump_endpoints
 from .state_dump import dump_gateways
 from .state_dump import dump_policy
@@ -85,16 +87,24 @@
 # Objects created at the start live as long as the process. Scanning all of them after every 700
 # allocations, the default, would cost more than the requests that made the allocations.
 GC_THRESHOLD = 20_000
-SIGNAL_CHECK_S = 0.25
+# How often the settings file is checked for a change.
+SETTINGS_CHECK_S = 0.25
 # How long new connections are accepted after a stop signal, for callers that got this gateway's
 # address before it.
 ACCEPT_AFTER_STOP_S = 2.5
 # How long kept-alive connections stay usable after a stop signal while they wait for a request.
 IDLE_AFTER_STOP_S = 1.0
+# Requests whose answer has not begun get a final one this long before the others are aborted.
+FINAL_ANSWER_S = 0.3
+# How long aborted requests may take to log how they ended.
+ABORT_S = 0.1
+DRAIN_CHECK_S = 0.02
 # In-flight requests are aborted this long before the stop timeout, so that the process can still
 # end in time.
 STOP_RESERVE_S = 0.4
 DIRECTORY_MAX_CONNECTIONS = 256
+# Requests that are logged one by one at the end of an incomplete stop.
+MAX_LOGGED_REQUESTS = 50
 INSPECTION_MAX_CONNECTIONS = 16
 SUMMARY_MAX_AGE_S = 0.15
 _DEFAULT_LIMITS = CallerLimits()
@@ -125,8 +135,10 @@
         self._watches: list[StoreWatch] = []
         self._summaries: dict[ServiceId, ServiceSummary] = {}
         self._summarized_s = 0.0
-        self._stopping = threading.Event()
+        self._is_stopping = False
         self._stop_gate = StopGate()
+        self._open_requests = self._stop_gate.open_requests
+        self._stop_signal_s: float | None = None
         limits = settings.retry_limits
         budget = SharedRetryBudget(
             limits.window_s,
@@ -227,7 +239,7 @@
             self._resumptions,
             self._record_decision,
         )
-        relay = Relay(parts, endpoint_adapter, self._feed.table, self._stop_gate.refuses)
+        relay = Relay(parts, endpoint_adapter, self._feed.table, self._stop_gate)
         hops = HopServer(
             settings.region,
             self._incarnation,
@@ -236,6 +248,7 @@
             self._feed.table,
             local,
             self._sync,
+            self._stop_gate,
         )
         self._front_listener = self._listener(
             "front", settings.front_port, relay.serve, settings.max_connections
@@ -299,9 +312,10 @@
         signal.signal(signal.SIGTERM, self._on_stop)
         signal.signal(signal.SIGINT, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
+        wakeup = SignalWakeup()
         self.start()
-        # A signal that the kernel delivers to another thread does not interrupt this wait.
-        while not self._stopping.wait(SIGNAL_CHECK_S):
+        while not self._is_stopping:
+            wakeup.wait(SETTINGS_CHECK_S)
             self._reload_settings()
         return 0 if self.stop() else 1
 
@@ -313,11 +327,7 @@
         """
         stopped_s = time.monotonic()
         limit_s = stopped_s + self._settings.stop_timeout_ms / 1000 - STOP_RESERVE_S
-        log_event(
-            Event.DRAIN_STARTED,
-            open_requests=self._front_listener.busy_connections
-            + self._hop_listener.busy_connections,
-        )
+        log_event(Event.DRAIN_STARTED, **self._drain_status(stopped_s))
         self._stop_gate.stop_at(limit_s)
         self._peers.own_state = GatewayState.DRAINING
         self._front_listener.drain()
@@ -327,14 +337,45 @@
         self._front_listener.close_idle()
         time.sleep(max(0.0, ACCEPT_AFTER_STOP_S - (time.monotonic() - stopped_s)))
         self._front_listener.stop_accepting()
-        while time.monotonic() < limit_s and self._in_flight_requests() > 0:
-            time.sleep(0.05)
-        unfinished = self._in_flight_requests()
-        if unfinished == 0:
-            log_event(Event.DRAIN_FINISHED)
+        self._wait_drained(limit_s - FINAL_ANSWER_S)
+        self._open_requests.give_up(ends_begun=False)
+        self._wait_drained(limit_s)
+        is_finished = self._in_flight_requests() == 0
+        if is_finished:
+            log_event(Event.DRAIN_FINISHED, **self._drain_status(stopped_s))
         else:
-            log_event(Event.DRAIN_INCOMPLETE, open_requests=unfinished)
-        return unfinished == 0
+            log_event(Event.DRAIN_INCOMPLETE, **self._drain_status(stopped_s))
+            self._log_open_requests(stopped_s)
+            self._open_requests.give_up(ends_begun=True)
+            time.sleep(ABORT_S)
+        return is_finished
+
+    def _wait_drained(self, until_s: float) -> None:
+        while time.monotonic() < until_s and self._in_flight_requests() > 0:
+            time.sleep(DRAIN_CHECK_S)
+
+    def _drain_status(self, stopped_s: float) -> dict[str, int]:
+        """Return what a graceful shutdown waits for, as fields of a log line."""
+        now_s = time.monotonic()
+        caller_requests = self._open_requests.count(Origin.CALLER)
+        signal_s = self._stop_signal_s if self._stop_signal_s is not None else stopped_s
+        return {
+            "signal_age_ms": round((now_s - signal_s) * 1000),
+            "open_requests": caller_requests,
+            "gateway_requests": self._open_requests.count(Origin.GATEWAY),
+            "waiting_connections": max(0, self._front_listener.open_connections - caller_requests),
+        }
+
+    def _log_open_requests(self, stopped_s: float) -> None:
+        """Write one line for each request that the end of the process breaks off."""
+        for request in self._open_requests.all()[:MAX_LOGGED_REQUESTS]:
+            log_event(
+                Event.REQUEST_OPEN_AT_STOP,
+                request_id=request.request_id,
+                origin=request.origin.value,
+                age_ms=request.age_ms,
+                received_after_stop_ms=round((request.started_s - stopped_s) * 1000),
+            )
 
     def _health_path(self, endpoint: Endpoint) -> str:
         table = self._feed.table()
@@ -349,7 +390,8 @@
         return table.limits if table is not None else _DEFAULT_LIMITS
 
     def _on_stop(self, _number: int, _frame: object) -> None:
-        self._stopping.set()
+        self._stop_signal_s = self._stop_signal_s or time.monotonic()
+        self._is_stopping = True
 
     def _on_reload(self, _number: int, _frame: object) -> None:
         if self._settings_file is not None:
@@ -374,7 +416,8 @@
 
     def _record_decision(self, record: DecisionRecord) -> None:
         self._metrics.count(record)
-        self._stop_gate.note(record)
+        if record.is_answered:
+            self._stop_gate.note_duration(record.route, record.elapsed_ms)
         record.log()
 
     def _gauges(self) -> RelayGauges:
