Deliver an answer that is whole when its attempt is cancelled

An attempt that was cancelled in the moment in which its answer had arrived counted as one without an answer. Until now only a caller that had left cancelled attempts; since a stopping gateway gives up what has no answer yet, the caller waits for it and would have got 502 in place of the ready answer. The test has the call end before it is cancelled; it failed before and passes.

--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -100,7 +100,9 @@
         if self._is_cancelled:
             self._pending.cancel()
         result = self._pending.future.result()
-        if self._is_cancelled or self._is_stopped_by_sink:
+        # A whole answer may have arrived just before the call was cancelled.
+        is_cancelled = self._is_cancelled and isinstance(result, Err)
+        if is_cancelled or self._is_stopped_by_sink:
             return CallerLeft()
         match result:
             case Ok(reply):
