Believe in an only software version by fresh answers, not by a view that may be old

What callers would see: streams begun at a new version through other gateways broke, were taken up at a gateway that had been cut off or had stood still for some seconds, and went on at the older version (ORDER; reported by other operators). Cause: a gateway with one version in its view sent each stream of unknown origin there while any peer counted as live or the store's last answer was at most 4 s old. Lost peers count as live for 2 to 3 s, peers that are cut off with it for ever; a version begins streams after 2 s or less; and what waited in the sockets of a stopped process looks new when it is read. The keepers, which knew the origin, were asked only afterwards. Change: the keepers are asked first. One version is believed if at least half of those asked in each region answer that they do not know the stream, and this gateway hears from all regions and over half of its own; a gateway that does not stays silent on streams that it does not know. Else the store is asked for its records of versions, at most four times a second. Else refused, not run. Why it works: the questions are asked after the caller's request came, so after the stream's events; an answer cannot be older. Beside one version streams go on as before, also without the store. Tests: the stores of test_version_records.py and relay_harness.py now list what they hold and the former's gateways have heard from the store, as the store is asked; no assertion changed.

--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -117,6 +117,7 @@
     STREAMS_NOT_RECORDED = (7009, "warning", "streams could not be recorded in the store")
     STREAM_RECORDS_READ = (7010, "info", "records of streams read from the store")
     STREAM_RECORDS_NOT_READ = (7011, "warning", "records of streams could not be read")
+    VERSIONS_NOT_READ = (7012, "warning", "records of software versions could not be read")
     STORE_ERA_CHANGED = (
         7007,
         "warning",
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/version_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/version_records.py
@@ -16,6 +16,8 @@
 from primroseferry_core.events import Event
 from primroseferry_core.ids import ServiceId
 from primroseferry_core.logs import log_event
+from result import Err
+from result import Ok
 
 from ..endpoints.software_version import VersionHash
 from ..endpoints.software_version import version_hash
@@ -37,6 +39,8 @@
 VERSION_PREFIX = "versions/"
 REWRITE_S = 150.0
 # A version that has just left was recorded at most ``REWRITE_S`` ago.
+# A version is recorded and listed longer before it begins streams beside another one.
+READ_AGAIN_S = 0.25
 LEASE_MS = round((REWRITE_S + STREAM_LIFETIME_S + 30.0) * 1000)
 
 
@@ -77,11 +81,15 @@
             "version records", peers, self._unrecorded, self._write, clock_s
         )
         self._lock = threading.Lock()
+        self._clock_s = clock_s
+        self._read_s = float("-inf")
+        self._listed: Mapping[VersionHash, _Record] | None = None
+        self._read_lock = threading.Lock()
 
     def apply(self, item: StoredItem) -> None:
         """Apply a record that any gateway wrote, or the expiry of one."""
         try:
-            version = VersionHash(int(item.key.removeprefix(VERSION_PREFIX), 16))
+            version = _version(item.key)
             record = None if item.value is None else _decode(item.value)
         except (ValueError, KeyError, TypeError) as error:
             log_event(Event.CONTROL_ITEM_IGNORED, key=item.key, reason=repr(error)[:200])
@@ -112,6 +120,21 @@
                 version for version, record in self._records.items() if record.service == service
             }
 
+    def confirm_only(self, service: ServiceId, version: VersionHash) -> bool:
+        """Whether the store lists a record of this version, and no news of others of its service.
+
+        Asks the store, whatever this gateway was told before; blocks meanwhile.
+        """
+        listed = self._read(self._clock_s())
+        if listed is None or version not in listed:
+            return False
+        with self._lock:
+            known = dict(self._records)
+        return all(
+            record.service != service or other == version or known.get(other) == record
+            for other, record in listed.items()
+        )
+
     def tick(self) -> None:
         """Start to write a record if this gateway is to write one; never blocks."""
         self._writer.tick()
@@ -132,6 +155,30 @@
                 or self._records[entry.version].written_s < oldest_s
             }
 
+    def _read(self, asked_s: float) -> Mapping[VersionHash, _Record] | None:
+        """Return the records by a listing no older than ``READ_AGAIN_S`` at ``asked_s``."""
+        with self._read_lock:
+            if self._read_s < asked_s - READ_AGAIN_S:
+                self._read_s = self._clock_s()
+                self._listed = self._list()
+            return self._listed
+
+    def _list(self) -> Mapping[VersionHash, _Record] | None:
+        match self._store.list_items(VERSION_PREFIX):
+            case Ok(listing):
+                try:
+                    return {
+                        _version(item.key): _decode(item.value)
+                        for item in listing.items
+                        if item.value is not None
+                    }
+                except (ValueError, KeyError, TypeError) as error:
+                    reason = f"odd record: {error!r}"[:200]
+            case Err(failure):
+                reason = failure.value
+        log_event(Event.VERSIONS_NOT_READ, reason=reason)
+        return None
+
     def _write(self, listed: _ListedVersion) -> bool:
         written_s = round(self._wall_clock_s(), 1)
         value = json.dumps({"service": listed.service, "written_s": written_s}).encode()
@@ -153,6 +200,10 @@
     return f"{VERSION_PREFIX}{version:016x}"
 
 
+def _version(key: str) -> VersionHash:
+    return VersionHash(int(key.removeprefix(VERSION_PREFIX), 16))
+
+
 def _decode(value: bytes) -> _Record:
     data = json.loads(value)
     return _Record(ServiceId(str(data["service"])), float(data["written_s"]))
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_table.py
@@ -299,6 +299,23 @@
             return float("inf")
         return known.control.store_age_ms + (self._clock_s() - known.received_s) * 1000
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether this gateway may be on the smaller side of a network partition.
+
+        That is so if it hears from no gateway of a region, or has lost half of its own region.
+        """
+        confirmed = self._confirmed()
+        with self._lock:
+            lost = [
+                region
+                for region, known in self._regions.items()
+                if known.by_name and region not in confirmed
+            ]
+            own = confirmed.get(self.own_region)
+            size = len(own.by_name) + 1 if own is not None else 1
+            return bool(lost) or 2 * size <= self._region_size.add(size)
+
     def report_addresses(self) -> list[str]:
         """Return the datagram addresses of all other live gateways."""
         return sorted(peer.address.report for peer in self.live())
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/stream_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/stream_sync.py
@@ -11,6 +11,8 @@
 import random
 import threading
 import time
+from collections import Counter
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primroseferry_core.bounded_map import BoundedMap
@@ -26,6 +28,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from ..streams.stream_origins import StreamKey
     from ..streams.stream_origins import StreamOrigins
@@ -50,15 +53,36 @@
 MAX_PENDING_QUERIES = 10_000
 
 
+@dataclass(frozen=True, slots=True)
+class OriginAnswer:
+    """What other gateways answered to a question about a stream.
+
+    ``is_representative`` if at least half of the gateways asked in each region answered.
+    """
+
+    origin: StreamOrigin | None
+    is_representative: bool
+
+
 class _Query:
-    """A question to several gateways; done with the first origin, or when all know none."""
+    """A question to several gateways; done with the first origin, or when all know none.
+
+    ``asked`` holds the regions of the gateways by their addresses.
+    """
 
-    def __init__(self, key: StreamKey, waiting_for: set[str]) -> None:
+    def __init__(self, key: StreamKey, asked: Mapping[str, RegionId]) -> None:
         self.key = key
-        self.waiting_for = waiting_for
+        self.asked = asked
+        self.waiting_for = set(asked)
         self.origin: StreamOrigin | None = None
         self.done = threading.Event()
 
+    @property
+    def is_representative(self) -> bool:
+        asked = Counter(self.asked.values())
+        waiting = Counter(self.asked[address] for address in list(self.waiting_for))
+        return bool(asked) and all(2 * waiting[region] <= asked[region] for region in asked)
+
 
 class StreamSync:
     """Shares the origins of one gateway's streams and answers questions of others."""
@@ -134,7 +158,7 @@
         names = [str(peer.instance) for peer in self._peers.live_in(self._peers.own_region)]
         return rendezvous_order(_KEEPER_KEY, [own, *names])[0] == own
 
-    def find(self, key: StreamKey) -> StreamOrigin | None:
+    def find(self, key: StreamKey) -> OriginAnswer:
         """Ask the gateways that keep a stream's origin; blocks for ``ANSWER_TIMEOUT_S`` at most."""
         number, query = self.ask(key)
         started_s = time.monotonic()
@@ -143,11 +167,11 @@
             query.done.wait(ANSWER_TIMEOUT_S - (time.monotonic() - started_s))
         with self._lock:
             self._queries.pop(number, None)
-        return query.origin
+            return OriginAnswer(query.origin, query.is_representative)
 
     def ask(self, key: StreamKey) -> tuple[int, _Query]:
         """Send the question without waiting for the answers."""
-        asked = {peer.address.report for peer in self._asked()}
+        asked = {peer.address.report: peer.region for peer in self._asked()}
         query = _Query(key, asked)
         if not asked:
             query.done.set()
@@ -172,8 +196,15 @@
         self.on_origins()
 
     def on_query(self, query: OriginQuery) -> None:
-        """Tell a gateway the origin of a stream, or that it is not known here."""
-        reply = OriginReply(self._own_address(), query.number, self._origins.find(query.key))
+        """Tell a gateway the origin of a stream, or that it is not known here.
+
+        A gateway that may be cut off says nothing of a stream that it does not know: one that asks
+        just after its start does not know that regions are lost.
+        """
+        origin = self._origins.find(query.key)
+        if origin is None and self._peers.is_cut_off:
+            return
+        reply = OriginReply(self._own_address(), query.number, origin)
         self._send(query.reply_to, encode(reply))
 
     def on_reply(self, reply: OriginReply) -> None:
--- a/packages/primroseferry-relay/src/primroseferry_relay/streams/resumptions.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/streams/resumptions.py
@@ -1,8 +1,12 @@
 """Decides at which software version a stream that a caller takes up goes on.
 
-In this order: what this gateway knows of the stream; the only version that may have begun it; what
-the gateways know that keep its origin; shortly after a start, the records in the store. A stream of
-an unknown version does not go on.
+In this order: what this gateway knows of the stream; what the gateways know that keep its origin;
+the only version that may have begun it; shortly after a start, the records in the store. A stream
+of an unknown version does not go on.
+
+This gateway's own view may be old, and seem fresh if its process stood still. A version is believed
+to be the only one only by answers to a question asked after the caller's request came: of other
+gateways, which would know the origin of a stream of another version, or of the store.
 """
 
 from __future__ import annotations
@@ -14,6 +18,7 @@
 
 from ..endpoints.software_version import UNKNOWN_VERSION
 from ..endpoints.version_history import STREAM_LIFETIME_S
+from ..membership.stream_sync import OriginAnswer
 from .stream_binding import StreamBinding
 from .stream_origins import StreamOrigin
 
@@ -31,8 +36,9 @@
     from .stream_origins import StreamKey
     from .stream_origins import StreamOrigins
 
-# A gateway without any peer has a current view if the store answered within this time.
+# The store is not asked if it has not answered within this time.
 MAX_VIEW_AGE_MS = 4_000.0
+NO_ANSWER = OriginAnswer(None, is_representative=False)
 
 
 class OriginSource(Enum):
@@ -142,13 +148,13 @@
         origin = self._origins.find(key) if key is not None else None
         if origin is not None:
             return Resumption(origin.version, OriginSource.OWN)
-        version = self._only_version(service)
+        answer = self._sync.find(key) if key is not None else NO_ANSWER
+        if answer.origin is not None:
+            self._origins.note(answer.origin, is_own=False)
+            return Resumption(answer.origin.version, OriginSource.PEER)
+        version = self._only_version(service, answer)
         if version is not None:
             return Resumption(version, OriginSource.ONLY_VERSION)
-        origin = self._sync.find(key) if key is not None else None
-        if origin is not None:
-            self._origins.note(origin, is_own=False)
-            return Resumption(origin.version, OriginSource.PEER)
         if key is not None and not self._is_history_complete:
             origin = self._stream_records.find(key)
             if origin is not None:
@@ -156,13 +162,19 @@
                 return Resumption(origin.version, OriginSource.STORE)
         return Resumption(UNKNOWN_VERSION, OriginSource.UNKNOWN)
 
-    def _only_version(self, service: ServiceId) -> VersionHash | None:
+    def _only_version(self, service: ServiceId, answer: OriginAnswer) -> VersionHash | None:
         possible = self._possible_versions(service)
-        if len(possible) != 1 or not self._is_view_current:
+        if len(possible) != 1:
             return None
         (version,) = possible
-        is_confirmed = self._is_history_complete or self._records.is_recorded(version)
-        return version if is_confirmed else None
+        if not self._is_history_complete and not self._records.is_recorded(version):
+            return None
+        if answer.is_representative and not self._peers.is_cut_off:
+            return version
+        if self._peers.store_age_ms() > MAX_VIEW_AGE_MS:
+            return None
+        is_only = self._records.confirm_only(service, version)
+        return version if is_only and self._possible_versions(service) == possible else None
 
     def _possible_versions(self, service: ServiceId) -> set[VersionHash]:
         recent = self._catalog.recent_versions(service)
@@ -173,7 +185,3 @@
     @property
     def _is_history_complete(self) -> bool:
         return self._catalog.version_history_age_s >= STREAM_LIFETIME_S
-
-    @property
-    def _is_view_current(self) -> bool:
-        return self._peers.live_count() > 1 or self._peers.store_age_ms() <= MAX_VIEW_AGE_MS
--- a/packages/primroseferry-relay/tests/relay_tests/in_memory_store.py
+++ b/packages/primroseferry-relay/tests/relay_tests/in_memory_store.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from primroseferry_relay.control.metadata_store import LeaseId
+from primroseferry_relay.control.metadata_store import Listing
 from primroseferry_relay.control.metadata_store import StoredItem
 from primroseferry_relay.control.metadata_store import StoreFailure
 from result import Err
@@ -13,7 +14,6 @@
 
 if TYPE_CHECKING:
     from primroseferry_relay.control.metadata_store import Changes
-    from primroseferry_relay.control.metadata_store import Listing
     from result import Result
 
 
@@ -50,3 +50,12 @@
 
     def end_lease(self, lease: LeaseId) -> Result[None, StoreFailure]:
         return Err(StoreFailure.UNREACHABLE)
+
+
+class ListedStore(InMemoryStore):
+    """Lists what was put."""
+
+    def list_items(self, prefix: str) -> Result[Listing, StoreFailure]:
+        self.calls += 1
+        items = tuple(item for key, item in self.items.items() if key.startswith(prefix))
+        return Ok(Listing(items, self.calls))
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -50,6 +50,7 @@
 from primroseferry_transport.calls import Header
 
 from .in_memory_store import InMemoryStore
+from .in_memory_store import ListedStore
 from .peer_samples import roster_of
 from .test_route_table import ROUTE
 from .test_route_table import SERVICE
@@ -199,9 +200,8 @@
         )
         regions = RegionAttempts(loop, peers, self.policy)
         self.origins = StreamOrigins()
-        self.version_records = VersionRecords(
-            InMemoryStore(), self.catalog, peers, lambda: self.table
-        )
+        self.store = ListedStore()
+        self.version_records = VersionRecords(self.store, self.catalog, peers, lambda: self.table)
         for endpoint in self.catalog.entries().values():
             self.record_version(endpoint.version_hash)
         self.resumptions = Resumptions(
@@ -244,7 +244,9 @@
     def record_version(self, version: VersionHash) -> None:
         """Let the store hold a record of a software version."""
         value = json.dumps({"service": SERVICE.name, "written_s": time.time()}).encode()
-        self.version_records.apply(StoredItem(f"versions/{version:016x}", value, 1))
+        item = StoredItem(f"versions/{version:016x}", value, 1)
+        self.store.items[item.key] = item
+        self.version_records.apply(item)
 
     def confirm_view(self) -> None:
         """Let the store have answered a gateway of the region just now."""
--- a/packages/primroseferry-relay/tests/relay_tests/test_stream_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_stream_records.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
 
 import pytest
 from primroseferry_core.ids import IncarnationId
 from primroseferry_relay.control.control_state import ControlState
 from primroseferry_relay.control.metadata_store import START
-from primroseferry_relay.control.metadata_store import Listing
 from primroseferry_relay.control.metadata_store import StoredItem
 from primroseferry_relay.control.stream_records import MAX_BYTES_PER_S
 from primroseferry_relay.control.stream_records import MAX_STREAMS
@@ -22,27 +20,14 @@
 from primroseferry_relay.streams.stream_origins import StreamKey
 from primroseferry_relay.streams.stream_origins import StreamOrigin
 from primroseferry_relay.streams.stream_origins import StreamOrigins
-from result import Ok
 
 from .in_memory_store import InMemoryStore
+from .in_memory_store import ListedStore
 from .peer_samples import Clock
 
-if TYPE_CHECKING:
-    from primroseferry_relay.control.metadata_store import StoreFailure
-    from result import Result
-
 V1, V2 = VersionHash(11), VersionHash(22)
 
 
-class ListedStore(InMemoryStore):
-    """Lists what was put."""
-
-    def list_items(self, prefix: str) -> Result[Listing, StoreFailure]:
-        self.calls += 1
-        items = tuple(item for key, item in self.items.items() if key.startswith(prefix))
-        return Ok(Listing(items, self.calls))
-
-
 class Gateway:
     """The records of one gateway and the origins that it knows."""
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_version_records.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_version_records.py
@@ -23,6 +23,7 @@
 from primroseferry_relay.endpoints.software_version import version_hash
 from primroseferry_relay.endpoints.version_history import ACTIVATION_DELAY_S
 from primroseferry_relay.endpoints.version_history import STREAM_LIFETIME_S
+from primroseferry_relay.membership.peer import ControlStatus
 from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.membership.stream_sync import StreamSync
 from primroseferry_relay.routes.route_table import build_route_table
@@ -32,7 +33,7 @@
 from primroseferry_relay.streams.stream_origins import StreamOrigin
 from primroseferry_relay.streams.stream_origins import StreamOrigins
 
-from .in_memory_store import InMemoryStore
+from .in_memory_store import ListedStore
 from .peer_samples import NORTH
 from .peer_samples import Clock
 from .peer_samples import peer_of
@@ -69,7 +70,7 @@
 
     def __init__(self) -> None:
         self.clock = Clock()
-        self.store = InMemoryStore()
+        self.store = ListedStore()
         self.entries: dict[EndpointId, Endpoint] = {}
         self.running: Sequence[str] = NAMES
         self.start()
@@ -119,10 +120,12 @@
             self.deliver()
 
     def confirm(self) -> None:
-        """Confirm the roster, so that no gateway seems to be alone."""
+        """Confirm the roster, so that no gateway seems to be alone, and that the store answers."""
+        roster = roster_of(NORTH, *(peer_of(peer, NORTH) for peer in NAMES))
         for resumptions in self.resumptions:
             peers = resumptions._peers
-            peers.put_roster(roster_of(NORTH, *(peer_of(peer, NORTH) for peer in NAMES)))
+            peers.put_roster(roster)
+            peers.confirm(NORTH, roster.version, ControlStatus(1, 0.0))
 
     def source(self) -> OriginSource:
         """Return how the first gateway finds the version of a stream that nobody knows."""
