Give each descriptor that the loop of outgoing calls watches one owner

Cause: the selector held the caller's own descriptor while bytes were unsent. The thread of the request closed the connection when the writer was given up (10 s without reading, over 1 MiB unsent, or the caller had left), but only the next event of the descriptor removed it from the selector, and a closed one has none. When the kernel gave the number out again, a watch of disconnects ended the loop's thread by KeyError, and a call of libcurl got no event.

Change: a writer with unsent bytes hands the loop a WriteWatch with a duplicate of the descriptor, as DisconnectWatch has one. A descriptor that the loop watches belongs to the loop: it closes the watch on its own thread after removing it. An entry of the selector is changed and removed only for its owner; one that was left by another owner is replaced.

Why it works: a number can't be given out again while the selector holds it, so neither a watch nor libcurl can meet it, whenever and by whom the connection is closed.

--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -25,13 +25,11 @@
 from .calls import HttpCall
 from .calls import HttpFailure
 from .calls import HttpReply
-from .disconnect_watch import DisconnectWatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .loop_services import PendingWriter
-    from .loop_services import ReadableWatch
+    from .loop_services import ConnectionWatch
 
 TIMEOUT_CHECK_INTERVAL_S = 0.1
 # The loop counts as stalled when it wakes up later than this, or handles events for longer.
@@ -167,15 +165,15 @@
         self._commands.append(command)
         self._wake()
 
-    def flush_when_writable(self, writer: PendingWriter) -> None:
-        """Call ``writer.flush()`` when its socket is writable, until it returns ``False``."""
-        self.run_soon(lambda: self._watch_writer(writer))
-
-    def add_watch(self, watch: ReadableWatch) -> None:
+    def add_watch(self, watch: ConnectionWatch) -> None:
         """Call ``watch.check()`` on the loop's thread when its connection is readable."""
-        self.run_soon(lambda: self._add_watch(watch))
+        self.run_soon(lambda: self._add_watch(watch, selectors.EVENT_READ))
+
+    def add_write_watch(self, watch: ConnectionWatch) -> None:
+        """Call ``watch.check()`` on the loop's thread when its connection is writable."""
+        self.run_soon(lambda: self._add_watch(watch, selectors.EVENT_WRITE))
 
-    def remove_watch(self, watch: ReadableWatch) -> None:
+    def remove_watch(self, watch: ConnectionWatch) -> None:
         """Stop watching and close ``watch``."""
         self.run_soon(lambda: self._remove_watch(watch))
 
@@ -216,11 +214,8 @@
                     self._drain_wake_socket()
                 elif key.data is self:
                     self._socket_action(key.fd, mask)
-                elif isinstance(key.data, DisconnectWatch):
-                    if not key.data.check():
-                        self._unregister(key.fd)
-                else:
-                    self._flush_writer(key.data)
+                elif not key.data.check():
+                    self._remove_watch(key.data)
             self._run_timer()
             self._run_commands()
             self._note_stall(started_s)
@@ -287,23 +282,29 @@
 
     def _on_socket(self, what: int, fd: int, _multi: object, _data: object) -> None:
         if what == pycurl.POLL_REMOVE:
-            self._unregister(fd)
+            self._unregister(fd, self)
             return
         mask = 0
         if what in (pycurl.POLL_IN, pycurl.POLL_INOUT):
             mask |= selectors.EVENT_READ
         if what in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
             mask |= selectors.EVENT_WRITE
-        try:
-            self._selector.modify(fd, mask, self)
-        except KeyError:
-            self._selector.register(fd, mask, self)
+        self._register(fd, mask, self)
 
-    def _unregister(self, fd: int) -> None:
-        try:
-            self._selector.unregister(fd)
-        except (KeyError, ValueError, OSError):
+    def _register(self, fd: int, mask: int, owner: object) -> None:
+        """Watch ``fd`` for ``owner``; an entry of another owner is of a closed descriptor."""
+        key = self._selector.get_map().get(fd)
+        if key is not None and key.data is owner:
+            self._selector.modify(fd, mask, owner)
             return
+        if key is not None:
+            self._unregister(fd, key.data)
+        self._selector.register(fd, mask, owner)
+
+    def _unregister(self, fd: int, owner: object) -> None:
+        key = self._selector.get_map().get(fd)
+        if key is not None and key.data is owner:
+            self._selector.unregister(fd)
 
     def _start(self, pending: PendingCall) -> None:
         if pending.future.done():
@@ -354,28 +355,16 @@
             handle.close()
         pending.future.set_result(result)
 
-    def _watch_writer(self, writer: PendingWriter) -> None:
-        fd = writer.fileno()
-        if fd < 0:
-            return
-        try:
-            self._selector.register(fd, selectors.EVENT_WRITE, writer)
-        except (KeyError, ValueError, OSError):
-            return
+    def _add_watch(self, watch: ConnectionWatch, mask: int) -> None:
+        fd = watch.fileno()
+        if fd >= 0:
+            self._register(fd, mask, watch)
 
-    def _add_watch(self, watch: ReadableWatch) -> None:
-        self._selector.register(watch.fileno(), selectors.EVENT_READ, watch)
-
-    def _remove_watch(self, watch: ReadableWatch) -> None:
-        self._unregister(watch.fileno())
-        watch.close()
-
-    def _flush_writer(self, writer: PendingWriter) -> None:
-        if writer.flush():
-            return
-        for key in list(self._selector.get_map().values()):
-            if key.data is writer:
-                self._unregister(key.fd)
+    def _remove_watch(self, watch: ConnectionWatch) -> None:
+        fd = watch.fileno()
+        if fd >= 0:
+            self._unregister(fd, watch)
+            watch.close()
 
 
 def _configure(handle: Any, pending: PendingCall) -> None:
--- a/packages/primroseferry-transport/src/primroseferry_transport/loop_services.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/loop_services.py
@@ -1,4 +1,4 @@
-"""Interfaces between an event loop and the watches and writers that it runs."""
+"""Interfaces between an event loop and the watches that it runs."""
 
 from __future__ import annotations
 
@@ -6,36 +6,30 @@
 
 
 class EventLoop(Protocol):
-    """A loop that watches connections for reading and writing."""
+    """A loop that watches connections for reading and writing.
 
-    def add_watch(self, watch: ReadableWatch) -> None:
+    A descriptor that the loop watches belongs to the loop: it closes the watch on its own thread,
+    either in ``remove_watch`` or once ``check()`` has returned ``False``.
+    """
+
+    def add_watch(self, watch: ConnectionWatch) -> None:
         """Call ``watch.check()`` on the loop's thread when its connection is readable."""
 
-    def remove_watch(self, watch: ReadableWatch) -> None:
-        """Stop watching and close ``watch``."""
+    def add_write_watch(self, watch: ConnectionWatch) -> None:
+        """Call ``watch.check()`` on the loop's thread when its connection is writable."""
 
-    def flush_when_writable(self, writer: PendingWriter) -> None:
-        """Call ``writer.flush()`` when its socket is writable, until it returns ``False``."""
+    def remove_watch(self, watch: ConnectionWatch) -> None:
+        """Stop watching and close ``watch``."""
 
 
-class ReadableWatch(Protocol):
-    """A watch on one connection."""
+class ConnectionWatch(Protocol):
+    """A watch on one connection, with a file descriptor of its own."""
 
     def fileno(self) -> int:
-        """Return the file descriptor to watch."""
+        """Return the file descriptor to watch, or -1 once it is closed."""
 
     def check(self) -> bool:
-        """Inspect the readable connection; return whether to keep watching."""
+        """Handle the connection's readiness; return whether to keep watching."""
 
     def close(self) -> None:
         """Close the file descriptor."""
-
-
-class PendingWriter(Protocol):
-    """A writer that buffers bytes until its socket accepts them."""
-
-    def fileno(self) -> int:
-        """Return the file descriptor to write to, or -1 once it is closed."""
-
-    def flush(self) -> bool:
-        """Send as much as the socket accepts; return whether bytes remain to be sent."""
--- a/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
@@ -5,6 +5,8 @@
 import threading
 from typing import TYPE_CHECKING
 
+from .write_watch import WriteWatch
+
 if TYPE_CHECKING:
     import socket
 
@@ -36,16 +38,13 @@
         self._flushed.set()
         self._is_broken = False
         self._is_too_slow = False
+        self._watch: WriteWatch | None = None
 
     @property
     def is_too_slow(self) -> bool:
         """Whether the caller was treated as disconnected because it read too slowly."""
         return self._is_too_slow
 
-    def fileno(self) -> int:
-        """Return the socket's file descriptor, or -1 once it is closed."""
-        return self._connection.fileno()
-
     def write(self, data: bytes) -> bool:
         """Send or buffer ``data``; return ``False`` once the caller is treated as disconnected."""
         with self._lock:
@@ -61,10 +60,7 @@
                 return self._mark_broken()
             if sent == len(data):
                 return True
-            is_buffered = self._buffer(data[sent:])
-        if is_buffered:
-            self._loop.flush_when_writable(self)
-        return is_buffered
+            return self._buffer(data[sent:]) and self._watch_connection()
 
     def flush(self) -> bool:
         """Send as much of the buffer as the socket accepts; return whether bytes remain."""
@@ -80,6 +76,7 @@
             del self._pending[:sent]
             if self._pending:
                 return True
+            self._watch = None
             self._flushed.set()
             return False
 
@@ -105,7 +102,18 @@
         self._flushed.clear()
         return True
 
+    def _watch_connection(self) -> bool:
+        try:
+            self._watch = WriteWatch(self._connection, self.flush)
+        except OSError:
+            return self._mark_broken()
+        self._loop.add_write_watch(self._watch)
+        return True
+
     def _mark_broken(self) -> bool:
+        if self._watch is not None:
+            self._loop.remove_watch(self._watch)
+            self._watch = None
         self._is_broken = True
         self._pending.clear()
         self._flushed.set()
