Pause calls whose caller reads slowly instead of cutting the caller off

Callers saw: a large stream that was read more slowly than its endpoint wrote it broke off once 1 MiB was unsent, though the caller read on.

Cause: nothing told the endpoint to wait; the writer took all that libcurl received. The bound was one of a connection only: with 1,024 connections it allowed 1 GiB of unsent bytes.

Change: a writer with 64 KiB unsent has the loop pause the call whose body is being handled (libcurl keeps what it has read and reads no more) until half of it is sent. The pause does not count as the server's silence. A caller that accepts no byte for 10 s meanwhile is given up; the call's own time limit holds on. The end of an answer waits 10 s from the last accepted byte, at most 60 s, instead of 10 s in all. The bound of one connection is 2 MiB, so that an event of the largest permitted size fits in besides what is unsent.

Why it works: with the call paused, the kernel's windows hold the endpoint back at the pace of the caller. Bodies of complete answers are not counted yet.

--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_tests/test_slow_readers.py
@@ -0,0 +1,88 @@
+"""Callers that read more slowly than an endpoint writes."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+
+
+from .relay_harness import RelayHarness
+from .relay_harness import request_bytes
+from .scripted_endpoint import Received
+from .scripted_endpoint import ScriptedEndpoint
+from .scripted_endpoint import chunk
+from .scripted_endpoint import stream_head
+
+if TYPE_CHECKING:
+    from primroseferry_transport.curl_loop import CurlLoop
+
+EVENTS = 20_000
+# Far more than the kernel buffers between an endpoint and its caller.
+ENDLESS_EVENTS = 1_000_000
+EVENTS_PER_WRITE = 100
+EVENT = b"id: %d\ndata: " + b"x" * 330 + b"\n\n"
+READ_BYTES = 65_536
+
+
+class LargeStream:
+    """An endpoint that writes a stream as fast as it is read."""
+
+    def __init__(self, events: int) -> None:
+        self._events = events
+        self.written_bytes = 0
+        self.endpoint = ScriptedEndpoint(self._write)
+
+    def _write(self, connection: socket.socket, request: Received) -> None:
+        connection.sendall(stream_head(request))
+        try:
+            for first in range(1, self._events + 1, EVENTS_PER_WRITE):
+                numbers = range(first, first + EVENTS_PER_WRITE)
+                data = chunk(b"".join(EVENT % number for number in numbers))
+                connection.sendall(data)
+                self.written_bytes += len(data)
+            connection.sendall(b"0\r\n\r\n")
+        except OSError:
+            request.closed.set()
+
+
+def ask_with_small_window(harness: RelayHarness) -> socket.socket:
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+    connection.settimeout(5)
+    connection.connect(("127.0.0.1", harness.listener.port))
+    connection.sendall(request_bytes("/stream/"))
+    return connection
+
+
+def test_slow_reader_gets_a_large_stream_completely(loop: CurlLoop) -> None:
+    stream = LargeStream(EVENTS)
+    harness = RelayHarness(loop, [stream.endpoint])
+    received = bytearray()
+    with ask_with_small_window(harness) as connection:
+        while not received.endswith(b"0\r\n\r\n"):
+            time.sleep(0.002)
+            data = connection.recv(READ_BYTES)
+            assert data, f"cut off after {len(received)} bytes"
+            received += data
+    assert received.count(b"id: ") == EVENTS
+
+
+def test_endpoint_waits_for_a_caller_that_does_not_read(loop: CurlLoop) -> None:
+    stream = LargeStream(ENDLESS_EVENTS)
+    harness = RelayHarness(loop, [stream.endpoint])
+    with ask_with_small_window(harness):
+        before = -1
+        until_s = time.monotonic() + 5
+        while stream.written_bytes != before and time.monotonic() < until_s:
+            before = stream.written_bytes
+            time.sleep(0.3)
+        assert stream.written_bytes == before
+        assert 0 < loop.unsent_bytes.total < 200_000
+        assert not stream.endpoint.requests[0].closed.is_set()
+    assert stream.endpoint.requests[0].closed.wait(5)
+    has_run = threading.Event()
+    loop.run_soon(has_run.set)
+    assert has_run.wait(5)
+    assert loop.unsent_bytes.total == 0
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -25,6 +25,7 @@
 from .calls import HttpCall
 from .calls import HttpFailure
 from .calls import HttpReply
+from .unsent_bytes import UnsentBytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -70,6 +71,7 @@
         self._started_s = loop.responsive_s()
         self._last_byte_s: float | None = None
         self._handle: pycurl.Curl | None = None
+        self._has_room: Callable[[], bool] | None = None
 
     def cancel(self) -> None:
         """Stop the call asynchronously.
@@ -98,6 +100,8 @@
         if self._last_byte_s is None:
             limit_ms = call.first_byte_timeout_ms
             since_s = self._started_s
+        elif self._has_room is not None:
+            return None
         else:
             limit_ms = call.idle_timeout_ms
             since_s = self._last_byte_s
@@ -140,6 +144,9 @@
         self._commands: deque[Callable[[], None]] = deque()
         self._active: dict[pycurl.Curl, PendingCall] = {}
         self._idle_handles: list[pycurl.Curl] = []
+        self._unsent_bytes = UnsentBytes()
+        self._receiving: PendingCall | None = None
+        self._paused: dict[PendingCall, None] = {}
         self._timer_due_s: float | None = None
         self._next_timeout_check_s = time.monotonic() + TIMEOUT_CHECK_INTERVAL_S
         self._stalled_s = 0.0
@@ -165,6 +172,22 @@
         self._commands.append(command)
         self._wake()
 
+    @property
+    def unsent_bytes(self) -> UnsentBytes:
+        """The bytes that all writers on this loop buffer together."""
+        return self._unsent_bytes
+
+    def pause_current_call(self, has_room: Callable[[], bool]) -> None:
+        """Receive no more of the call whose body is being handled until ``has_room()``.
+
+        The time until then does not count as the server's silence. Without such a call on the
+        current thread, this does nothing.
+        """
+        pending = self._receiving
+        if pending is not None and threading.current_thread() is self._thread:
+            pending._has_room = has_room
+            self._paused[pending] = None
+
     def add_watch(self, watch: ConnectionWatch) -> None:
         """Call ``watch.check()`` on the loop's thread when its connection is readable."""
         self.run_soon(lambda: self._add_watch(watch, selectors.EVENT_READ))
@@ -218,6 +241,7 @@
                     self._remove_watch(key.data)
             self._run_timer()
             self._run_commands()
+            self._resume_calls()
             self._note_stall(started_s)
             self._stop_overdue_calls()
             self._finish_calls()
@@ -266,6 +290,34 @@
         while self._commands:
             self._commands.popleft()()
 
+    def _resume_calls(self) -> None:
+        for pending in list(self._paused):
+            if pending._has_room is None or not pending._has_room():
+                continue
+            del self._paused[pending]
+            pending._has_room = None
+            pending._last_byte_s = self.responsive_s()
+            if pending._handle is not None:
+                self._resume(pending, pending._handle)
+
+    def _resume(self, pending: PendingCall, handle: Any) -> None:
+        try:
+            handle.pause(pycurl.PAUSE_CONT)
+        except pycurl.error:
+            # The consumer refused what libcurl held back, or the call has ended already.
+            if pending._stop_reason is not None:
+                self._stop(pending, pending._stop_reason)
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _receive(
+        self, pending: PendingCall, on_chunk: Callable[[bytes], bool], chunk: bytes
+    ) -> bool:
+        self._receiving = pending
+        try:
+            return on_chunk(chunk)
+        finally:
+            self._receiving = None
+
     def _stop_overdue_calls(self) -> None:
         now_s = time.monotonic()
         if now_s < self._next_timeout_check_s:
@@ -347,6 +399,7 @@
             return
         result = _result_of(handle, pending, code, message)
         self._multi.remove_handle(handle)
+        self._paused.pop(pending, None)
         pending._handle = None
         if len(self._idle_handles) < MAX_IDLE_HANDLES:
             handle.reset()
@@ -452,11 +505,14 @@
 def _write_function(pending: PendingCall) -> Callable[[bytes], int | None]:
     call = pending.call
     on_chunk = call.on_chunk
+    loop = pending._loop
 
     def on_body(chunk: bytes) -> int | None:
+        if pending._has_room is not None:
+            return int(pycurl.WRITEFUNC_PAUSE)
         pending._last_byte_s = pending._loop.responsive_s()
         if on_chunk is not None and 200 <= pending._status < 300:
-            if on_chunk(chunk):
+            if loop._receive(pending, on_chunk, chunk):
                 return None
             pending._stop_reason = _STOPPED
             return -1
--- a/packages/primroseferry-transport/src/primroseferry_transport/loop_services.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/loop_services.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
 from typing import Protocol
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .unsent_bytes import UnsentBytes
+
 
 class EventLoop(Protocol):
     """A loop that watches connections for reading and writing.
@@ -12,6 +18,16 @@
     either in ``remove_watch`` or once ``check()`` has returned ``False``.
     """
 
+    @property
+    def unsent_bytes(self) -> UnsentBytes:
+        """The bytes that all writers on this loop buffer together."""
+
+    def pause_current_call(self, has_room: Callable[[], bool]) -> None:
+        """Receive no more of the call whose body is being handled until ``has_room()``.
+
+        Without such a call on the current thread, this does nothing.
+        """
+
     def add_watch(self, watch: ConnectionWatch) -> None:
         """Call ``watch.check()`` on the loop's thread when its connection is readable."""
 
--- a/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/socket_writer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import threading
+import time
 from typing import TYPE_CHECKING
 
 from .write_watch import WriteWatch
@@ -12,14 +13,22 @@
 
     from .loop_services import EventLoop
 
-DEFAULT_MAX_PENDING_BYTES = 1024 * 1024
+# The call whose body fills the buffer to here is paused until the half of it is sent.
+ROOM_BYTES = 64 * 1024
+# One event of the largest permitted size has to fit in.
+DEFAULT_MAX_PENDING_BYTES = 2 * 1024 * 1024
+# A caller that accepts no byte for this long while a call is paused is treated as disconnected.
+STALL_TIMEOUT_S = 10.0
+# The most that the end of an answer takes for a caller that goes on reading.
+MAX_FLUSH_S = 60.0
 
 
 class SocketWriter:
     """Sends what the socket accepts at once and buffers the rest.
 
-    A caller that reads so slowly that more than ``max_pending_bytes`` are buffered is treated as
-    disconnected, so that it does not use memory and time of other callers.
+    While much is buffered, the loop reads no more of the call whose body is written. A caller is
+    treated as disconnected if it reads nothing for ``STALL_TIMEOUT_S`` meanwhile, or if more than
+    ``max_pending_bytes``, or more than all writers may hold together, would be buffered.
     """
 
     def __init__(
@@ -32,7 +41,9 @@
         self._connection = connection
         self._loop = loop
         self._max_pending_bytes = max_pending_bytes
+        self._unsent = loop.unsent_bytes
         self._pending = bytearray()
+        self._progress_s = 0.0
         self._lock = threading.Lock()
         self._flushed = threading.Event()
         self._flushed.set()
@@ -50,17 +61,12 @@
         with self._lock:
             if self._is_broken:
                 return False
-            if self._pending:
-                return self._buffer(data)
-            try:
-                sent = self._connection.send(data)
-            except BlockingIOError:
-                sent = 0
-            except OSError:
-                return self._mark_broken()
-            if sent == len(data):
-                return True
-            return self._buffer(data[sent:]) and self._watch_connection()
+            is_taken = self._buffer(data) if self._pending else self._send(data)
+            pending = len(self._pending)
+            is_full = pending >= ROOM_BYTES or (pending > 0 and self._unsent.is_scarce)
+        if is_full:
+            self._loop.pause_current_call(self._has_room)
+        return is_taken
 
     def flush(self) -> bool:
         """Send as much of the buffer as the socket accepts; return whether bytes remain."""
@@ -74,6 +80,8 @@
             except OSError:
                 return self._mark_broken()
             del self._pending[:sent]
+            self._unsent.remove(sent)
+            self._progress_s = time.monotonic()
             if self._pending:
                 return True
             self._watch = None
@@ -86,22 +94,51 @@
             self._mark_broken()
 
     def wait_flushed(self, timeout_s: float) -> bool:
-        """Wait until the buffer is sent; ``False`` if the caller disconnects or takes too long."""
-        is_flushed = self._flushed.wait(timeout_s)
-        if not is_flushed:
+        """Wait until the buffer is sent.
+
+        Returns ``False`` if the caller disconnects, accepts no byte for ``timeout_s`` or needs more
+        than ``MAX_FLUSH_S``.
+        """
+        started_s = time.monotonic()
+        due_s = started_s + timeout_s
+        while not self._flushed.wait(due_s - time.monotonic()):
             with self._lock:
-                self._is_too_slow = True
-                self._mark_broken()
-        return is_flushed and not self._is_broken
+                due_s = min(self._progress_s + timeout_s, started_s + MAX_FLUSH_S)
+                if self._pending and due_s <= time.monotonic():
+                    return self._give_up()
+        return not self._is_broken
 
-    def _buffer(self, data: bytes) -> bool:
-        if len(self._pending) + len(data) > self._max_pending_bytes:
-            self._is_too_slow = True
+    def _send(self, data: bytes) -> bool:
+        try:
+            sent = self._connection.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError:
             return self._mark_broken()
+        if sent == len(data):
+            return True
+        self._progress_s = time.monotonic()
+        return self._buffer(data[sent:]) and self._watch_connection()
+
+    def _buffer(self, data: bytes) -> bool:
+        is_too_much = len(self._pending) + len(data) > self._max_pending_bytes
+        if is_too_much or not self._unsent.add(len(data)):
+            return self._give_up()
         self._pending += data
         self._flushed.clear()
         return True
 
+    def _has_room(self) -> bool:
+        """Whether the paused call may go on, if only to learn that its caller is given up."""
+        with self._lock:
+            pending = len(self._pending)
+            if pending == 0 or (pending <= ROOM_BYTES // 2 and not self._unsent.is_scarce):
+                return True
+            if time.monotonic() - self._progress_s < STALL_TIMEOUT_S:
+                return False
+            self._give_up()
+            return True
+
     def _watch_connection(self) -> bool:
         try:
             self._watch = WriteWatch(self._connection, self.flush)
@@ -110,11 +147,16 @@
         self._loop.add_write_watch(self._watch)
         return True
 
+    def _give_up(self) -> bool:
+        self._is_too_slow = True
+        return self._mark_broken()
+
     def _mark_broken(self) -> bool:
         if self._watch is not None:
             self._loop.remove_watch(self._watch)
             self._watch = None
         self._is_broken = True
+        self._unsent.remove(len(self._pending))
         self._pending.clear()
         self._flushed.set()
         return False
