Give a caller that reads a complete answer slowly time for each piece

Callers saw: an answer that took them more than 10 s to read broke off, though they read on.

Cause: sendall with a time limit counts the limit for the whole answer, not for each piece.

Evidence: test_slow_reader_gets_a_large_answer_completely failed before: cut off after 6,488,064 of 12,582,912 bytes, with the limit set to 0.5 s. A caller that reads nothing is still given up (second test).

Change: the limit starts anew with each piece that the caller accepts, at most 60 s in all, as at the end of a stream.

--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/answer_channel.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/answer_channel.py
@@ -4,11 +4,13 @@
 
 import contextlib
 import socket
+import time
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from primroseferry_transport.calls import BODILESS_STATUSES
 from primroseferry_transport.calls import Header
+from primroseferry_transport.socket_writer import MAX_FLUSH_S
 from primroseferry_transport.socket_writer import SocketWriter
 
 from ..messages import AnswerHead
@@ -127,12 +129,16 @@
         return self._writer is not None and self._writer.write(data)
 
     def _send_all(self, data: bytes) -> bool:
+        """Send ``data``; the time limit starts anew with each piece that the caller accepts."""
+        until_s = time.monotonic() + MAX_FLUSH_S
+        rest = memoryview(data)
         try:
             self._connection.settimeout(FLUSH_TIMEOUT_S)
-            self._connection.sendall(data)
+            while rest and time.monotonic() < until_s:
+                rest = rest[self._connection.send(rest) :]
         except OSError:
             return False
-        return True
+        return not rest
 
     def _finish(self, is_sent: bool) -> bool:
         self.state = ChannelState.COMPLETE if is_sent else ChannelState.BROKEN
--- a/packages/primroseferry-relay/tests/relay_tests/test_slow_readers.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_slow_readers.py
@@ -7,15 +7,18 @@
 import time
 from typing import TYPE_CHECKING
 
+import primroseferry_relay.ingress.answer_channel as answer_channel
 
 from .relay_harness import RelayHarness
 from .relay_harness import request_bytes
 from .scripted_endpoint import Received
 from .scripted_endpoint import ScriptedEndpoint
+from .scripted_endpoint import answer
 from .scripted_endpoint import chunk
 from .scripted_endpoint import stream_head
 
 if TYPE_CHECKING:
+    import pytest
     from primroseferry_transport.curl_loop import CurlLoop
 
 EVENTS = 20_000
@@ -47,12 +50,12 @@
             request.closed.set()
 
 
-def ask_with_small_window(harness: RelayHarness) -> socket.socket:
+def ask_with_small_window(harness: RelayHarness, path: str = "/stream/") -> socket.socket:
     connection = socket.socket()
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
     connection.settimeout(5)
     connection.connect(("127.0.0.1", harness.listener.port))
-    connection.sendall(request_bytes("/stream/"))
+    connection.sendall(request_bytes(path))
     return connection
 
 
@@ -86,3 +89,36 @@
     loop.run_soon(has_run.set)
     assert has_run.wait(5)
     assert loop.unsent_bytes.total == 0
+
+
+def test_slow_reader_gets_a_large_answer_completely(
+    loop: CurlLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(answer_channel, "FLUSH_TIMEOUT_S", 0.5)
+    body = bytes(12 * 1024 * 1024)
+
+    def script(connection: socket.socket, request: Received) -> None:
+        connection.sendall(answer(request, body=body))
+
+    harness = RelayHarness(loop, [ScriptedEndpoint(script)])
+    received_bytes = 0
+    with ask_with_small_window(harness, "/safe/") as connection:
+        while received_bytes < len(body):
+            time.sleep(0.005)
+            data = connection.recv(READ_BYTES)
+            assert data, f"cut off after {received_bytes} bytes"
+            received_bytes += len(data)
+
+
+def test_caller_that_reads_nothing_of_an_answer_is_given_up(
+    loop: CurlLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(answer_channel, "FLUSH_TIMEOUT_S", 0.2)
+    body = bytes(12 * 1024 * 1024)
+
+    def script(connection: socket.socket, request: Received) -> None:
+        connection.sendall(answer(request, body=body))
+
+    harness = RelayHarness(loop, [ScriptedEndpoint(script)])
+    with ask_with_small_window(harness, "/safe/"):
+        assert [record.outcome for record in harness.wait_records()] == ["caller-left"]
