Run the loop of outgoing calls again after an exception

Callers saw: any exception in one command, watch or step of the loop ended its thread, and no request of the process was answered any more.

Cause: nothing caught it; the thread is a daemon, so the process went on without it.

Inside the loop a command or watch that fails is logged and ends alone; a call that cannot be started gets its failure.

--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -8,7 +8,6 @@
 
 import selectors
 import socket
-import threading
 import time
 from collections import deque
 from concurrent.futures import Future
@@ -16,6 +15,9 @@
 from typing import Any
 
 import pycurl
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from primroseferry_core.vital_thread import VitalThread
 from result import Err
 from result import Ok
 from result import Result
@@ -151,7 +153,7 @@
         self._next_timeout_check_s = time.monotonic() + TIMEOUT_CHECK_INTERVAL_S
         self._stalled_s = 0.0
         self._is_open = True
-        self._thread = threading.Thread(target=self._run, name=f"curl-{name}", daemon=True)
+        self._thread = VitalThread(f"curl-{name}", self._run)
         self._thread.start()
 
     def submit(self, call: HttpCall) -> PendingCall:
@@ -184,7 +186,7 @@
         current thread, this does nothing.
         """
         pending = self._receiving
-        if pending is not None and threading.current_thread() is self._thread:
+        if pending is not None and self._thread.is_current():
             pending._has_room = has_room
             self._paused[pending] = None
 
@@ -208,8 +210,8 @@
         """Stop all calls and the thread; waits at most five seconds for the thread."""
         self._is_open = False
         self._wake()
-        if threading.current_thread() is not self._thread:
-            self._thread.join(timeout=5)
+        if not self._thread.is_current():
+            self._thread.join(5)
 
     def _wake(self) -> None:
         try:
@@ -237,14 +239,20 @@
                     self._drain_wake_socket()
                 elif key.data is self:
                     self._socket_action(key.fd, mask)
-                elif not key.data.check():
-                    self._remove_watch(key.data)
+                else:
+                    self._check(key.data)
             self._run_timer()
             self._run_commands()
             self._resume_calls()
             self._note_stall(started_s)
             self._stop_overdue_calls()
             self._finish_calls()
+        try:
+            self._end()
+        except Exception as error:
+            self._log_failure("end", error)
+
+    def _end(self) -> None:
         for pending in list(self._active.values()):
             self._stop(pending, _STOPPED)
         self._run_commands()
@@ -288,7 +296,26 @@
 
     def _run_commands(self) -> None:
         while self._commands:
-            self._commands.popleft()()
+            try:
+                self._commands.popleft()()
+            except Exception as error:
+                self._log_failure("command", error)
+
+    def _check(self, watch: ConnectionWatch) -> None:
+        goes_on = False
+        try:
+            goes_on = watch.check()
+        except Exception as error:
+            self._log_failure("watch", error)
+        if not goes_on:
+            self._remove_watch(watch)
+
+    def _log_failure(self, task: str, error: Exception) -> None:
+        log_event(
+            Event.BACKGROUND_TASK_FAILED,
+            task=f"{self._thread.name} {task}",
+            error=repr(error)[:300],
+        )
 
     def _resume_calls(self) -> None:
         for pending in list(self._paused):
@@ -364,13 +391,13 @@
         handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         try:
             _configure(handle, pending)
-        except (pycurl.error, TypeError, ValueError, UnicodeError) as error:
+            self._multi.add_handle(handle)
+        except Exception as error:
             failure = HttpFailure(FailureStage.NOT_SENT, f"call cannot be made: {error}")
             pending.future.set_result(Err(failure))
             return
         pending._handle = handle
         self._active[handle] = pending
-        self._multi.add_handle(handle)
 
     def _stop(self, pending: PendingCall, reason: HttpFailure) -> None:
         handle = pending._handle
