Keep the log writer running after an exception

Operators saw: nothing any more; an exception while a batch of lines was written ended the thread that writes the log, and the process went on without a log.

Cause: only OSError was caught.

Change: lines of a batch that fails count as dropped, which the next batch reports.

--- a/packages/primroseferry-core/src/primroseferry_core/batched_log.py
+++ b/packages/primroseferry-core/src/primroseferry_core/batched_log.py
@@ -68,22 +68,31 @@
         return True
 
     def _run(self) -> None:
-        while True:
-            with self._condition:
-                while self._is_open and not self._lines:
-                    self._condition.wait()
-                is_last = not self._is_open
-                lines = list(self._lines)
-                self._lines.clear()
-                dropped, self._dropped = self._dropped, 0
-            if dropped:
-                lines.append(f'{{"message": "log lines dropped", "dropped": {dropped}}}')
-            if lines:
-                self._write("\n".join(lines) + "\n")
-            if is_last:
-                return
+        while not self._write_batch():
             time.sleep(FLUSH_INTERVAL_S)
 
+    def _write_batch(self) -> bool:
+        """Wait for lines and write them; return whether they were the last.
+
+        Lines that cannot be written count as dropped, which the next batch reports.
+        """
+        with self._condition:
+            while self._is_open and not self._lines:
+                self._condition.wait()
+            is_last = not self._is_open
+            lines = list(self._lines)
+            self._lines.clear()
+            dropped, self._dropped = self._dropped, 0
+        try:
+            report = f'{{"message": "log lines dropped", "dropped": {dropped}}}'
+            batch = [*lines, report] if dropped else lines
+            if batch:
+                self._write("\n".join(batch) + "\n")
+        except Exception:
+            with self._condition:
+                self._dropped += dropped + len(lines)
+        return is_last
+
     def _write(self, text: str) -> None:
         data = text.encode("utf-8", "backslashreplace")
         while data:
