Run vital threads of the relay again after an exception

Callers saw: with the accepting thread ended, no connection was taken any more; without the watch of the store or the registration the gateway kept old routes or was not found by others.

Cause: nothing caught an exception of the listener, and those of the watch and the registration were caught only around the calls on the store, not around what is asked before them.

The reporter had its own handling and a test.

Change: listener, registration, watch and reporter run on VitalThread. Any exception of the thread pool counts a connection that it did not take as closed, not RuntimeError alone.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/registration.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/registration.py
@@ -12,6 +12,7 @@
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
+from primroseferry_core.vital_thread import VitalThread
 from result import Err
 from result import Ok
 
@@ -52,7 +53,7 @@
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self._random = random.Random()
-        self._thread = threading.Thread(target=self._run, name="registration", daemon=True)
+        self._thread = VitalThread("registration", self._run)
 
     def start(self) -> None:
         """Start the thread that registers the key and renews its lease."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/store_watch.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
-import threading
 import time
 from enum import Enum
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
+from primroseferry_core.vital_thread import VitalThread
 from result import Err
 from result import Ok
 
@@ -92,7 +92,7 @@
         self._last_answer_s: float | None = None
         self._is_unreachable = False
         self._is_running = True
-        self._thread = threading.Thread(target=self._run, name=f"watch-{prefix}", daemon=True)
+        self._thread = VitalThread(f"watch-{prefix}", self._run)
 
     @property
     def age_ms(self) -> float:
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
@@ -10,6 +10,7 @@
 
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
+from primroseferry_core.vital_thread import VitalThread
 
 from .connection import CallerConnection
 
@@ -59,10 +60,11 @@
         self._idle: dict[CallerConnection, None] = {}
         self._lock = threading.Lock()
         self._is_accepting = True
-        self._thread = threading.Thread(target=self._accept, name=f"{name}-accept", daemon=True)
+        self._thread = VitalThread(f"{name}-accept", self._accept)
 
     def start(self) -> None:
         """Start the thread that accepts connections."""
+        self._socket.settimeout(ACCEPT_CHECK_S)
         self._thread.start()
 
     def drain(self) -> None:
@@ -106,7 +108,6 @@
                 self._idle.pop(connection, None)
 
     def _accept(self) -> None:
-        self._socket.settimeout(ACCEPT_CHECK_S)
         while self._is_accepting:
             try:
                 connection, _address = self._socket.accept()
@@ -128,7 +129,7 @@
             oldest.request_close()
         try:
             self._pool.submit(self._serve, connection)
-        except RuntimeError as error:
+        except Exception as error:
             log_event(
                 Event.BAD_CONNECTION,
                 reason=f"the thread pool does not accept the connection: {error}",
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -5,13 +5,13 @@
 import ipaddress
 import select
 import socket
-import threading
 import time
 from typing import TYPE_CHECKING
 
 from primroseferry_core.bounded_map import BoundedMap
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
+from primroseferry_core.vital_thread import VitalThread
 
 from .codec import MAX_DATAGRAM_BYTES
 from .exchange import Exchange
@@ -84,7 +84,7 @@
             streams,
         )
         self._is_open = True
-        self._thread = threading.Thread(target=self._run, name="reporter", daemon=True)
+        self._thread = VitalThread("reporter", self._run)
 
     def start(self) -> None:
         """Start the exchange thread."""
