--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -8,7 +8,6 @@
 
 import selectors
 import socket
-import threading
 import time
 from collections import deque
 from concurrent.futures import Future
@@ -16,6 +15,9 @@
 from typing import Any
 
 import pycurl
+from primroseferry_core.events import Event
+from primroseferry_core.logs import log_event
+from primroseferry_core.vital_thread import VitalThread
 from result import Err
 from result import Ok
 from result import Result
@@ -25,13 +27,12 @@
 from .calls import HttpCall
 from .calls import HttpFailure
 from .calls import HttpReply
-from .disconnect_watch import DisconnectWatch
+from .unsent_bytes import UnsentBytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from .loop_services import PendingWriter
-    from .loop_services import ReadableWatch
+    from .loop_services import ConnectionWatch
 
 TIMEOUT_CHECK_INTERVAL_S = 0.1
 # The loop counts as stalled when it wakes up later than this, or handles events for longer.
@@ -72,6 +73,7 @@
         self._started_s = loop.responsive_s()
         self._last_byte_s: float | None = None
         self._handle: pycurl.Curl | None = None
+        self._has_room: Callable[[], bool] | None = None
 
     def cancel(self) -> None:
         """Stop the call asynchronously.
@@ -100,6 +102,8 @@
         if self._last_byte_s is None:
             limit_ms = call.first_byte_timeout_ms
             since_s = self._started_s
+        elif self._has_room is not None:
+            return None
         else:
             limit_ms = call.idle_timeout_ms
             since_s = self._last_byte_s
@@ -142,11 +146,14 @@
         self._commands: deque[Callable[[], None]] = deque()
         self._active: dict[pycurl.Curl, PendingCall] = {}
         self._idle_handles: list[pycurl.Curl] = []
+        self._unsent_bytes = UnsentBytes()
+        self._receiving: PendingCall | None = None
+        self._paused: dict[PendingCall, None] = {}
         self._timer_due_s: float | None = None
         self._next_timeout_check_s = time.monotonic() + TIMEOUT_CHECK_INTERVAL_S
         self._stalled_s = 0.0
         self._is_open = True
-        self._thread = threading.Thread(target=self._run, name=f"curl-{name}", daemon=True)
+        self._thread = VitalThread(f"curl-{name}", self._run)
         self._thread.start()
 
     def submit(self, call: HttpCall) -> PendingCall:
@@ -167,15 +174,31 @@
         self._commands.append(command)
         self._wake()
 
-    def flush_when_writable(self, writer: PendingWriter) -> None:
-        """Call ``writer.flush()`` when its socket is writable, until it returns ``False``."""
-        self.run_soon(lambda: self._watch_writer(writer))
+    @property
+    def unsent_bytes(self) -> UnsentBytes:
+        """The bytes that all writers on this loop buffer together."""
+        return self._unsent_bytes
+
+    def pause_current_call(self, has_room: Callable[[], bool]) -> None:
+        """Receive no more of the call whose body is being handled until ``has_room()``.
+
+        The time until then does not count as the server's silence. Without such a call on the
+        current thread, this does nothing.
+        """
+        pending = self._receiving
+        if pending is not None and self._thread.is_current():
+            pending._has_room = has_room
+            self._paused[pending] = None
 
-    def add_watch(self, watch: ReadableWatch) -> None:
+    def add_watch(self, watch: ConnectionWatch) -> None:
         """Call ``watch.check()`` on the loop's thread when its connection is readable."""
-        self.run_soon(lambda: self._add_watch(watch))
+        self.run_soon(lambda: self._add_watch(watch, selectors.EVENT_READ))
 
-    def remove_watch(self, watch: ReadableWatch) -> None:
+    def add_write_watch(self, watch: ConnectionWatch) -> None:
+        """Call ``watch.check()`` on the loop's thread when its connection is writable."""
+        self.run_soon(lambda: self._add_watch(watch, selectors.EVENT_WRITE))
+
+    def remove_watch(self, watch: ConnectionWatch) -> None:
         """Stop watching and close ``watch``."""
         self.run_soon(lambda: self._remove_watch(watch))
 
@@ -187,8 +210,8 @@
         """Stop all calls and the thread; waits at most five seconds for the thread."""
         self._is_open = False
         self._wake()
-        if threading.current_thread() is not self._thread:
-            self._thread.join(timeout=5)
+        if not self._thread.is_current():
+            self._thread.join(5)
 
     def _wake(self) -> None:
         try:
@@ -216,16 +239,20 @@
                     self._drain_wake_socket()
                 elif key.data is self:
                     self._socket_action(key.fd, mask)
-                elif isinstance(key.data, DisconnectWatch):
-                    if not key.data.check():
-                        self._unregister(key.fd)
                 else:
-                    self._flush_writer(key.data)
+                    self._check(key.data)
             self._run_timer()
             self._run_commands()
+            self._resume_calls()
             self._note_stall(started_s)
             self._stop_overdue_calls()
             self._finish_calls()
+        try:
+            self._end()
+        except Exception as error:
+            self._log_failure("end", error)
+
+    def _end(self) -> None:
         for pending in list(self._active.values()):
             self._stop(pending, _STOPPED)
         self._run_commands()
@@ -269,7 +296,54 @@
 
     def _run_commands(self) -> None:
         while self._commands:
-            self._commands.popleft()()
+            try:
+                self._commands.popleft()()
+            except Exception as error:
+                self._log_failure("command", error)
+
+    def _check(self, watch: ConnectionWatch) -> None:
+        goes_on = False
+        try:
+            goes_on = watch.check()
+        except Exception as error:
+            self._log_failure("watch", error)
+        if not goes_on:
+            self._remove_watch(watch)
+
+    def _log_failure(self, task: str, error: Exception) -> None:
+        log_event(
+            Event.BACKGROUND_TASK_FAILED,
+            task=f"{self._thread.name} {task}",
+            error=repr(error)[:300],
+        )
+
+    def _resume_calls(self) -> None:
+        for pending in list(self._paused):
+            if pending._has_room is None or not pending._has_room():
+                continue
+            del self._paused[pending]
+            pending._has_room = None
+            pending._last_byte_s = self.responsive_s()
+            if pending._handle is not None:
+                self._resume(pending, pending._handle)
+
+    def _resume(self, pending: PendingCall, handle: Any) -> None:
+        try:
+            handle.pause(pycurl.PAUSE_CONT)
+        except pycurl.error:
+            # The consumer refused what libcurl held back, or the call has ended already.
+            if pending._stop_reason is not None:
+                self._stop(pending, pending._stop_reason)
+        self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _receive(
+        self, pending: PendingCall, on_chunk: Callable[[bytes], bool], chunk: bytes
+    ) -> bool:
+        self._receiving = pending
+        try:
+            return on_chunk(chunk)
+        finally:
+            self._receiving = None
 
     def _stop_overdue_calls(self) -> None:
         now_s = time.monotonic()
@@ -287,23 +361,29 @@
 
     def _on_socket(self, what: int, fd: int, _multi: object, _data: object) -> None:
         if what == pycurl.POLL_REMOVE:
-            self._unregister(fd)
+            self._unregister(fd, self)
             return
         mask = 0
         if what in (pycurl.POLL_IN, pycurl.POLL_INOUT):
             mask |= selectors.EVENT_READ
         if what in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
             mask |= selectors.EVENT_WRITE
-        try:
-            self._selector.modify(fd, mask, self)
-        except KeyError:
-            self._selector.register(fd, mask, self)
+        self._register(fd, mask, self)
 
-    def _unregister(self, fd: int) -> None:
-        try:
-            self._selector.unregister(fd)
-        except (KeyError, ValueError, OSError):
+    def _register(self, fd: int, mask: int, owner: object) -> None:
+        """Watch ``fd`` for ``owner``; an entry of another owner is of a closed descriptor."""
+        key = self._selector.get_map().get(fd)
+        if key is not None and key.data is owner:
+            self._selector.modify(fd, mask, owner)
             return
+        if key is not None:
+            self._unregister(fd, key.data)
+        self._selector.register(fd, mask, owner)
+
+    def _unregister(self, fd: int, owner: object) -> None:
+        key = self._selector.get_map().get(fd)
+        if key is not None and key.data is owner:
+            self._selector.unregister(fd)
 
     def _start(self, pending: PendingCall) -> None:
         if pending.future.done():
@@ -311,13 +391,13 @@
         handle = self._idle_handles.pop() if self._idle_handles else pycurl.Curl()
         try:
             _configure(handle, pending)
-        except (pycurl.error, TypeError, ValueError, UnicodeError) as error:
+            self._multi.add_handle(handle)
+        except Exception as error:
             failure = HttpFailure(FailureStage.NOT_SENT, f"call cannot be made: {error}")
             pending.future.set_result(Err(failure))
             return
         pending._handle = handle
         self._active[handle] = pending
-        self._multi.add_handle(handle)
 
     def _stop(self, pending: PendingCall, reason: HttpFailure) -> None:
         handle = pending._handle
@@ -346,6 +426,7 @@
             return
         result = _result_of(handle, pending, code, message)
         self._multi.remove_handle(handle)
+        self._paused.pop(pending, None)
         pending._handle = None
         if len(self._idle_handles) < MAX_IDLE_HANDLES:
             handle.reset()
@@ -354,28 +435,16 @@
             handle.close()
         pending.future.set_result(result)
 
-    def _watch_writer(self, writer: PendingWriter) -> None:
-        fd = writer.fileno()
-        if fd < 0:
-            return
-        try:
-            self._selector.register(fd, selectors.EVENT_WRITE, writer)
-        except (KeyError, ValueError, OSError):
-            return
+    def _add_watch(self, watch: ConnectionWatch, mask: int) -> None:
+        fd = watch.fileno()
+        if fd >= 0:
+            self._register(fd, mask, watch)
 
-    def _add_watch(self, watch: ReadableWatch) -> None:
-        self._selector.register(watch.fileno(), selectors.EVENT_READ, watch)
-
-    def _remove_watch(self, watch: ReadableWatch) -> None:
-        self._unregister(watch.fileno())
-        watch.close()
-
-    def _flush_writer(self, writer: PendingWriter) -> None:
-        if writer.flush():
-            return
-        for key in list(self._selector.get_map().values()):
-            if key.data is writer:
-                self._unregister(key.fd)
+    def _remove_watch(self, watch: ConnectionWatch) -> None:
+        fd = watch.fileno()
+        if fd >= 0:
+            self._unregister(fd, watch)
+            watch.close()
 
 
 def _configure(handle: Any, pending: PendingCall) -> None:
@@ -463,11 +532,14 @@
 def _write_function(pending: PendingCall) -> Callable[[bytes], int | None]:
     call = pending.call
     on_chunk = call.on_chunk
+    loop = pending._loop
 
     def on_body(chunk: bytes) -> int | None:
+        if pending._has_room is not None:
+            return int(pycurl.WRITEFUNC_PAUSE)
         pending._last_byte_s = pending._loop.responsive_s()
         if on_chunk is not None and 200 <= pending._status < 300:
-            if on_chunk(chunk):
+            if loop._receive(pending, on_chunk, chunk):
                 return None
             pending._stop_reason = _STOPPED
             return -1
