Bound the answers that a process buffers over all its calls

What callers saw (at other operators): faulty endpoints sent bytes without end, the gateway ran out of memory and the requests of all clients on that machine ended with it. Heads and events without end passed before as well. Now a loop counts the bytes that its calls keep (bodies, heads, events that are not complete) up to 64 MiB, and stops the call that keeps most. Its outcome is that of a request that may have run, and is not held against the request as a crash. The largest goes first, so that a flood cannot end the small answers beside it. The buffer of an ended call is freed at once, not with its request.

--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -139,6 +139,9 @@
             return not self._is_event_too_long
         return self._forward_events(complete)
 
+    def _held_bytes(self) -> int:
+        return self._splitter.incomplete_bytes
+
     def _forward_events(self, events: CompleteEvents) -> bool:
         if self._is_cancelled or self._sink is None or self._head is None:
             return False
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -105,6 +105,7 @@
             timeout_ms=max(1, int(attempt.options.deadline_ms)),
             first_byte_timeout_ms=attempt.first_byte_timeout_ms,
             on_chunk=self._on_chunk if self._sink is not None else None,
+            held_bytes=self._held_bytes,
             on_head=self._on_head,
             is_repeatable=False,
             target=request.target,
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/event_splitter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/event_splitter.py
@@ -42,6 +42,11 @@
         """The received bytes of an event that is not complete yet."""
         return bytes(self._pending)
 
+    @property
+    def incomplete_bytes(self) -> int:
+        """The number of received bytes of an event that is not complete yet."""
+        return len(self._pending)
+
     @property
     def is_event_too_long(self) -> bool:
         """Whether the incomplete event is larger than ``MAX_EVENT_BYTES``."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
@@ -78,6 +78,7 @@
             connect_timeout_ms=CONNECT_TIMEOUT_MS,
             timeout_ms=max(1, self._hop_request.deadline_ms),
             on_chunk=self._on_chunk if self._sink is not None else None,
+            held_bytes=self._held_bytes,
             on_head=self._on_head,
             target=request.target,
             omits_default_headers=True,
--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_tests/test_flooded_process.py
@@ -0,0 +1,120 @@
+"""Many endpoints at once that send much, and no answer, to one gateway process."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import threading
+import time
+from typing import TYPE_CHECKING
+
+import pytest
+
+from .flooded_process import relay_process
+from .relay_harness import read_all
+from .relay_harness import request_bytes
+from .scripted_endpoint import Received
+from .scripted_endpoint import ScriptedEndpoint
+from .scripted_endpoint import stream_head
+from .test_relay import fixed_answer_endpoint
+from .test_relay import status_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# The memory of one of the users' machines.
+MACHINE_MB = 300
+RELAYS = 3
+ENDPOINTS = 4
+CALLERS = 15
+SOUND_REQUESTS = 10
+HEAD = b"HTTP/1.1 200 OK\r\nX-Signed: yes\r\nX-Id: r1\r\n"
+# Below the limits of a single answer, so that only the sum can exceed anything.
+BODY_BYTES = 14 * 1024 * 1024
+HEAD_BYTES = 250_000
+EVENT_BYTES = 1000 * 1024
+
+
+def _short_headers() -> bytes:
+    lines = (b"%x:\n" % number for number in itertools.count(0x1000))
+    return b"".join(itertools.islice(lines, HEAD_BYTES // 6))
+
+
+FLOODS: dict[str, tuple[str, Callable[[Received], bytes], bytes]] = {
+    "body": ("/once/", lambda _request: HEAD + b"\r\n" + bytes(BODY_BYTES), b"x"),
+    "body-with-length": (
+        "/once/",
+        lambda _request: HEAD + b"Content-Length: 99999999999\r\n\r\n" + bytes(BODY_BYTES),
+        b"x",
+    ),
+    "chunks": (
+        "/once/",
+        lambda _request: (
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\nfffffff\r\n" + bytes(BODY_BYTES)
+        ),
+        b"x",
+    ),
+    "error-body": (
+        "/once/",
+        lambda _request: HEAD.replace(b"200", b"500") + b"\r\n" + bytes(BODY_BYTES),
+        b"x",
+    ),
+    "headers": ("/once/", lambda _request: HEAD + _short_headers(), b"y"),
+    "event": (
+        "/stream/",
+        lambda request: stream_head(request) + b"fffffff\r\n" + b"x" * EVENT_BYTES,
+        b"x",
+    ),
+}
+
+
+def _endpoint(first: Callable[[Received], bytes], more: bytes) -> ScriptedEndpoint:
+    """Return an endpoint that sends ``first``, then ``more`` slowly until the gateway closes."""
+
+    def script(connection: socket.socket, request: Received) -> None:
+        try:
+            connection.sendall(first(request))
+            for _ in range(100):
+                connection.sendall(more)
+                time.sleep(0.1)
+        except OSError:
+            request.closed.set()
+
+    return ScriptedEndpoint(script)
+
+
+def _call(port: int, path: str) -> bytes:
+    with socket.create_connection(("127.0.0.1", port)) as connection:
+        connection.settimeout(8)
+        connection.sendall(request_bytes(path, headers="Connection: close\r\n"))
+        return read_all(connection)
+
+
+@pytest.mark.parametrize("kind", list(FLOODS))
+def test_many_floods_at_once_leave_the_process_within_the_machine(kind: str) -> None:
+    path, first, more = FLOODS[kind]
+    flooding = [[_endpoint(first, more) for _ in range(ENDPOINTS)] for _ in range(RELAYS)]
+    answers: list[bytes] = []
+    with relay_process([*flooding, [fixed_answer_endpoint()]]) as process:
+        *flooded_ports, sound_port = process.ports
+        threads = [
+            threading.Thread(target=lambda port=port: answers.append(_call(port, path)))
+            for port in flooded_ports
+            for _ in range(CALLERS)
+        ]
+        for thread in threads:
+            thread.start()
+        sound = [status_of(_call(sound_port, "/safe/")) for _ in range(SOUND_REQUESTS)]
+        for thread in threads:
+            thread.join(10)
+        peak_mb = process.peak_mb()
+    assert peak_mb < MACHINE_MB
+    assert sound == [200] * SOUND_REQUESTS
+    assert len(answers) == RELAYS * CALLERS
+    run = sum(len(endpoint.requests) for group in flooding for endpoint in group)
+    failed = sum(not data or status_of(data) in (502, 504) for data in answers)
+    refused = sum(bool(data) and status_of(data) in (429, 503) for data in answers)
+    # A request that reached an endpoint is answered neither with success nor as one that never ran.
+    assert run > RELAYS * ENDPOINTS
+    assert failed >= run
+    assert failed + refused == len(answers)
--- /dev/null
+++ b/packages/primroseferry-transport/src/primroseferry_transport/answer_buffers.py
@@ -0,0 +1,72 @@
+"""The bytes of answers that a process keeps at one time, over all its calls."""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+    from collections.abc import Iterator
+
+DEFAULT_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+
+CallT = TypeVar("CallT", bound="Hashable")
+
+
+class AnswerBuffers(Generic[CallT]):
+    """Counts the buffered bytes of calls, and chooses which call to stop when they are too many.
+
+    The limit of a single answer does not bound the sum: any number of endpoints may send at once.
+    The largest answer is the first to go, so that a flood does not end the small answers beside it.
+
+    >>> buffers = AnswerBuffers[str](max_bytes=100)
+    >>> buffers.resize("flood", 90)
+    >>> buffers.resize("sound", 20)
+    'flood'
+    """
+
+    def __init__(self, max_bytes: int = DEFAULT_MAX_BUFFERED_BYTES) -> None:
+        self._max_bytes = max_bytes
+        self._sizes: dict[CallT, int] = {}
+        self._total_bytes = 0
+        self._lock = threading.Lock()
+
+    @property
+    def total_bytes(self) -> int:
+        """The number of bytes that are buffered now."""
+        return self._total_bytes
+
+    def resize(self, call: CallT, size_bytes: int) -> CallT | None:
+        """Record the size of a call's buffer; return the call to stop, ``None`` for none.
+
+        The bytes of the returned call are counted no more.
+        """
+        with self._lock:
+            self._total_bytes += size_bytes - self._sizes.pop(call, 0)
+            if size_bytes:
+                self._sizes[call] = size_bytes
+            if self._total_bytes <= self._max_bytes or not self._sizes:
+                return None
+            largest = max(self._sizes, key=self._sizes.__getitem__)
+            self._total_bytes -= self._sizes.pop(largest)
+            return largest
+
+    def release(self, call: CallT) -> None:
+        """Count the bytes of a call no more."""
+        with self._lock:
+            self._total_bytes -= self._sizes.pop(call, 0)
+
+    @contextlib.contextmanager
+    def holding(self, size_bytes: int) -> Iterator[None]:
+        """Count bytes that no call can be stopped for, within the ``with`` block."""
+        with self._lock:
+            self._total_bytes += size_bytes
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._total_bytes -= size_bytes
--- a/packages/primroseferry-transport/src/primroseferry_transport/calls.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/calls.py
@@ -18,7 +18,10 @@
 
 
 class FailureStage(Enum):
-    """How far a failed call got. Only ``NOT_SENT`` proves that the server received nothing."""
+    """How far a failed call got. Only ``NOT_SENT`` proves that the server received nothing.
+
+    ``STOPPED_BY_CALLER`` is also a call that was stopped because the process buffers too much.
+    """
 
     NOT_SENT = "not-sent"
     CONNECTION_LOST = "connection-lost"
@@ -41,7 +44,9 @@
     ``first_byte_timeout_ms`` bounds the wait for the first byte of the body, ``idle_timeout_ms``
     each gap after it, ``timeout_ms`` the whole call. ``on_chunk`` receives the body of a 2xx reply
     in chunks on the loop's thread and returns ``False`` to stop the call; without it the body is
-    collected, up to ``max_body_bytes``.
+    collected, up to ``max_body_bytes``. ``held_bytes`` returns how many bytes the receiver of the
+    chunks keeps. All calls of a loop together may keep a limited number of bytes; beyond it the
+    call that keeps most is stopped.
 
     ``is_repeatable=False`` uses a new connection for the call. On a reused connection that closes
     before the reply, libcurl silently sends the request again, which must never happen to an
@@ -61,6 +66,7 @@
     first_byte_timeout_ms: int | None = None
     idle_timeout_ms: int | None = None
     on_chunk: Callable[[bytes], bool] | None = None
+    held_bytes: Callable[[], int] | None = None
     is_repeatable: bool = True
     max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
     target: str | None = None
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -20,6 +20,8 @@
 from result import Ok
 from result import Result
 
+from .answer_buffers import DEFAULT_MAX_BUFFERED_BYTES
+from .answer_buffers import AnswerBuffers
 from .calls import FailureStage
 from .calls import Header
 from .calls import HttpCall
@@ -45,6 +47,8 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 TCP_USER_TIMEOUT_MS = 4_000
+# Memory of a header line beside its bytes: the strings, the header and its place in the map.
+HEADER_OVERHEAD_BYTES = 400
 _NOT_SENT_CODES = frozenset(
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
 )
@@ -67,6 +71,7 @@
         self._headers: dict[str, str] = {}
         self._header_lines: list[Header] = []
         self._is_head_delivered = False
+        self._head_bytes = 0
         self._body = bytearray()
         self._stop_reason: HttpFailure | None = None
         self._started_s = loop.responsive_s()
@@ -84,6 +89,24 @@
     def _reply(self, body: bytes) -> HttpReply:
         return HttpReply(self._status, self._headers, body, tuple(self._header_lines), self._reason)
 
+    def _fits(self) -> bool:
+        """Count the buffered bytes of the answer; ``False`` if the call is to stop."""
+        held_bytes = self.call.held_bytes() if self.call.held_bytes is not None else 0
+        size_bytes = self._head_bytes + len(self._body) + held_bytes
+        largest = self._loop.buffers.resize(self, size_bytes)
+        if largest is not None:
+            largest._stop_for_memory()
+        return largest is not self
+
+    def _stop_for_memory(self) -> None:
+        """Discard the answer, since the process buffers too much.
+
+        libcurl permits no other call to end within a callback, so it ends a little later.
+        """
+        self._stop_reason = _TOO_MUCH_BUFFERED
+        self._body = bytearray()
+        self._loop.run_soon(lambda: self._loop._stop(self, _TOO_MUCH_BUFFERED))
+
     def _deliver_head(self) -> bool:
         """Call ``on_head`` if it is set; ``False`` stops the call."""
         self._is_head_delivered = True
@@ -117,6 +140,9 @@
 
 
 _STOPPED = HttpFailure(FailureStage.STOPPED_BY_CALLER, "stopped by the caller")
+_TOO_MUCH_BUFFERED = HttpFailure(
+    FailureStage.STOPPED_BY_CALLER, "the answers of all calls are too large to buffer"
+)
 
 
 class CurlLoop:
@@ -129,7 +155,8 @@
     >>> loop.close()
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, max_buffered_bytes: int = DEFAULT_MAX_BUFFERED_BYTES) -> None:
+        self.buffers: AnswerBuffers[PendingCall] = AnswerBuffers(max_buffered_bytes)
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._on_socket)
         self._multi.setopt(pycurl.M_TIMERFUNCTION, self._on_timer)
@@ -345,6 +372,8 @@
         if pending is None:
             return
         result = _result_of(handle, pending, code, message)
+        pending._body = bytearray()
+        self.buffers.release(pending)
         self._multi.remove_handle(handle)
         pending._handle = None
         if len(self._idle_handles) < MAX_IDLE_HANDLES:
@@ -443,6 +472,7 @@
         if line.startswith(b"HTTP/"):
             headers.clear()
             lines.clear()
+            pending._head_bytes = 0
             parts = line.split(maxsplit=2)
             pending._status = int(parts[1])
             pending._reason = parts[2].strip().decode("latin-1") if len(parts) > 2 else ""
@@ -450,8 +480,13 @@
         elif pending._is_head_delivered:
             return None
         elif colon:
+            if pending._stop_reason is not None:
+                return -1
             headers[name.strip().lower()] = value.strip()
             lines.append(Header(name.strip(), value.strip()))
+            pending._head_bytes += len(line) + HEADER_OVERHEAD_BYTES
+            if not pending._fits():
+                return -1
         elif pending._status >= 200 and not pending._deliver_head():
             pending._stop_reason = _STOPPED
             return -1
@@ -466,17 +501,19 @@
 
     def on_body(chunk: bytes) -> int | None:
         pending._last_byte_s = pending._loop.responsive_s()
-        if on_chunk is not None and 200 <= pending._status < 300:
-            if on_chunk(chunk):
-                return None
-            pending._stop_reason = _STOPPED
+        if pending._stop_reason is not None:
             return -1
+        if on_chunk is not None and 200 <= pending._status < 300:
+            if not on_chunk(chunk):
+                pending._stop_reason = _STOPPED
+                return -1
+            return None if pending._fits() else -1
         pending._body += chunk
         if len(pending._body) > call.max_body_bytes:
             reason = f"answer is larger than {call.max_body_bytes} bytes"
             pending._stop_reason = HttpFailure(FailureStage.CONNECTION_LOST, reason)
             return -1
-        return None
+        return None if pending._fits() else -1
 
     return on_body
 
