Count large answers as buffered until their callers have received them

What callers saw: 40 callers of 14 MiB answers that read nothing made the gateway grow to 1,300 MB; a machine has 300. Cause: the answer of an ended call was counted no more, though the request holds it until it is sent, and once more with its head before it. Now the answers of all attempts of a request count until the request ends; a call that finds no room is stopped as one that may have run. A large body is not copied to be sent with its head.

--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -116,6 +116,11 @@
         if self._pending is not None:
             self._pending.cancel()
 
+    def release(self) -> None:
+        """Count the answer's bytes among those of the process no more."""
+        if self._pending is not None:
+            self._pending.release()
+
     @abstractmethod
     def _http_call(self) -> HttpCall:
         """Return the HTTP call to send."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/caller_watch.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/caller_watch.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import contextlib
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from .attempt_call import AttemptCall
 
 
@@ -16,6 +19,7 @@
 
     def __init__(self) -> None:
         self._call: AttemptCall | None = None
+        self._calls: list[AttemptCall] = []
         self.is_disconnected = False
         self.is_given_up = False
 
@@ -35,9 +39,19 @@
     def set_current_attempt(self, call: AttemptCall) -> None:
         """Record the attempt that starts; cancel it if the request is to end already."""
         self._call = call
+        self._calls.append(call)
         if self.is_disconnected or self.is_given_up:
             call.cancel()
 
+    @contextlib.contextmanager
+    def releasing_answers(self) -> Iterator[None]:
+        """Count the answers of all attempts as buffered until the end of the ``with`` block."""
+        try:
+            yield
+        finally:
+            for call in self._calls:
+                call.release()
+
     def _cancel(self) -> None:
         if self._call is not None:
             self._call.cancel()
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -110,6 +110,7 @@
             is_repeatable=False,
             target=request.target,
             omits_default_headers=True,
+            is_answer_kept=True,
         )
 
     def _on_head(self, head: HttpReply) -> bool:
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_call.py
@@ -82,6 +82,7 @@
             on_head=self._on_head,
             target=request.target,
             omits_default_headers=True,
+            is_answer_kept=True,
         )
 
     def _on_head(self, head: HttpReply) -> bool:
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -200,6 +200,7 @@
         )
         with (
             stop_gate.open_requests.serving(open_request),
+            self._watch.releasing_answers(),
             watch_disconnect(
                 self._server._loop, self._channel.connection, self._watch.note_disconnected
             ),
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/answer_channel.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/answer_channel.py
@@ -20,6 +20,8 @@
 
 # A caller that accepts no byte of its answer for this long is treated as disconnected.
 FLUSH_TIMEOUT_S = 10.0
+# A larger body is not copied to be sent together with its head.
+MAX_JOINED_BYTES = 65_536
 
 
 class ChannelState(Enum):
@@ -72,9 +74,12 @@
             framing.append(Header("Connection", "close"))
         self.status = head.status
         has_body = self._method != "HEAD" and head.status not in BODILESS_STATUSES
-        data = head_bytes(head, tuple(framing)) + (answer.body if has_body else b"")
-        self.sent_bytes = len(data)
-        return self._finish(self._send_all(data))
+        body = answer.body if has_body else b""
+        data = head_bytes(head, tuple(framing))
+        self.sent_bytes = len(data) + len(body)
+        if len(body) > MAX_JOINED_BYTES:
+            return self._finish(self._send_all(data) and self._send_all(body))
+        return self._finish(self._send_all(data + body))
 
     def begin_stream(self, head: AnswerHead) -> bool:
         """Write the head of a stream; return ``False`` if the caller has disconnected.
--- a/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/request_run.py
@@ -184,7 +184,10 @@
         if not self._is_admitted() or not self._is_bound():
             return
         connection = self._channel.connection
-        with watch_disconnect(self._context.loop, connection, self._caller_watch.note_disconnected):
+        with (
+            self._caller_watch.releasing_answers(),
+            watch_disconnect(self._context.loop, connection, self._caller_watch.note_disconnected),
+        ):
             while not self._caller_watch.is_disconnected:
                 if self._caller_watch.is_given_up:
                     self._give_up_at_stop()
--- a/packages/primroseferry-relay/tests/relay_tests/test_flooded_process.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_flooded_process.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import socket
 import threading
@@ -15,6 +16,7 @@
 from .relay_harness import request_bytes
 from .scripted_endpoint import Received
 from .scripted_endpoint import ScriptedEndpoint
+from .scripted_endpoint import answer
 from .scripted_endpoint import stream_head
 from .test_relay import fixed_answer_endpoint
 from .test_relay import status_of
@@ -118,3 +120,25 @@
     assert run > RELAYS * ENDPOINTS
     assert failed >= run
     assert failed + refused == len(answers)
+
+
+SLOW_CALLERS = 40
+
+
+def _large_answer(connection: socket.socket, request: Received) -> None:
+    connection.sendall(answer(request, body=bytes(BODY_BYTES)))
+
+
+def test_callers_that_read_nothing_of_large_answers_leave_the_process_within_the_machine() -> None:
+    large = [[ScriptedEndpoint(_large_answer) for _ in range(ENDPOINTS)] for _ in range(RELAYS)]
+    with contextlib.ExitStack() as stack:
+        process = stack.enter_context(relay_process([*large, [fixed_answer_endpoint()]]))
+        *large_ports, sound_port = process.ports
+        for number in range(SLOW_CALLERS):
+            port = large_ports[number % RELAYS]
+            connection = stack.enter_context(socket.create_connection(("127.0.0.1", port)))
+            connection.sendall(request_bytes("/once/"))
+            time.sleep(0.05)
+        sound = [status_of(_call(sound_port, "/safe/")) for _ in range(SOUND_REQUESTS)]
+        assert sound == [200] * SOUND_REQUESTS
+        assert process.peak_mb() < MACHINE_MB
--- a/packages/primroseferry-transport/src/primroseferry_transport/answer_buffers.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/answer_buffers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import threading
 from typing import TYPE_CHECKING
 from typing import Generic
@@ -10,7 +9,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Hashable
-    from collections.abc import Iterator
 
 DEFAULT_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 
@@ -32,6 +30,7 @@
     def __init__(self, max_bytes: int = DEFAULT_MAX_BUFFERED_BYTES) -> None:
         self._max_bytes = max_bytes
         self._sizes: dict[CallT, int] = {}
+        self._kept: dict[CallT, int] = {}
         self._total_bytes = 0
         self._lock = threading.Lock()
 
@@ -55,18 +54,14 @@
             self._total_bytes -= self._sizes.pop(largest)
             return largest
 
-    def release(self, call: CallT) -> None:
-        """Count the bytes of a call no more."""
+    def keep(self, call: CallT) -> None:
+        """Count the bytes of a call that has ended until it is released; it cannot be stopped."""
         with self._lock:
-            self._total_bytes -= self._sizes.pop(call, 0)
+            size_bytes = self._sizes.pop(call, 0)
+            if size_bytes:
+                self._kept[call] = size_bytes
 
-    @contextlib.contextmanager
-    def holding(self, size_bytes: int) -> Iterator[None]:
-        """Count bytes that no call can be stopped for, within the ``with`` block."""
+    def release(self, call: CallT) -> None:
+        """Count the bytes of a call no more."""
         with self._lock:
-            self._total_bytes += size_bytes
-        try:
-            yield
-        finally:
-            with self._lock:
-                self._total_bytes -= size_bytes
+            self._total_bytes -= self._sizes.pop(call, 0) + self._kept.pop(call, 0)
--- a/packages/primroseferry-transport/src/primroseferry_transport/calls.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/calls.py
@@ -54,7 +54,8 @@
 
     ``target`` replaces the URL's path and query and is sent byte for byte. ``on_head`` receives the
     status and headers of the final reply before its body and returns ``False`` to stop the call.
-    ``omits_default_headers`` keeps libcurl from adding its default headers.
+    ``omits_default_headers`` keeps libcurl from adding its default headers. ``is_answer_kept``
+    counts a complete answer among the buffered bytes until ``PendingCall.release``.
     """
 
     method: str
@@ -72,6 +73,7 @@
     target: str | None = None
     on_head: Callable[[HttpReply], bool] | None = None
     omits_default_headers: bool = False
+    is_answer_kept: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -86,6 +86,10 @@
         """
         self._loop.run_soon(lambda: self._loop._stop(self, _STOPPED))
 
+    def release(self) -> None:
+        """Count the bytes of the answer no more: nothing uses them any longer."""
+        self._loop.buffers.release(self)
+
     def _reply(self, body: bytes) -> HttpReply:
         return HttpReply(self._status, self._headers, body, tuple(self._header_lines), self._reason)
 
@@ -373,7 +377,10 @@
             return
         result = _result_of(handle, pending, code, message)
         pending._body = bytearray()
-        self.buffers.release(pending)
+        if pending.call.is_answer_kept and isinstance(result, Ok):
+            self.buffers.keep(pending)
+        else:
+            self.buffers.release(pending)
         self._multi.remove_handle(handle)
         pending._handle = None
         if len(self._idle_handles) < MAX_IDLE_HANDLES:
--- a/packages/primroseferry-transport/tests/test_answer_buffers.py
+++ b/packages/primroseferry-transport/tests/test_answer_buffers.py
@@ -16,11 +16,13 @@
     assert buffers.total_bytes == 10
 
 
-def test_held_bytes_leave_less_for_calls() -> None:
+def test_kept_answer_is_not_stopped_and_leaves_less_for_calls() -> None:
     buffers = AnswerBuffers[str](MAX_BYTES)
 
-    with buffers.holding(80):
-        assert buffers.resize("call", 30) == "call"
+    buffers.resize("answered", 80)
+    buffers.keep("answered")
+    assert buffers.resize("call", 30) == "call"
+    buffers.release("answered")
     assert buffers.total_bytes == 0
     assert buffers.resize("call", 30) is None
 
