Bound the request bodies that a gateway keeps over all its connections

What callers saw: 90 callers that sent 4 MiB each but for the last byte made the gateway grow to 466 MB; a machine has 300. Up to 600 such connections are accepted. Cause: the limit of a body holds for one request.

--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
@@ -57,12 +57,13 @@
             self._connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._caller = str(self._connection.getpeername()[0])
             while self._serve_one():
-                continue
+                self._listener.bodies.release(self)
         except _ConnectionEnded:
             return
         except OSError as error:
             log_event(Event.BAD_CONNECTION, reason=type(error).__name__)
         finally:
+            self._listener.bodies.release(self)
             self._close()
 
     def request_close(self) -> None:
@@ -122,10 +123,11 @@
             Header(name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers.raw_items()
         )
-        self._check_head(head, headers, limits)
+        declared_bytes = self._check_head(head, headers, limits)
+        self._reserve_body(declared_bytes)
         if self._parser.they_are_waiting_for_100_continue:
             self._connection.sendall(_CONTINUE)
-        body = self._read_body(limits)
+        body = self._read_body(limits, declared_bytes)
         method = head.method.decode("latin-1")
         target = head.target.decode("latin-1")
         host = _first_value(headers, "host")
@@ -156,7 +158,8 @@
 
     def _check_head(
         self, head: h11.Request, headers: tuple[Header, ...], limits: CallerLimits
-    ) -> None:
+    ) -> int:
+        """Check the limits of a request's head; return the length that its body is to have."""
         size = len(head.target) + sum(len(line.name) + len(line.value) + 4 for line in headers)
         if size > limits.max_head_bytes:
             self._has_unread_body = True
@@ -165,10 +168,17 @@
                 f"the request head may have at most {limits.max_head_bytes} bytes",
             )
         declared_length = _first_value(headers, "content-length")
-        if declared_length.isdecimal() and int(declared_length) > limits.max_body_bytes:
+        if not declared_length.isdecimal():
+            return 0
+        if int(declared_length) > limits.max_body_bytes:
             raise _body_too_large(limits)
+        return int(declared_length)
 
-    def _read_body(self, limits: CallerLimits) -> bytes:
+    def _reserve_body(self, size_bytes: int) -> None:
+        if size_bytes and not self._listener.bodies.resize(self, size_bytes):
+            raise problem_error(ErrorKind.GATEWAY_BUSY, "the gateway holds too many request bodies")
+
+    def _read_body(self, limits: CallerLimits, declared_bytes: int) -> bytes:
         until_s = time.monotonic() + limits.idle_timeout_ms / 1000
         body = bytearray()
         while True:
@@ -177,6 +187,7 @@
                 body += event.data
                 if len(body) > limits.max_body_bytes:
                     raise _body_too_large(limits)
+                self._reserve_body(max(declared_bytes, len(body)))
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             elif event is h11.NEED_DATA:
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
@@ -12,6 +12,7 @@
 from primroseferry_core.logs import log_event
 
 from .connection import CallerConnection
+from .request_bodies import RequestBodies
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,7 +33,8 @@
     """Serves the requests to one address with ``handle``.
 
     At most ``max_connections`` are served at once, each on a thread. When all are in use, the
-    connection that has been idle longest is closed to make room for a new one.
+    connection that has been idle longest is closed to make room for a new one. ``bodies`` is shared
+    by the listeners of a process.
     """
 
     def __init__(
@@ -44,12 +46,14 @@
         limits: Callable[[], CallerLimits],
         loop: CurlLoop,
         max_connections: int,
+        bodies: RequestBodies | None = None,
     ) -> None:
         self._socket = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         self.port: int = self._socket.getsockname()[1]
         self.handle = handle
         self.limits = limits
         self.loop = loop
+        self.bodies = bodies or RequestBodies()
         self.is_draining = False
         self.closes_idle = False
         self._name = name
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -40,6 +40,7 @@
 from ..forwarding.region_attempts import RegionAttempts
 from ..ingress.directory import Directory
 from ..ingress.listener import Listener
+from ..ingress.request_bodies import RequestBodies
 from ..local_attempts import LocalAttempts
 from ..membership.exchange import LocalState
 from ..membership.peer import ControlStatus
@@ -130,6 +131,7 @@
         self._metrics = RelayMetrics()
         self._incarnation = new_incarnation_id()
         self._loop = CurlLoop("relay")
+        self._bodies = RequestBodies()
         self._store = CountedStore(make_store(self._loop))
         self._address: PeerAddress | None = None
         self._watches: list[StoreWatch] = []
@@ -275,7 +277,14 @@
     ) -> Listener:
         limits = self._caller_limits if name == "front" else lambda: _DEFAULT_LIMITS
         return Listener(
-            name, self._settings.host, port, handle, limits, self._loop, max_connections
+            name,
+            self._settings.host,
+            port,
+            handle,
+            limits,
+            self._loop,
+            max_connections,
+            self._bodies,
         )
 
     def _open_inspection(self) -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/flooded_process.py
+++ b/packages/primroseferry-relay/tests/relay_tests/flooded_process.py
@@ -16,6 +16,8 @@
 from typing import TYPE_CHECKING
 from typing import cast
 
+from primroseferry_relay.ingress.request_bodies import RequestBodies
+from primroseferry_relay.routes.service import CallerLimits
 from primroseferry_transport.curl_loop import CurlLoop
 
 from .relay_harness import RelayHarness
@@ -78,10 +80,14 @@
 
 def _serve(groups: Sequence[str]) -> None:
     loop = CurlLoop("relay")
+    bodies = RequestBodies()
     harnesses = []
     for group in groups:
         endpoints = [_RemoteEndpoint(address) for address in group.split(",")]
-        harnesses.append(RelayHarness(loop, cast("list[ScriptedEndpoint]", endpoints)))
+        harness = RelayHarness(loop, cast("list[ScriptedEndpoint]", endpoints))
+        harness.listener.limits = CallerLimits
+        harness.listener.bodies = bodies
+        harnesses.append(harness)
     print(*(harness.listener.port for harness in harnesses), flush=True)
     # Nobody reads the log that follows.
     os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- a/packages/primroseferry-relay/tests/relay_tests/test_flooded_process.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_flooded_process.py
@@ -61,9 +61,7 @@
     "headers": ("/once/", lambda: HEAD + _short_headers(), b"y"),
     "event": (
         "/stream/",
-        lambda: (
-            HEAD + b"Transfer-Encoding: chunked\r\n\r\nfffffff\r\n" + b"x" * EVENT_BYTES
-        ),
+        lambda: (HEAD + b"Transfer-Encoding: chunked\r\n\r\nfffffff\r\n" + b"x" * EVENT_BYTES),
         b"x",
     ),
 }
@@ -146,3 +144,37 @@
         sound = [status_of(_call(sound_port, "/stream/")) for _ in range(SOUND_REQUESTS)]
         assert sound == [200] * SOUND_REQUESTS
         assert process.peak_mb() < MACHINE_MB
+
+
+BODY_RELAYS = 6
+CALLER_BODY_BYTES = 4 * 1024 * 1024
+
+
+def test_unfinished_bodies_of_many_callers_leave_the_process_within_the_machine() -> None:
+    groups = [[fixed_answer_endpoint()] for _ in range(BODY_RELAYS + 1)]
+    part = bytes(CALLER_BODY_BYTES - 1)
+    head = f"Content-Length: {CALLER_BODY_BYTES}\r\n"
+    refused = 0
+    with contextlib.ExitStack() as stack:
+        process = stack.enter_context(relay_process(groups))
+        *ports, sound_port = process.ports
+        for number in range(BODY_RELAYS * CALLERS):
+            connection = stack.enter_context(
+                socket.create_connection(("127.0.0.1", ports[number % BODY_RELAYS]))
+            )
+            connection.settimeout(5)
+            with contextlib.suppress(ConnectionError):
+                connection.sendall(request_bytes("/once/", "POST", head) + part)
+            connection.settimeout(0.05)
+            with contextlib.suppress(TimeoutError):
+                data = read_all(connection)
+                assert not data or status_of(data) == 503
+                refused += 1
+        with socket.create_connection(("127.0.0.1", sound_port)) as connection:
+            connection.settimeout(8)
+            headers = "Connection: close\r\n"
+            connection.sendall(request_bytes("/stream/", "POST", headers, b"small"))
+            assert status_of(read_all(connection)) == 200
+        assert process.peak_mb() < MACHINE_MB
+    assert 0 < refused < BODY_RELAYS * CALLERS
+    assert not any(endpoint.requests for group in groups[:-1] for endpoint in group)
