End an endless answer to a ping after 64 KiB

What an operator saw: each ping (up to 32 at a time) to an endpoint that sends without end read and kept up to 16 MiB, for 0.8 s. Cause: pings had the body limit of answers to callers. Now a ping's answer has 64 KiB; an endpoint that sends more did not answer sensibly and stays unreachable, as before.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -36,6 +36,8 @@
 PING_INTERVAL_S = 0.5
 PING_CONNECT_TIMEOUT_MS = 400
 PING_TIMEOUT_MS = 800
+# An endpoint that answers a ping with more does not answer sensibly, and gets no requests.
+MAX_PING_BODY_BYTES = 64 * 1024
 # Pings at one time. After an answer the others are likely to answer too.
 MAX_PINGS = 4
 MAX_PINGS_AFTER_AN_ANSWER = 32
@@ -124,6 +126,7 @@
             connect_timeout_ms=PING_CONNECT_TIMEOUT_MS,
             timeout_ms=PING_TIMEOUT_MS,
             is_repeatable=False,
+            max_body_bytes=MAX_PING_BODY_BYTES,
             target=self._health_path(endpoint) or "/",
             omits_default_headers=True,
         )
--- a/packages/primroseferry-relay/tests/relay_tests/test_endless_bytes.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_endless_bytes.py
@@ -9,11 +9,16 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from primroseferry_relay.forwarding.hop import OUTCOME_HEADER
 
 from .relay_harness import RelayHarness
 from .scripted_endpoint import Received
 from .scripted_endpoint import ScriptedEndpoint
+from .scripted_endpoint import reset
 from .scripted_endpoint import stream_head
+from .test_partition import add_peers
+from .test_partition import closed_endpoint
+from .test_partition import wait_until
 from .test_relay import fixed_answer_endpoint
 from .test_relay import status_of
 
@@ -124,3 +129,56 @@
     finally:
         for thread in threads:
             thread.join()
+
+
+HOP_HEAD = HEAD + f"{OUTCOME_HEADER}: answered\r\n".encode()
+HOP_FLOODS = {
+    "headers": (HOP_HEAD, b"X-More: y\r\n" * 500),
+    "body": (HOP_HEAD + b"\r\n", BLOCK),
+    "body-with-length": (HOP_HEAD + b"Content-Length: 99999999999\r\n\r\n", BLOCK),
+    "chunk-extension": (HOP_HEAD + b"Transfer-Encoding: chunked\r\n\r\n5;", BLOCK),
+    "no-outcome": (HEAD + b"\r\n", BLOCK),
+}
+
+
+@pytest.mark.parametrize("path", ["/once/", "/stream/"])
+@pytest.mark.parametrize("kind", list(HOP_FLOODS))
+def test_flood_of_another_gateway_is_bounded_and_is_not_an_answer(
+    loop: CurlLoop, kind: str, path: str
+) -> None:
+    first, block = HOP_FLOODS[kind]
+    gateway = _flood(first, itertools.repeat(block))
+    harness = RelayHarness(loop, [closed_endpoint()])
+    add_peers(harness, gateway)
+    before_kb = _peak_kb()
+    data = harness.call(path)
+    assert gateway.requests[0].closed.wait(3)
+    assert _peak_kb() - before_kb < MAX_GROWTH_KB
+    assert not data or status_of(data) in (502, 504)
+
+
+PING_BLOCK_PAUSE_S = 0.01
+MAX_PING_ANSWER_BYTES = 2_000_000
+
+
+def test_flood_in_answer_to_a_ping_is_ended_at_once(loop: CurlLoop) -> None:
+    sent_bytes: list[int] = []
+
+    def script(connection: socket.socket, request: Received) -> None:
+        if not request.header("x-endpoint").startswith("not-"):
+            reset(connection)
+            return
+        sent_bytes.append(0)
+        connection.sendall(HEAD + b"\r\n")
+        until_s = time.monotonic() + MAX_FLOOD_S
+        while time.monotonic() < until_s:
+            connection.sendall(BLOCK)
+            sent_bytes[-1] += len(BLOCK)
+            time.sleep(PING_BLOCK_PAUSE_S)
+
+    harness = RelayHarness(loop, [ScriptedEndpoint(script)])
+    for _ in range(3):
+        harness.call("/safe/")
+    assert wait_until(lambda: len(sent_bytes) >= 2, harness)
+    assert sent_bytes[0] < MAX_PING_ANSWER_BYTES
+    assert harness.reach.unreachable() == ["e-0"]
