--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/attempt_call.py
@@ -118,6 +118,11 @@
         if self._pending is not None:
             self._pending.cancel()
 
+    def release(self) -> None:
+        """Count the answer's bytes among those of the process no more."""
+        if self._pending is not None:
+            self._pending.release()
+
     @abstractmethod
     def _http_call(self) -> HttpCall:
         """Return the HTTP call to send."""
@@ -141,6 +146,9 @@
             return not self._is_event_too_long
         return self._forward_events(complete)
 
+    def _held_bytes(self) -> int:
+        return self._splitter.incomplete_bytes
+
     def _forward_events(self, events: CompleteEvents) -> bool:
         if self._is_cancelled or self._sink is None or self._head is None:
             return False
--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -105,10 +105,12 @@
             timeout_ms=max(1, int(attempt.options.deadline_ms)),
             first_byte_timeout_ms=attempt.first_byte_timeout_ms,
             on_chunk=self._on_chunk if self._sink is not None else None,
+            held_bytes=self._held_bytes,
             on_head=self._on_head,
             is_repeatable=False,
             target=request.target,
             omits_default_headers=True,
+            is_answer_kept=True,
         )
 
     def _on_head(self, head: HttpReply) -> bool:
