--- a/packages/primroseferry-relay/src/primroseferry_relay/control/version_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/version_records.py
@@ -38,9 +38,9 @@
 
 VERSION_PREFIX = "versions/"
 REWRITE_S = 150.0
-# A version that has just left was recorded at most ``REWRITE_S`` ago.
 # A version is recorded and listed longer before it begins streams beside another one.
 READ_AGAIN_S = 0.25
+# A version that has just left was recorded at most ``REWRITE_S`` ago.
 LEASE_MS = round((REWRITE_S + STREAM_LIFETIME_S + 30.0) * 1000)
 
 
