Answer a request that arrived behind another one while the gateway stops

A caller that had sent two requests at once got 'Connection: close' with the first answer of a stopping gateway, and none for the second, though it had been read. Now the connection closes after the last request that has arrived.

--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/connection.py
@@ -88,7 +88,7 @@
             self._listener.loop,
             request.method,
             supports_chunked=self._parser.their_http_version != b"1.0",
-            closes_connection=closes_connection or self._listener.is_draining,
+            closes_connection=closes_connection or self._closes_after_answer(),
         )
         try:
             self._listener.handle(request, channel)
@@ -102,6 +102,11 @@
         self._parser = self._new_parser(trailing)
         return True
 
+    def _closes_after_answer(self) -> bool:
+        """Whether a gateway is stopping and no further request has arrived yet."""
+        has_more = bool(self._parser.trailing_data[0])
+        return self._listener.is_draining and not has_more
+
     def _answer_crash(self, channel: AnswerChannel) -> None:
         if channel.state is ChannelState.UNANSWERED:
             problem = Problem(ErrorKind.INTERNAL, "the request could not be handled; see the log")
--- a/packages/primroseferry-relay/tests/relay_tests/test_relay.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_relay.py
@@ -383,3 +383,13 @@
     harness = RelayHarness(loop, [], has_table)
     assert status_of(harness.call("/nowhere/")) == status
     assert harness.wait_records()[0].status == status
+
+
+def test_request_that_was_sent_behind_another_is_answered_while_draining(loop: CurlLoop) -> None:
+    harness = RelayHarness(loop, [fixed_answer_endpoint()])
+    harness.listener.drain()
+    with harness.connect() as connection:
+        connection.sendall(request_bytes("/safe/") + request_bytes("/safe/"))
+        data = read_all(connection)
+    assert data.count(b"HTTP/1.1 200") == 2
+    assert data.count(b"Connection: close") == 1
