Know a route's durations only after answering for as long as a stop takes

Just after a start only short requests can have ended. A duration of an hour ago counted as well, since it expired only when a new one came, and so did quick answers that report a failure. Now a route's durations count if the first one is at least as old as the stop is long, expire when they are read, and are those of successful answers. The gate closes when nothing is open any more, so that an attempt of another gateway that arrives between the last look and the exit is refused. The time of a stop counts from its signal, and its pauses stay within its limit.

--- a/packages/primroseferry-policy/src/primroseferry_policy/recent_maximum.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/recent_maximum.py
@@ -25,10 +25,18 @@
 
     def add(self, value: int) -> int:
         """Add a number and return the maximum of the window."""
-        now_s = self._clock_s()
         while self._candidates and self._candidates[-1][1] <= value:
             self._candidates.pop()
-        self._candidates.append((now_s, value))
-        while now_s - self._candidates[0][0] > self._window_s:
-            self._candidates.popleft()
+        self._candidates.append((self._clock_s(), value))
+        self._expire()
         return self._candidates[0][1]
+
+    def current(self) -> int | None:
+        """Return the maximum of the window, ``None`` if no number was added within it."""
+        self._expire()
+        return self._candidates[0][1] if self._candidates else None
+
+    def _expire(self) -> None:
+        now_s = self._clock_s()
+        while self._candidates and now_s - self._candidates[0][0] > self._window_s:
+            self._candidates.popleft()
--- a/packages/primroseferry-relay/src/primroseferry_relay/decision.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/decision.py
@@ -72,9 +72,9 @@
         return round((time.monotonic() - self.started_s) * 1000)
 
     @property
-    def is_answered(self) -> bool:
-        """Whether the request ended with an endpoint's answer."""
-        return self.outcome == "answered"
+    def is_successful(self) -> bool:
+        """Whether the request ended with an endpoint's answer that reports success."""
+        return self.outcome == "answered" and 200 <= self.status < 300
 
     def close(self, outcome: str, status: int) -> None:
         """Record the outcome and the status sent to the caller, 0 if none was sent."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/forwarding/hop_server.py
@@ -207,7 +207,7 @@
         ):
             target_ms = route.latency_target_ms if route is not None else 0.0
             outcome = self._attempt(table, target_ms)
-            if isinstance(outcome, Answered | StreamEnded):
+            if _is_success(outcome):
                 stop_gate.note_duration(route_name, open_request.age_ms)
             self._answer(outcome)
 
@@ -304,6 +304,15 @@
                 channel.abort()
 
 
+def _is_success(outcome: AttemptOutcome) -> bool:
+    match outcome:
+        case StreamEnded():
+            return True
+        case Answered(answer):
+            return 200 <= answer.head.status < 300
+    return False
+
+
 def _with_outcome(head: AnswerHead, outcome: HopOutcome, detail: str = "") -> AnswerHead:
     value = f"{outcome.value};{detail}" if detail else outcome.value
     return AnswerHead(head.status, head.reason, (*head.headers, Header(OUTCOME_HEADER, value)))
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -100,6 +100,8 @@
 # How long aborted requests may take to log how they ended.
 ABORT_S = 0.1
 DRAIN_CHECK_S = 0.02
+# How long requests that are on their way may take to arrive when nothing is open any more.
+LAST_ARRIVALS_S = 0.1
 # In-flight requests are aborted this long before the stop timeout, so that the process can still
 # end in time.
 STOP_RESERVE_S = 0.4
@@ -334,7 +336,7 @@
         The directory stops listing this gateway at once. Callers that got its address before the
         stop are still served for ``ACCEPT_AFTER_STOP_S``.
         """
-        stopped_s = time.monotonic()
+        stopped_s = self._stop_signal_s or time.monotonic()
         limit_s = stopped_s + self._settings.stop_timeout_ms / 1000 - STOP_RESERVE_S
         log_event(Event.DRAIN_STARTED, **self._drain_status(stopped_s))
         self._stop_gate.stop_at(limit_s)
@@ -342,11 +344,15 @@
         self._front_listener.drain()
         self._reporter.send_state()
         threading.Thread(target=self._registration.stop, daemon=True).start()
-        time.sleep(IDLE_AFTER_STOP_S)
+        _sleep_until(min(stopped_s + IDLE_AFTER_STOP_S, limit_s - FINAL_ANSWER_S))
         self._front_listener.close_idle()
-        time.sleep(max(0.0, ACCEPT_AFTER_STOP_S - (time.monotonic() - stopped_s)))
+        _sleep_until(min(stopped_s + ACCEPT_AFTER_STOP_S, limit_s - FINAL_ANSWER_S))
         self._front_listener.stop_accepting()
         self._wait_drained(limit_s - FINAL_ANSWER_S)
+        # Other gateways may have sent an attempt just now; it is refused, or served before the end.
+        self._stop_gate.close()
+        _sleep_until(min(time.monotonic() + LAST_ARRIVALS_S, limit_s - FINAL_ANSWER_S))
+        self._wait_drained(limit_s - FINAL_ANSWER_S)
         self._open_requests.give_up(ends_begun=False)
         self._wait_drained(limit_s)
         is_finished = self._in_flight_requests() == 0
@@ -367,9 +373,8 @@
         """Return what a graceful shutdown waits for, as fields of a log line."""
         now_s = time.monotonic()
         caller_requests = self._open_requests.count(Origin.CALLER)
-        signal_s = self._stop_signal_s if self._stop_signal_s is not None else stopped_s
         return {
-            "signal_age_ms": round((now_s - signal_s) * 1000),
+            "signal_age_ms": round((now_s - stopped_s) * 1000),
             "open_requests": caller_requests,
             "gateway_requests": self._open_requests.count(Origin.GATEWAY),
             "waiting_connections": max(0, self._front_listener.open_connections - caller_requests),
@@ -425,7 +430,7 @@
 
     def _record_decision(self, record: DecisionRecord) -> None:
         self._metrics.count(record)
-        if record.is_answered:
+        if record.is_successful:
             self._stop_gate.note_duration(record.route, record.elapsed_ms)
         record.log()
 
@@ -507,6 +512,10 @@
         return self._summaries
 
 
+def _sleep_until(until_s: float) -> None:
+    time.sleep(max(0.0, until_s - time.monotonic()))
+
+
 def _start_delay(settings: RelaySettings, report_address: str) -> StartDelay:
     waits_for_seeds = settings.is_first_start and report_address not in settings.seeds
     return StartDelay.FIRST_START if waits_for_seeds else StartDelay.IMMEDIATE
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/stop_gate.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/stop_gate.py
@@ -28,31 +28,41 @@
 class StopGate:
     """Compares the longest recent duration of a route's requests with the time that is left.
 
-    The durations are those of this process. A request of a route for which none is known is refused
-    too, unless its own time limit is before the end of the process. ``open_requests`` are those
-    that are being served.
+    The durations are those of this process. They say nothing if the first one was recorded within
+    the length of a stop before it: only short requests can have ended since then. A request of a
+    route for which none is known is refused too, unless its own time limit is before the end of the
+    process. ``open_requests`` are those that are being served.
     """
 
     def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
         self.open_requests = OpenRequests()
         self._clock_s = clock_s
         self._limit_s: float | None = None
+        self._known_before_s = 0.0
         self._recent: dict[str, RecentMaximum] = {}
-        self._longest_ms: dict[str, int] = {}
+        self._first_s: dict[str, float] = {}
         self._lock = threading.Lock()
 
     def note_duration(self, route: str, elapsed_ms: int) -> None:
-        """Record how long a request took that was answered."""
+        """Record how long a request took that was answered with success."""
         with self._lock:
             recent = self._recent.setdefault(
                 route, RecentMaximum(DURATION_RETENTION_S, self._clock_s)
             )
-            self._longest_ms[route] = recent.add(elapsed_ms)
+            if recent.current() is None:
+                self._first_s[route] = self._clock_s()
+            recent.add(elapsed_ms)
 
     def stop_at(self, limit_s: float) -> None:
         """Set the monotonic time at which open requests are aborted."""
+        now_s = self._clock_s()
+        self._known_before_s = now_s - (limit_s - now_s)
         self._limit_s = limit_s
 
+    def close(self) -> None:
+        """Refuse each request from now on."""
+        self._limit_s = float("-inf")
+
     def refuses(self, route: str, time_limit_s: float) -> bool:
         """Whether a request that begins now might be aborted.
 
@@ -67,7 +77,9 @@
 
     def _longest_s(self, route: str) -> float | None:
         """Return the longest known duration of a route's requests, also of those still open."""
-        answered_ms = self._longest_ms.get(route)
-        if answered_ms is None:
-            return None
+        with self._lock:
+            recent = self._recent.get(route)
+            answered_ms = recent.current() if recent is not None else None
+            if answered_ms is None or self._first_s[route] > self._known_before_s:
+                return None
         return max(answered_ms, self.open_requests.longest_ms(route)) / 1000
--- a/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -169,7 +171,25 @@
     assert endpoint.requests == []
     assert b"X-Primroseferry-Outcome: answered" in send_hop(harness, listener, HOP_REQUEST)
     late = replace(late, hop_id="h2")
-    assert b"X-Primroseferry-Outcome: answered" in send_hop(harness, listener, late)
+    assert b"X-Primroseferry-Outcome: refused" in send_hop(harness, listener, late)
+
+
+def test_attempt_that_a_stopping_gateway_gives_up_may_have_run(loop: CurlLoop) -> None:
+    gate = StopGate()
+    is_reached = threading.Event()
+
+    def script(_connection: socket.socket, _request: Received) -> None:
+        is_reached.set()
+        time.sleep(3)
+
+    listener = hop_listener(loop, ScriptedEndpoint(script), stop_gate=gate)
+    harness = RelayHarness(loop, [])
+    with ThreadPoolExecutor(1) as pool:
+        long = replace(HOP_REQUEST, deadline_ms=9_000)
+        answer_data = pool.submit(send_hop, harness, listener, long)
+        assert is_reached.wait(5)
+        gate.open_requests.give_up(ends_begun=False)
+        assert b"X-Primroseferry-Outcome: lost" in answer_data.result(5)
 
 
 def test_crashing_request_of_another_region_is_not_sent_to_a_third_endpoint(loop: CurlLoop) -> None:
