Take an unframed answer of a leaving endpoint for complete only if the endpoint outlives it

Callers saw streams without a length end as complete after about half of their events, when their leaving endpoint was taken away. Plain answers without a length took the same path, also those for gateways of other regions.

Cause: an endpoint that was leaving was taken to have finished its answer, before its port was looked at, and one whose entry was gone by its entry alone: a removed endpoint that goes on serving had whole answers broken off. A port that did not respond, and one whose kernel still accepted a connection just after the answer's end, counted as life.

Change: after an answer without a length or chunks, the endpoint must answer a ping, which it does not run, or its port accept a connection after two failed pings; else the answer was broken off (aborted, resumed or repeated where the route permits, 502 else). Entries and announcements decide nothing, but another run listed in its place does. Framed answers are not affected.

It works because the connection closes before the ping is sent: what answers it has outlived the answer.

--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -65,8 +65,8 @@
     """An attempt on an endpoint of this region.
 
     ``on_reply`` gets the status and the parsed headers of an answer to this request, before its
-    body. ``has_ended`` returns whether the endpoint's process has just ended. It is asked after an
-    answer without a length or chunks, which then was broken off. ``written_version`` returns the
+    body. ``outlives_answer`` returns whether the endpoint's process still runs after an answer
+    without a length or chunks; if not, the answer was broken off. ``written_version`` returns the
     software version of the endpoint's answer.
     """
 
@@ -77,7 +77,7 @@
         attempt: EndpointAttempt,
         sink: StreamSink | None,
         on_reply: Callable[[int, ReplyMetadata], None],
-        has_ended: Callable[[], bool],
+        outlives_answer: Callable[[], bool],
         written_version: Callable[[], VersionHash],
     ) -> None:
         super().__init__(loop, sink, attempt.options.last_event_id, attempt.binding)
@@ -85,7 +85,7 @@
         self._adapter = adapter
         self._attempt = attempt
         self._on_reply = on_reply
-        self._has_ended = has_ended
+        self._outlives_answer = outlives_answer
         self._metadata: ReplyMetadata | None = None
         self._has_other_request_id = False
 
@@ -127,7 +127,7 @@
             return Lost("the endpoint's answer has no head")
         is_success = 200 <= reply.status < 300
         is_end_known = reply.is_framed or self._attempt.request.method == "HEAD"
-        if not is_end_known and self._has_ended():
+        if not is_end_known and not self._outlives_answer():
             return self._interrupted("the endpoint ended with its answer", is_connection_lost=True)
         if metadata.is_not_run and not is_success:
             return NotRun(f"status {reply.status}, the request did not run", is_sent=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -257,16 +257,6 @@
             case Answered() | StreamEnded():
                 self._clear(suspect, None)
 
-    def has_ended(self, endpoint: Endpoint) -> bool:
-        """Whether a run has ended unannounced: its port refuses or its entry is gone."""
-        if self._catalog.is_leaving(endpoint.run):
-            return False
-        with self._lock:
-            was_leaving = self._ended_runs.get(endpoint.run)
-        if was_leaving is not None:
-            return not was_leaving
-        return self._probe(endpoint.address) is PortState.REFUSED
-
     def note_run_ended(self, endpoint: Endpoint, was_leaving: bool) -> None:
         """Record that a run left the catalog and blame the requests lost on it shortly before.
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -4,6 +4,9 @@
 that does not answer a ping is unreachable and gets no requests until it answers one. A gateway that
 can reach no endpoint of its region is partitioned from them, or they are all down; its requests go
 through other gateways.
+
+The same pings show that an endpoint's process still runs after an answer that ended with its
+connection.
 """
 
 from __future__ import annotations
@@ -17,6 +20,8 @@
 from primroseferry_core.logs import log_event
 from primroseferry_policy.breaker import BreakerState
 from primroseferry_transport.calls import HttpCall
+from primroseferry_transport.port_probe import PortState
+from primroseferry_transport.port_probe import probe_port
 from result import Ok
 
 if TYPE_CHECKING:
@@ -27,6 +32,7 @@
     from primroseferry_policy.breaker import Breakers
     from primroseferry_transport.curl_loop import CurlLoop
     from primroseferry_transport.curl_loop import HttpResult
+    from primroseferry_transport.curl_loop import PendingCall
 
     from ..endpoint_adapter import EndpointAdapter
     from .catalog import EndpointCatalog
@@ -39,6 +45,12 @@
 # Pings at one time. After an answer the others are likely to answer too.
 MAX_PINGS = 4
 MAX_PINGS_AFTER_AN_ANSWER = 32
+# Pings after an answer without a length or chunks, and the time between them. The kernel of an
+# ending process may still accept a connection, and a full endpoint may reset one.
+MAX_PINGS_AFTER_AN_END = 2
+REPEATED_PING_DELAY_S = 0.05
+MIN_PING_TIMEOUT_MS = 50
+MAX_PING_TIMEOUT_AFTER_AN_END_MS = 300
 
 
 class EndpointReach:
@@ -77,6 +89,26 @@
         """Whether an endpoint may get requests: it has not left a ping unanswered."""
         return endpoint.run not in self._unreachable
 
+    def outlives_answer(self, endpoint: Endpoint, remaining_ms: float) -> bool:
+        """Whether a run of an endpoint still runs, after an answer that ended with its connection.
+
+        Blocks until the endpoint answers a ping or its port, some time after the answer, accepts a
+        connection. What its entry says is no evidence: one that is leaving or was removed may have
+        finished the answer or have ended amid it. Only another run in its place is.
+        """
+        listed = self._catalog.find(endpoint.endpoint)
+        if listed is not None and listed.run != endpoint.run:
+            return False
+        until_s = time.monotonic() + remaining_ms / 1000
+        for attempt in range(MAX_PINGS_AFTER_AN_END):
+            if attempt > 0:
+                time.sleep(REPEATED_PING_DELAY_S)
+            left_ms = int((until_s - time.monotonic()) * 1000)
+            timeout_ms = max(MIN_PING_TIMEOUT_MS, min(MAX_PING_TIMEOUT_AFTER_AN_END_MS, left_ms))
+            if isinstance(self._send_ping(endpoint, timeout_ms).future.result(), Ok):
+                return True
+        return probe_port(endpoint.address) is PortState.LISTENING
+
     def unreachable(self) -> list[str]:
         """Return the names of the endpoints that left a ping unanswered."""
         with self._lock:
@@ -117,18 +149,21 @@
         self._update_partition(listed.values())
 
     def _ping(self, endpoint: Endpoint) -> None:
+        pending = self._send_ping(endpoint, PING_TIMEOUT_MS)
+        pending.future.add_done_callback(lambda future: self._note_ping(endpoint, future.result()))
+
+    def _send_ping(self, endpoint: Endpoint, timeout_ms: int) -> PendingCall:
         call = HttpCall(
             "GET",
             f"http://{endpoint.address}/",
             headers=tuple(self._adapter.ping_headers(endpoint.endpoint)),
-            connect_timeout_ms=PING_CONNECT_TIMEOUT_MS,
-            timeout_ms=PING_TIMEOUT_MS,
+            connect_timeout_ms=min(PING_CONNECT_TIMEOUT_MS, timeout_ms),
+            timeout_ms=timeout_ms,
             is_repeatable=False,
             target=self._health_path(endpoint) or "/",
             omits_default_headers=True,
         )
-        pending = self._loop.submit(call)
-        pending.future.add_done_callback(lambda future: self._note_ping(endpoint, future.result()))
+        return self._loop.submit(call)
 
     def _note_ping(self, endpoint: Endpoint, result: HttpResult) -> None:
         is_answered = isinstance(result, Ok)
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -357,7 +357,7 @@
                     else None
                 ),
                 lambda status, metadata: self._note_reply(endpoint, status, metadata, sent_s),
-                lambda: self.crash_attribution.has_ended(endpoint),
+                lambda: self._reach.outlives_answer(endpoint, plan.remaining_ms),
                 lambda: self._catalog.written_version(endpoint),
             )
             on_start(call)
--- a/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_hop_server.py
@@ -79,6 +79,13 @@
     limits = harness.policy.request_limits
     for entry in [*harness.catalog.entries().values()][:limited_endpoints]:
         limits.note_answer(entry.run, 1.0, limits.now_s())
+    return hop_listener_of(loop, harness, stop_gate)
+
+
+def hop_listener_of(
+    loop: CurlLoop, harness: RelayHarness, stop_gate: StopGate | None = None
+) -> Listener:
+    """Return the listener of a hop server that serves with the relay of a harness."""
     sync = PeerSync(loop, harness.peers, ControlState(lambda _item: None), WatchDuty(harness.peers))
     server = HopServer(
         NORTH,
