Reset the connection of a caller without chunks when its stream breaks off

Callers that speak HTTP/1.0 get streams without chunks, which end with the connection. A stream that was broken off ended for them exactly as a complete one, whatever broke it.

Cause: a broken answer was ended by closing the connection in order, which only chunks tell from a complete end.

Change: the head of such a stream makes every close of the connection a reset, and only the end of a complete stream takes that back. A gateway process that ends amid the stream resets it too, since the kernel closes the connection the same way. Bytes that the caller's side had not yet acknowledged may be lost with a broken stream.

Evidence: the five cases of test_unframed_answers.py on callers without chunks that break (four ends of the endpoint, the gateway itself) failed before and pass now; a complete stream still ends in order, without a reset.

--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/answer_channel.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/answer_channel.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,8 @@
 
 # A caller that accepts no byte of its answer for this long is treated as disconnected.
 FLUSH_TIMEOUT_S = 10.0
+_RESET_AT_CLOSE = struct.pack("ii", 1, 0)
+_FINISH_AT_CLOSE = struct.pack("ii", 0, 0)
 
 
 class ChannelState(Enum):
@@ -36,7 +39,7 @@
 
     The request's own thread writes a complete answer. The loop's thread may write the events of a
     stream as they arrive. A truncated stream never looks complete: the connection is closed without
-    the last chunk.
+    the last chunk, and reset if the stream has no chunks.
     """
 
     def __init__(
@@ -79,13 +82,15 @@
     def begin_stream(self, head: AnswerHead) -> bool:
         """Write the head of a stream; return ``False`` if the caller has disconnected.
 
-        Without chunked encoding, the end of the connection marks the end of the stream.
+        Without chunked encoding, the end of the connection marks the end of the stream. Until then
+        any close resets the connection, also one by the end of this process.
         """
         framing = []
         if self._supports_chunked:
             framing.append(Header("Transfer-Encoding", "chunked"))
         else:
             self.closes_connection = True
+            self._set_linger(_RESET_AT_CLOSE)
         if self.closes_connection:
             framing.append(Header("Connection", "close"))
         self.state = ChannelState.STREAMING
@@ -111,17 +116,26 @@
             return False
         is_sent = self._write(b"0\r\n\r\n") if self._supports_chunked else True
         is_sent = is_sent and self._writer.wait_flushed(FLUSH_TIMEOUT_S)
+        if is_sent and not self._supports_chunked:
+            self._set_linger(_FINISH_AT_CLOSE)
         return self._finish(is_sent)
 
     def abort(self) -> None:
         """End the answer so that the caller can detect that it is incomplete."""
+        is_reset_at_close = self.state is ChannelState.STREAMING and not self._supports_chunked
         self.state = ChannelState.BROKEN
         self.closes_connection = True
         if self._writer is not None:
             self._writer.wait_flushed(FLUSH_TIMEOUT_S)
+        if is_reset_at_close:
+            return
         with contextlib.suppress(OSError):  # The caller may already have disconnected.
             self._connection.shutdown(socket.SHUT_WR)
 
+    def _set_linger(self, linger: bytes) -> None:
+        with contextlib.suppress(OSError):  # The caller may already have disconnected.
+            self._connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def _write(self, data: bytes) -> bool:
         self.sent_bytes += len(data)
         return self._writer is not None and self._writer.write(data)
--- a/packages/primroseferry-relay/tests/relay_tests/test_unframed_answers.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unframed_answers.py
@@ -9,8 +9,11 @@
 
 import pytest
 from primroseferry_core.ids import EndpointId
+from primroseferry_relay.ingress.answer_channel import AnswerChannel
+from primroseferry_relay.messages import AnswerHead
 
 from .relay_harness import RelayHarness
+from .relay_harness import request_bytes
 from .scripted_endpoint import Received
 from .scripted_endpoint import ScriptedEndpoint
 from .scripted_endpoint import answer
@@ -123,6 +126,26 @@
     return harness
 
 
+def read_to_end(connection: socket.socket) -> tuple[bytes, bool]:
+    """Return what is received and whether the connection is reset at the end."""
+    data = b""
+    while True:
+        try:
+            piece = connection.recv(65_536)
+        except ConnectionResetError:
+            return data, True
+        if not piece:
+            return data, False
+        data += piece
+
+
+def call_as_1_0(harness: RelayHarness, path: str) -> tuple[bytes, bool]:
+    """Return what an HTTP/1.0 caller receives and whether the connection is reset at the end."""
+    with harness.connect() as connection:
+        connection.sendall(request_bytes(path, "POST", body=b"x").replace(b"HTTP/1.1", b"HTTP/1.0"))
+        return read_to_end(connection)
+
+
 @pytest.mark.parametrize("end", ENDS)
 @pytest.mark.parametrize("leave", LEAVING)
 @pytest.mark.parametrize("path", ["/stream/", "/resumable/"])
@@ -210,3 +233,33 @@
     path = "/stream/" if is_stream else "/once/"
     data = send_hop(RelayHarness(loop, []), listener, hop_request, path)
     assert data.endswith(chunk(EVENT_1)) if is_stream else b"-Outcome: died" in data
+
+
+@pytest.mark.parametrize("end", ENDS)
+def test_broken_stream_is_reset_at_a_caller_without_chunks(
+    loop: CurlLoop, end: Callable[[ScriptedEndpoint, socket.socket], None]
+) -> None:
+    harness = harness_of(loop, UnframedEndpoint(end), drain)
+    _, is_reset = call_as_1_0(harness, "/stream/")
+    assert is_reset
+
+
+def test_complete_stream_is_whole_at_a_caller_without_chunks(loop: CurlLoop) -> None:
+    harness = harness_of(loop, UnframedEndpoint(stay), note_nothing)
+    data, is_reset = call_as_1_0(harness, "/stream/")
+    assert data.endswith(EVENT_1)
+    assert not is_reset
+
+
+def test_stream_without_chunks_whose_gateway_ends_is_reset(loop: CurlLoop) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        caller = socket.create_connection(server.getsockname())
+        connection, _ = server.accept()
+    channel = AnswerChannel(connection, loop, "GET", False, closes_connection=True)
+    assert channel.begin_stream(AnswerHead(200, "OK", ()))
+    assert channel.write_events(EVENT_1)
+    connection.close()
+    caller.settimeout(5)
+    with caller:
+        _, is_reset = read_to_end(caller)
+    assert is_reset
