Look only at the port after an unframed answer of an endpoint that must not reject requests

An endpoint rejects a ping, and some endpoints say that they fall over when they reject too much. Since unframed answers are followed by a ping, each of those answers would have cost such an endpoint a rejection.

Found by reading. Change: if the answer says so, or the service did lately, the port alone is looked at, 50 ms after the answer, so that a port which closes just after the connection does not count as life.

Evidence: two of the three cases of test_endpoint_that_must_not_reject_requests_gets_no_ping_after_an_answer failed before, with one ping each; all pass now.

--- a/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/attempts/endpoint_call.py
@@ -77,7 +77,7 @@
         attempt: EndpointAttempt,
         sink: StreamSink | None,
         on_reply: Callable[[int, ReplyMetadata], None],
-        outlives_answer: Callable[[], bool],
+        outlives_answer: Callable[[ReplyMetadata], bool],
         written_version: Callable[[], VersionHash],
     ) -> None:
         super().__init__(loop, sink, attempt.options.last_event_id, attempt.binding)
@@ -127,7 +127,7 @@
             return Lost("the endpoint's answer has no head")
         is_success = 200 <= reply.status < 300
         is_end_known = reply.is_framed or self._attempt.request.method == "HEAD"
-        if not is_end_known and not self._outlives_answer():
+        if not is_end_known and not self._outlives_answer(metadata):
             return self._interrupted("the endpoint ended with its answer", is_connection_lost=True)
         if metadata.is_not_run and not is_success:
             return NotRun(f"status {reply.status}, the request did not run", is_sent=True)
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -48,7 +48,7 @@
 # Pings after an answer without a length or chunks, and the time between them. The kernel of an
 # ending process may still accept a connection, and a full endpoint may reset one.
 MAX_PINGS_AFTER_AN_END = 2
-REPEATED_PING_DELAY_S = 0.05
+PING_RETRY_DELAY_S = 0.05
 MIN_PING_TIMEOUT_MS = 50
 MAX_PING_TIMEOUT_AFTER_AN_END_MS = 300
 
@@ -89,24 +89,20 @@
         """Whether an endpoint may get requests: it has not left a ping unanswered."""
         return endpoint.run not in self._unreachable
 
-    def outlives_answer(self, endpoint: Endpoint, remaining_ms: float) -> bool:
+    def outlives_answer(self, endpoint: Endpoint, remaining_ms: float, may_ping: bool) -> bool:
         """Whether a run of an endpoint still runs, after an answer that ended with its connection.
 
         Blocks until the endpoint answers a ping or its port, some time after the answer, accepts a
         connection. What its entry says is no evidence: one that is leaving or was removed may have
-        finished the answer or have ended amid it. Only another run in its place is.
+        finished the answer or have ended amid it. Only another run in its place is. Without
+        ``may_ping`` only the port is looked at: the endpoint rejects a ping.
         """
         listed = self._catalog.find(endpoint.endpoint)
         if listed is not None and listed.run != endpoint.run:
             return False
-        until_s = time.monotonic() + remaining_ms / 1000
-        for attempt in range(MAX_PINGS_AFTER_AN_END):
-            if attempt > 0:
-                time.sleep(REPEATED_PING_DELAY_S)
-            left_ms = int((until_s - time.monotonic()) * 1000)
-            timeout_ms = max(MIN_PING_TIMEOUT_MS, min(MAX_PING_TIMEOUT_AFTER_AN_END_MS, left_ms))
-            if isinstance(self._send_ping(endpoint, timeout_ms).future.result(), Ok):
-                return True
+        if may_ping and self._answers_ping(endpoint, remaining_ms):
+            return True
+        time.sleep(PING_RETRY_DELAY_S)
         return probe_port(endpoint.address) is PortState.LISTENING
 
     def unreachable(self) -> list[str]:
@@ -152,6 +148,17 @@
         pending = self._send_ping(endpoint, PING_TIMEOUT_MS)
         pending.future.add_done_callback(lambda future: self._note_ping(endpoint, future.result()))
 
+    def _answers_ping(self, endpoint: Endpoint, remaining_ms: float) -> bool:
+        until_s = time.monotonic() + remaining_ms / 1000
+        for attempt in range(MAX_PINGS_AFTER_AN_END):
+            if attempt > 0:
+                time.sleep(PING_RETRY_DELAY_S)
+            left_ms = int((until_s - time.monotonic()) * 1000)
+            timeout_ms = max(MIN_PING_TIMEOUT_MS, min(MAX_PING_TIMEOUT_AFTER_AN_END_MS, left_ms))
+            if isinstance(self._send_ping(endpoint, timeout_ms).future.result(), Ok):
+                return True
+        return False
+
     def _send_ping(self, endpoint: Endpoint, timeout_ms: int) -> PendingCall:
         call = HttpCall(
             "GET",
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -357,7 +357,7 @@
                     else None
                 ),
                 lambda status, metadata: self._note_reply(endpoint, status, metadata, sent_s),
-                lambda: self._reach.outlives_answer(endpoint, plan.remaining_ms),
+                lambda metadata: self._outlives_answer(endpoint, plan, metadata),
                 lambda: self._catalog.written_version(endpoint),
             )
             on_start(call)
@@ -368,6 +368,13 @@
         self.crash_attribution.record_outcome(endpoint, plan.suspect, plan.request_id, outcome)
         return outcome
 
+    def _outlives_answer(
+        self, endpoint: Endpoint, plan: AttemptPlan, metadata: ReplyMetadata
+    ) -> bool:
+        says_brittle = metadata.rejections_per_s is not None
+        may_ping = not (says_brittle or self._brittle.is_brittle(endpoint))
+        return self._reach.outlives_answer(endpoint, plan.remaining_ms, may_ping)
+
     def _endpoint_attempt(self, option: LocalOption, plan: AttemptPlan) -> EndpointAttempt:
         first_byte_timeout_ms = None
         if plan.may_be_repeated:
--- a/packages/primroseferry-relay/tests/relay_tests/test_unframed_answers.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unframed_answers.py
@@ -87,7 +87,10 @@
 class UnframedEndpoint(ScriptedEndpoint):
     """Answers each request with one event and no framing, then calls ``end``."""
 
-    def __init__(self, end: Callable[[ScriptedEndpoint, socket.socket], None]) -> None:
+    def __init__(
+        self, end: Callable[[ScriptedEndpoint, socket.socket], None], extra: str = ""
+    ) -> None:
+        self._extra = extra
         self.before_end: Callable[[], None] = lambda: None
         self.is_mute = False
         self._end = end
@@ -98,8 +101,8 @@
             if not self.is_mute:
                 connection.sendall(answer(request, "421 Misdirected Request"))
             return
-        head = f"HTTP/1.1 200 OK\r\nX-Id: {request.header('x-id')}\r\nX-Signed: yes\r\n\r\n"
-        connection.sendall(head.encode() + EVENT_1)
+        headers = f"X-Id: {request.header('x-id')}\r\nX-Signed: yes\r\n{self._extra}\r\n"
+        connection.sendall(b"HTTP/1.1 200 OK\r\n" + headers.encode() + EVENT_1)
         self.before_end()
         self._end(self, connection)
 
@@ -186,6 +189,16 @@
     assert [record.outcome for record in harness.wait_records()] == ["answered"]
 
 
+@pytest.mark.parametrize("end", [stay, end_with_fin, end_of_kernel_queue])
+def test_endpoint_that_must_not_reject_requests_gets_no_ping_after_an_answer(
+    loop: CurlLoop, end: Callable[[ScriptedEndpoint, socket.socket], None]
+) -> None:
+    endpoint = UnframedEndpoint(end, "X-Brittle: 2\r\n")
+    data = harness_of(loop, endpoint, drain).call("/stream/", "POST", body=b"x")
+    assert data.endswith(LAST_CHUNK) is (end is stay)
+    assert [request.body for request in endpoint.requests] == [b"x"]
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_answer_of_an_endpoint_with_another_run_by_now_is_not_complete(
     loop: CurlLoop, path: str
