Exchange and store lost attempts whose cause is not known yet

Cause: an attempt that ends by a time limit, or by a break on a port that listens, counts as a crash only when the endpoint's entry goes. Until then it was in the memory of the one gateway that had sent it, and ended with that gateway. A gateway that started after the entry was gone could not see a crash at all.

Change: such a loss is an observation without weight in the request's suspicion. It goes to all gateways by datagram, at most five a second from all gateways together. Each gateway that sees the run end within 10 s replaces it by the crash, with the same id everywhere; an announced or later end retracts it. With the second lost run, the gateway that saw it writes the record before the request goes on or its caller has an answer, and waits 0.25 s at most. A complete listing that lacks the run of a loss shows a crash that no gateway was there to see.

--- a/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/quarantine.py
@@ -24,6 +24,7 @@
 from primroseferry_core.logs import log_event
 
 from .crashing_parts import find_crashing_parts
+from .open_loss import parse_open_loss
 from .part_key import is_part_key
 from .suspicion import DEATHS_TO_QUARANTINE
 from .suspicion import Suspicion
@@ -36,11 +37,15 @@
 
     from primroseferry_core.ids import Fingerprint
 
+    from .open_loss import OpenLoss
+
 # Observations expire after this time, so that a quarantine without trials ends.
 BLAME_TTL_S = 600.0
 # Retention of records whose observations no longer count. It must exceed the time for which any
 # gateway or the store keeps a retracted observation; otherwise the observation would come back.
 CLEARED_TTL_S = 600.0
+# Retention of records that hold nothing but losses without a proved cause.
+OPEN_LOSS_TTL_S = 60.0
 MAX_SUSPECTS = 1_024
 # The same for parts of prompts, which have records of their own beside those of requests.
 MAX_SUSPECT_PARTS = 512
@@ -77,6 +82,14 @@
     trial: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RequestLoss:
+    """A lost attempt of a request without a proved cause."""
+
+    fingerprint: Fingerprint
+    loss: OpenLoss
+
+
 @dataclass(slots=True)
 class _Suspect:
     suspicion: Suspicion
@@ -141,6 +154,39 @@
             added = Suspicion(fingerprint, frozenset({death}), retracted=replaced)
             self._merge(added, self._clock_s())
 
+    def record_loss(self, fingerprint: Fingerprint, loss: OpenLoss) -> SuspicionReport:
+        """Record a lost attempt without a proved cause and return the suspicion."""
+        with self._lock:
+            self._expire()
+            self._merge(Suspicion(fingerprint, losses=frozenset({loss.id})), self._clock_s())
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None:
+                return SuspicionReport(Suspicion(fingerprint), 0.0)
+            return self._report(suspect)
+
+    def open_losses(self) -> list[RequestLoss]:
+        """Return the losses without a proved cause of all requests."""
+        with self._lock:
+            self._expire()
+            return [
+                RequestLoss(fingerprint, loss)
+                for fingerprint, suspect in self._suspects.items()
+                for name in suspect.suspicion.losses
+                if (loss := parse_open_loss(name)) is not None
+            ]
+
+    def confirm_loss(self, fingerprint: Fingerprint, loss: OpenLoss) -> None:
+        """Replace a loss without a proved cause by a crash."""
+        with self._lock:
+            self._expire()
+            retracted = frozenset({loss.id, loss.observation} - {""})
+            crashes = frozenset({loss.crash})
+            added = Suspicion(fingerprint, crashes, retracted=retracted)
+            if loss.has_begun:
+                started = frozenset(map(started_crash_id, crashes))
+                added = Suspicion(fingerprint, breaks=started, retracted=retracted)
+            self._merge(added, self._clock_s())
+
     def blame_parts(self, losses: Sequence[PartLoss], crash: str) -> list[SuspicionReport]:
         """Add a crash in which a prompt with these parts was lost; return their suspicions.
 
@@ -187,11 +233,11 @@
             answered_s = max(answered_s, last_answer_s.get(fingerprint) or 0)
             last_answer_s.put(fingerprint, answered_s)
             suspect = self._suspects.get(fingerprint)
-            if suspect is None or suspect.suspicion.is_empty:
+            if suspect is None or (suspect.suspicion.is_empty and not suspect.suspicion.losses):
                 return
             before = suspect.suspicion
             self._merge(Suspicion(fingerprint, answered_s=answered_s), self._clock_s())
-            cleared_count = len(before.deaths | before.breaks)
+            cleared_count = len(before.deaths | before.breaks | before.losses)
         log_event(
             Event.FINGERPRINT_CLEARED,
             fingerprint=fingerprint,
@@ -447,7 +493,7 @@
     def _is_expired(self, suspicion: Suspicion, updated_s: float, now_s: float) -> bool:
         ttl_s = self._ttl_s
         if suspicion.is_empty:
-            ttl_s = min(CLEARED_TTL_S, ttl_s)
+            ttl_s = min(OPEN_LOSS_TTL_S if suspicion.losses else CLEARED_TTL_S, ttl_s)
         elif self._level(suspicion) >= DEATHS_TO_QUARANTINE:
             ttl_s = max(ttl_s, *self._trial_waits_s, 0.0)
         return now_s - updated_s > ttl_s
--- a/packages/primroseferry-policy/src/primroseferry_policy/suspicion.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/suspicion.py
@@ -8,6 +8,8 @@
 
 import xxhash
 
+from .open_loss import parse_open_loss
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -33,7 +35,8 @@
     """Observations about one request, or about one part of prompts.
 
     ``retracted`` has those that no longer count. ``depth`` is how many parts precede a part in a
-    prompt, at most; 0 for a request.
+    prompt, at most; 0 for a request. ``losses`` has lost attempts without a proved cause, as
+    :attr:`OpenLoss.id`. They have no weight; gateways replace them by crashes or retract them.
 
     A crash is written ``endpoint/run@seconds`` or ``endpoint@seconds``, a broken connection
     ``number@seconds``, where seconds is the wall-clock time of the loss. A crash after the answer
@@ -49,6 +52,7 @@
     retracted: frozenset[str] = field(default=frozenset())
     answered_s: int = 0
     depth: int = 0
+    losses: frozenset[str] = field(default=frozenset())
 
     @property
     def level(self) -> int:
@@ -67,8 +71,8 @@
 
     @property
     def is_repeated(self) -> bool:
-        """Whether more than one loss counts against the request."""
-        return self.weight > DEATH_WEIGHT
+        """Whether more than one loss is known of the request, with or without a proved cause."""
+        return self.weight > DEATH_WEIGHT or (bool(self.losses) and self._count_lost_runs() > 1)
 
     @property
     def is_empty(self) -> bool:
@@ -82,6 +86,8 @@
         parts += [*sorted(self.retracted), "", str(self.answered_s)]
         if self.depth:  # Earlier releases hash suspicions without it.
             parts.append(str(self.depth))
+        if self.losses:
+            parts += ["losses", *sorted(self.losses)]
         content = "\0".join(parts)
         return xxhash.xxh3_64_intdigest(content.encode()) >> 1
 
@@ -96,8 +102,15 @@
             retracted,
             answered_s,
             max(self.depth, other.depth),
+            _newest(_newer_than(self.losses | other.losses, answered_s) - retracted),
         )
 
+    def _count_lost_runs(self) -> int:
+        crashes = [entry.removeprefix(_STARTED_PREFIX) for entry in self.deaths | self.breaks]
+        crashes += [loss.crash for name in self.losses if (loss := parse_open_loss(name))]
+        explained = {loss.observation for name in self.losses if (loss := parse_open_loss(name))}
+        return count_deaths(crash for crash in crashes if crash not in explained)
+
 
 def started_crash_id(crash: str) -> str:
     """Return the id of a crash that ended an endpoint after the request's answer had begun.
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -95,6 +95,8 @@
             self._records.apply_listing(keys)
         if VERSION_PREFIX.startswith(prefix):
             self._versions.apply_listing(keys)
+        if not prefix:
+            self._catalog.on_listed()
 
     def _apply_routes(self, table: RouteTable, item: StoredItem) -> None:
         if self._table is not None and table.revision < self._table.revision:
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/quarantine_records.py
@@ -2,10 +2,12 @@
 
 Gateways keep suspicions in memory and exchange them. If all gateways end within seconds, the
 suspicions are restored from the listing that each gateway reads at its start. A record is written
-for each request that was lost more than once, written again when its suspicion grows or its
-quarantine ends, and expires with its lease. A single loss is not written: each crash of an endpoint
-breaks off many sound requests once. For each request, the gateways are ordered by a hash: the first
-gateway writes the record, and the others, ever more of them, only if those before fail.
+for each request that was lost more than once, with or without a proved cause, written again when
+its suspicion grows or its quarantine ends, and expires with its lease. A single loss is not
+written: each crash of an endpoint breaks off many sound requests once. For each request, the
+gateways are ordered by a hash: the first gateway writes the record, and the others, ever more of
+them, only if those before fail. A gateway that loses a request again without a proved cause writes
+the record itself before the request goes on, because all gateways may end within the next second.
 """
 
 from __future__ import annotations
@@ -24,6 +26,7 @@
 from ..membership.codec import decode_suspicion
 from ..membership.codec import encode_suspicion
 from .leased_record import put_leased
+from .record_writer import RETRY_S
 from .record_writer import RecordWriter
 
 if TYPE_CHECKING:
@@ -41,6 +44,8 @@
 QUARANTINE_PREFIX = "quarantine/"
 # The longest lease that the platform grants. A quarantine that lasts longer is written again.
 LEASE_MS = 600_000
+# How long an attempt whose loss is recorded waits for the store before the request goes on.
+MAX_WAIT_S = 0.25
 
 
 class QuarantineRecords:
@@ -60,6 +65,9 @@
             "quarantine records", peers, self._unrecorded, self._write, clock_s
         )
         self._lock = threading.Lock()
+        self._clock_s = clock_s
+        self._urgent_lock = threading.Lock()
+        self._retry_s = float("-inf")
 
     def apply(self, item: StoredItem) -> None:
         """Apply a record that any gateway wrote, or the expiry of one."""
@@ -89,6 +97,25 @@
         """Start to write a record if this gateway is to write one; never blocks."""
         self._writer.tick()
 
+    def record_now(self, record: SuspicionReport) -> None:
+        """Write a record at once and wait for it, for ``MAX_WAIT_S`` at most.
+
+        What is not written by then, or while another one is, is left to ``tick``.
+        """
+        if self._clock_s() < self._retry_s or not self._urgent_lock.acquire(blocking=False):
+            return
+        done = threading.Event()
+        threading.Thread(target=self._write_urgent, args=(record, done), daemon=True).start()
+        done.wait(MAX_WAIT_S)
+
+    def _write_urgent(self, record: SuspicionReport, done: threading.Event) -> None:
+        try:
+            if not self._write(record):
+                self._retry_s = self._clock_s() + RETRY_S
+        finally:
+            self._urgent_lock.release()
+            done.set()
+
     def _unrecorded(self) -> Mapping[str, SuspicionReport]:
         with self._lock:
             stored = dict(self._stored)
@@ -102,9 +129,8 @@
         cleared = [
             record
             for fingerprint, suspicion in stored.items()
-            if suspicion.level >= DEATHS_TO_QUARANTINE
-            and (record := self._quarantine.find(fingerprint)) is not None
-            and record.suspicion.level < DEATHS_TO_QUARANTINE
+            if (record := self._quarantine.find(fingerprint)) is not None
+            and _is_cleared(suspicion, record.suspicion)
         ]
         return {str(entry.suspicion.fingerprint): entry for entry in (*grown, *cleared)}
 
@@ -121,6 +147,13 @@
         return True
 
 
+def _is_cleared(stored: Suspicion, known: Suspicion) -> bool:
+    """Whether a stored record would hold against a request what no longer counts."""
+    if stored.level >= DEATHS_TO_QUARANTINE:
+        return known.level < DEATHS_TO_QUARANTINE
+    return bool(stored.losses) and stored.is_repeated and not known.is_repeated
+
+
 def _encode(record: SuspicionReport) -> bytes:
     data = {"held": encode_suspicion(record), "written_s": round(time.time(), 1)}
     return json.dumps(data, separators=(",", ":")).encode()
--- a/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/crash_attribution.py
@@ -23,7 +23,9 @@
 
 from primroseferry_core.bounded_map import BoundedMap
 from primroseferry_core.events import Event
+from primroseferry_core.ids import EndpointId
 from primroseferry_core.logs import log_event
+from primroseferry_policy.open_loss import OpenLoss
 from primroseferry_policy.quarantine import PartLoss
 from primroseferry_policy.suspicion import DEATHS_TO_QUARANTINE
 from primroseferry_policy.token_bucket import TokenBucket
@@ -65,6 +67,11 @@
 # Suspicions against parts that this gateway sends to all others by itself. Where many endpoints end
 # at once, the rest is exchanged with the other suspicions.
 MAX_PART_REPORTS_PER_S = 5.0
+# Losses without a proved cause that all gateways together report. Reports of requests that were
+# lost before come first.
+MAX_LOSS_REPORTS_PER_S = 5.0
+MAX_LOSS_REPORTS_AT_ONCE = 4.0
+RESERVED_LOSS_REPORTS = 2.0
 HELD_PART_DETAIL = "endpoints that ran prompts with one of its parts crashed"
 CRASHED_DETAIL = "endpoints that ran this request crashed"
 
@@ -124,9 +131,12 @@
         probe: Callable[[str], PortState] = probe_port,
         trial_rank: Callable[[str], int | None] = lambda _key: 0,
         is_partitioned: Callable[[], bool] = lambda: False,
+        live_count: Callable[[], int] = lambda: 1,
     ) -> None:
         """``trial_rank`` returns this gateway's place among all for trials of a part.
 
+        ``live_count`` returns the number of live gateways, which share the reports of losses.
+
         ``is_partitioned`` returns whether this gateway reaches no endpoint. What breaks then says
         nothing about the endpoints.
         """
@@ -135,6 +145,12 @@
         self._part_reports = TokenBucket(
             MAX_PART_REPORTS_PER_S, MAX_PART_REPORTS_PER_S, clock_s, MAX_PART_REPORTS_PER_S
         )
+        self._live_count = live_count
+        self._loss_reports = TokenBucket(
+            MAX_LOSS_REPORTS_PER_S, MAX_LOSS_REPORTS_AT_ONCE, clock_s, MAX_LOSS_REPORTS_AT_ONCE
+        )
+        # Called with a request that was lost more than once, before it is sent again.
+        self.on_repeated_loss: Callable[[SuspicionReport], None] = lambda _report: None
         self._clock_s = clock_s
         self._wall_clock_s = wall_clock_s
         self._probe = probe
@@ -147,6 +163,7 @@
         self._ended_runs: BoundedMap[EndpointRun, bool] = BoundedMap(MAX_ENDED_RUNS)
         self._lock = threading.Lock()
         catalog.on_run_ended = self.note_run_ended
+        catalog.on_listed = self.note_listed
 
     def verdicts(self) -> Mapping[Verdict, int]:
         """Return how many times each verdict was given."""
@@ -281,6 +298,7 @@
             self._unexplained = deque(
                 (loss for loss in self._unexplained if loss.run != run), MAX_UNEXPLAINED
             )
+        self._settle_losses_of(run, was_leaving)
         if was_leaving:
             return
         for loss in losses:
@@ -301,6 +319,47 @@
                     "entry expired",
                 )
 
+    def note_listed(self) -> None:
+        """Take runs for crashed that are missing from a complete listing and have open losses.
+
+        No gateway saw how they ended, or it would have replaced or retracted the losses.
+        """
+        for found in self._quarantine.open_losses():
+            endpoint = self._catalog.find(EndpointId(found.loss.endpoint))
+            if endpoint is None or _source(endpoint.run) != found.loss.run:
+                self._quarantine.confirm_loss(found.fingerprint, found.loss)
+
+    def _settle_losses_of(self, run: EndpointRun, was_leaving: bool) -> None:
+        """Replace the open losses on a run that ended by a crash, or retract them."""
+        earliest_s = self._wall_clock_s() - ENTRY_EXPIRY_S
+        for found in self._quarantine.open_losses():
+            if found.loss.run != _source(run):
+                continue
+            if was_leaving or found.loss.at_s < int(earliest_s):
+                self._quarantine.retract(found.fingerprint, found.loss.id)
+            else:
+                self._quarantine.confirm_loss(found.fingerprint, found.loss)
+
+    def _report_open_loss(
+        self, run: EndpointRun, suspect: Suspect, observation: str = "", has_begun: bool = False
+    ) -> None:
+        """Report a loss whose cause may be found when this gateway has ended."""
+        if suspect.trial:
+            return
+        known = self._quarantine.find(suspect.fingerprint)
+        is_first = known is None or (known.suspicion.is_empty and not known.suspicion.losses)
+        rate = MAX_LOSS_REPORTS_PER_S / self._live_count()
+        self._loss_reports.set_rate(rate, MAX_LOSS_REPORTS_AT_ONCE)
+        if self._loss_reports.take(RESERVED_LOSS_REPORTS if is_first else 0.0) > 0:
+            return
+        crash = _crash_id(run, self._wall_clock_s())
+        report = self._quarantine.record_loss(
+            suspect.fingerprint, OpenLoss(crash, observation, has_begun)
+        )
+        self._reporter.send_suspicions([report])
+        if report.suspicion.is_repeated:
+            self.on_repeated_loss(report)
+
     def _accept_unframed_answers(self) -> None:
         """Clear requests whose endpoint still ran ``ENTRY_EXPIRY_S`` after an unframed answer."""
         limit_s = self._clock_s() - ENTRY_EXPIRY_S
@@ -344,15 +403,18 @@
                 observation = _new_break_id(self._wall_clock_s())
                 self._quarantine.record_break(fingerprint, observation)
                 self._add_unexplained(run, suspect, request_id, observation)
+                self._report_open_loss(run, suspect, observation)
             case Verdict.BREAK_AFTER_START if not suspect.trial:
                 observation = _new_break_id(self._wall_clock_s())
                 self._quarantine.record_break(fingerprint, observation)
                 self._add_unexplained(run, suspect, request_id, observation, has_begun=True)
+                self._report_open_loss(run, suspect, observation, has_begun=True)
             case Verdict.CRASH_AFTER_START:
                 self._quarantine.confirm_crash(fingerprint, suspect.trial, crash)
                 self._report_suspicion(fingerprint)
             case Verdict.BREAK | Verdict.UNEXPLAINED | Verdict.BREAK_AFTER_START:
                 self._add_unexplained(run, suspect, request_id, suspect.trial)
+                self._report_open_loss(run, suspect)
             case Verdict.LEAVING:
                 self.withdraw_trial(suspect)
 
@@ -444,5 +506,8 @@
     If the run's start time is unknown, only the time of the loss distinguishes this crash from
     one of the endpoint's next run.
     """
-    source = f"{run.endpoint}/{run.started_ms}" if run.started_ms else run.endpoint
-    return f"{source}@{int(wall_s)}"
+    return f"{_source(run)}@{int(wall_s)}"
+
+
+def _source(run: EndpointRun) -> str:
+    return f"{run.endpoint}/{run.started_ms}" if run.started_ms else run.endpoint
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -84,6 +84,8 @@
         # Called with a run that is no longer listed, and whether it was leaving, by its own report
         # or by an entry that was not in the ready state.
         self.on_run_ended: Callable[[Endpoint, bool], None] = lambda _endpoint, _was_leaving: None
+        # Called when the entries are those of a complete listing of the store.
+        self.on_listed: Callable[[], None] = lambda: None
 
     def note_store_recovered(self) -> None:
         """Record that the store answers again after an outage."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -151,6 +151,7 @@
         self._peers = PeerTable(settings.instance, settings.region)
         self._permits = RequestPermits(self._policy.request_limits, self._peers)
         records = QuarantineRecords(self._store, self._policy.quarantine, self._peers)
+        self._records = records
         versions = VersionRecords(
             self._store, self._catalog, self._peers, lambda: self._feed.table()
         )
@@ -229,6 +230,7 @@
             self._reach,
         )
         self._local = local
+        local.crash_attribution.on_repeated_loss = self._records.record_now
         parts = RelayContext(
             settings.region,
             self._loop,
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -172,6 +172,7 @@
             reporter,
             trial_rank=peers.own_rank,
             is_partitioned=lambda: reach.is_partitioned,
+            live_count=peers.live_count,
         )
 
     def rank(
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -556,6 +556,8 @@
         round(max(0.0, entry.age_s), 1),
         suspicion.answered_s,
     ]
+    if suspicion.losses:
+        return [*fields, suspicion.depth, sorted(suspicion.losses)]
     return [*fields, suspicion.depth] if suspicion.depth else fields
 
 
@@ -572,6 +574,7 @@
             frozenset(map(_string, retracted)),
             _non_negative_int(answered_s),
             _optional_int(fields, 6) or 0,
+            frozenset(map(_string, fields[7] if len(fields) > 7 else ())),
         ),
         float(age_s),
     )
