--- a/packages/primroseferry-relay/tests/relay_tests/test_unexplained_losses.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unexplained_losses.py
@@ -13,17 +13,25 @@
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import ServiceId
+from primroseferry_policy.open_loss import OpenLoss
+from primroseferry_policy.open_loss import parse_open_loss
 from primroseferry_policy.quarantine import Quarantine
 from primroseferry_policy.quarantine import SuspicionReport
 from primroseferry_policy.shared_budget import SharedRetryBudget
+from primroseferry_policy.suspicion import Suspicion
 from primroseferry_relay.attempts.outcome import Lost
 from primroseferry_relay.control.control_feed import ControlFeed
 from primroseferry_relay.control.quarantine_records import QuarantineRecords
 from primroseferry_relay.control.version_records import VersionRecords
+from primroseferry_relay.crash_attribution import MAX_LOSS_REPORTS_AT_ONCE
+from primroseferry_relay.crash_attribution import MAX_LOSS_REPORTS_PER_S
 from primroseferry_relay.crash_attribution import CrashAttribution
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
 from primroseferry_relay.endpoints.endpoint import Endpoint
 from primroseferry_relay.endpoints.endpoint import EndpointState
+from primroseferry_relay.membership.codec import decode
+from primroseferry_relay.membership.codec import encode
+from primroseferry_relay.membership.datagrams import Suspicions
 from primroseferry_relay.membership.peer_table import PeerTable
 from primroseferry_relay.relay_policy import TRIAL_WAITS_S
 from primroseferry_relay.relay_policy import RelayPolicy
@@ -53,6 +61,8 @@
 ENTRY_LEASE_S = 3.6
 REPLACEMENT_S = 3.0
 DOWN_S = 1.5
+# What no link fragments.
+MAX_REPORT_BYTES = 1_200
 
 TIMED_OUT = Lost("no byte for 400 ms", is_connection_lost=False)
 RESET = Lost("connection reset", is_connection_lost=True)
@@ -253,3 +263,123 @@
     world.in_touch_s = world.clock.now_s
     world.advance(45.0)
     assert world.late_sends() <= ALLOWED_LATE_SENDS
+
+
+class _Reports:
+    """Counts what a gateway reports to the others, and its bytes."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.bytes = 0
+
+    def send_blame(self, blame: Blame) -> None: ...
+
+    def send_suspicions(self, reports: list[SuspicionReport]) -> None:
+        self.count += 1
+        self.bytes += len(encode(Suspicions(tuple(reports))))
+
+
+@pytest.mark.parametrize("gateways", [2, 16, 195])
+def test_storm_of_losses_is_reported_at_a_bounded_rate(gateways: int) -> None:
+    clock, reports, storm_s = Clock(), _Reports(), 60
+    attribution = CrashAttribution(
+        Quarantine(clock, wall_clock_s=clock),
+        EndpointCatalog(clock),
+        reports,
+        clock,
+        clock,
+        live_count=lambda: gateways,
+    )
+    repeated = []
+    attribution.on_repeated_loss = repeated.append
+    world = World(TIMED_OUT, seed=1)
+    for second in range(storm_s):
+        for number in range(50):
+            clock.now_s += 1 / 50
+            endpoint = list(world.entries.values())[number % ENDPOINTS]
+            suspect = Suspect(Fingerprint(f"{second % 7}-{number}"))
+            attribution.record_outcome(endpoint, suspect, "r", TIMED_OUT)
+    allowed = MAX_LOSS_REPORTS_AT_ONCE + storm_s * MAX_LOSS_REPORTS_PER_S / gateways
+    assert 1 <= reports.count <= allowed + 1
+    assert len(repeated) <= reports.count
+    assert reports.bytes <= reports.count * MAX_REPORT_BYTES
+
+
+class _Observer:
+    """A gateway that received a loss of another one, which has ended since."""
+
+    def __init__(self) -> None:
+        self.world = World(TIMED_OUT, seed=1)
+        self.endpoints = list(self.world.entries.values())[:2]
+        lost, self.other = self.world.gateways[:2]
+        for endpoint in self.endpoints:
+            lost.attribution.record_outcome(endpoint, Suspect(DEADLY), "r", TIMED_OUT)
+        self.world.kill(1)
+
+    def weight(self) -> int:
+        report = self.other.quarantine.find(DEADLY)
+        return report.suspicion.weight if report is not None else 0
+
+    def end_runs(self, after_s: float) -> None:
+        self.world.clock.now_s += after_s
+        for endpoint in self.endpoints:
+            self.other.catalog.remove(endpoint.endpoint)
+
+
+def test_losses_of_a_killed_gateway_count_when_another_one_sees_the_runs_end() -> None:
+    observer = _Observer()
+    assert observer.weight() == 0
+    observer.end_runs(after_s=3.6)
+    assert observer.other.quarantine.is_quarantined(DEADLY)
+
+
+def test_loss_does_not_count_when_its_run_ends_much_later() -> None:
+    observer = _Observer()
+    observer.end_runs(after_s=12.0)
+    observer.other.list_store()
+    assert observer.weight() == 0
+
+
+def test_loss_does_not_count_when_its_run_was_leaving() -> None:
+    observer = _Observer()
+    for endpoint in observer.endpoints:
+        observer.other.catalog.note_leaving(endpoint.run)
+    observer.end_runs(after_s=3.6)
+    assert observer.weight() == 0
+
+
+def test_loss_does_not_count_after_a_complete_answer() -> None:
+    observer = _Observer()
+    observer.other.quarantine.clear(DEADLY)
+    observer.end_runs(after_s=3.6)
+    assert observer.weight() == 0
+
+
+def test_stored_losses_that_no_longer_count_are_written_again() -> None:
+    observer = _Observer()
+    observer.other.quarantine.clear(DEADLY)
+    observer.world.advance(3.0, is_sending=False)
+    names = observer.world.kill(2)
+    observer.world.entries.clear()
+    observer.world.start(names)
+    assert not any(gateway.quarantine.is_suspected(DEADLY) for gateway in observer.world.gateways)
+
+
+def test_store_that_is_away_is_not_asked_before_each_repeated_loss() -> None:
+    world = World(TIMED_OUT, seed=1)
+    world.store.refused = 1_000
+    gateway = world.gateways[0]
+    for number in range(10):
+        for endpoint in list(world.entries.values())[:2]:
+            suspect = Suspect(Fingerprint(f"r-{number}"))
+            gateway.attribution.record_outcome(endpoint, suspect, "r", TIMED_OUT)
+    assert world.store.calls <= 2
+    assert gateway.quarantine.find(Fingerprint("r-0")) is not None
+
+
+def test_report_with_losses_is_encoded_and_decoded() -> None:
+    loss = OpenLoss("engine-1/7@100", "ab@100", has_begun=True)
+    suspicion = Suspicion(DEADLY, breaks=frozenset({"ab@100"}), losses=frozenset({loss.id}))
+    datagram = Suspicions((SuspicionReport(suspicion, 2.0),))
+    assert decode(encode(datagram)) == datagram
+    assert parse_open_loss(loss.id) == loss
