Let the tests of open losses deliver records and repeat losses on other endpoints

The storm test lost each request at one endpoint only, so none was repeated, and no record reached the other gateways.

--- a/packages/primroseferry-relay/tests/relay_tests/test_unexplained_losses.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unexplained_losses.py
@@ -115,11 +115,14 @@
         for other in self._world.gateways:
             other.quarantine.merge(reports)
 
+    def receive_items(self) -> None:
+        for item in list(self._world.store.items.values()):
+            self.records.apply(item)
+
     def list_store(self) -> None:
         """Read the store as a gateway does at its start."""
         self.catalog.replace_all(self._world.entries.values())
-        for item in list(self._world.store.items.values()):
-            self.records.apply(item)
+        self.receive_items()
         self.feed.apply_listing("", [*self._world.store.items])
 
 
@@ -181,6 +184,8 @@
             gateway.records.tick()
             if gateway.records._writer._write_lock.acquire(timeout=5):
                 gateway.records._writer._write_lock.release()
+        for gateway in self.gateways:
+            gateway.receive_items()
         for one in self.gateways:
             for other in self.gateways:
                 one.quarantine.merge(other.quarantine.missing_from(one.quarantine.content_hashes()))
@@ -296,7 +301,7 @@
     for second in range(storm_s):
         for number in range(50):
             clock.now_s += 1 / 50
-            endpoint = list(world.entries.values())[number % ENDPOINTS]
+            endpoint = list(world.entries.values())[(number + second) % ENDPOINTS]
             suspect = Suspect(Fingerprint(f"{second % 7}-{number}"))
             attribution.record_outcome(endpoint, suspect, "r", TIMED_OUT)
     allowed = MAX_LOSS_REPORTS_AT_ONCE + storm_s * MAX_LOSS_REPORTS_PER_S / gateways
