Answer the readiness check with 503 while a vital thread fails

Callers saw: a gateway without its loop of outgoing calls answered nothing, but called itself ready and was listed for callers.

Cause: readiness looked only at the state that the gateway had given itself.

VitalThread runs its work again after SystemExit too, which would have ended the thread without a word.

--- a/packages/primroseferry-core/src/primroseferry_core/vital_thread.py
+++ b/packages/primroseferry-core/src/primroseferry_core/vital_thread.py
@@ -56,7 +56,7 @@
             try:
                 self._run()
                 return
-            except Exception as error:
+            except BaseException as error:
                 self._failed_s = time.monotonic()
                 # A failure to log must not end the thread either.
                 with contextlib.suppress(Exception):
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/directory.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/directory.py
@@ -63,11 +63,14 @@
         own_front: str,
         adapter: DirectoryAdapter,
         current_table: Callable[[], RouteTable | None],
+        is_working: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Create a directory; ``is_working`` tells whether this gateway can serve requests."""
         self._peers = peers
         self._own_front = own_front
         self._adapter = adapter
         self._current_table = current_table
+        self._is_working = is_working
 
     def serve(self, request: RelayRequest, channel: AnswerChannel) -> None:
         """Answer one readiness check or query."""
@@ -124,11 +127,14 @@
     def _fronts(self, region: RegionId) -> list[str]:
         fronts = [report.address.front for report in self._peers.ready_peers(region)]
         is_own = region == self._peers.own_region
-        if is_own and self._peers.own_state is GatewayState.READY:
+        if is_own and self._peers.own_state is GatewayState.READY and self._is_working():
             fronts.append(self._own_front)
         return sorted(fronts)
 
     def _readiness(self) -> CompleteAnswer:
+        if not self._is_working():
+            detail = "a thread of the gateway is failing"
+            return problem_answer(Problem(ErrorKind.GATEWAY_NOT_READY, detail))
         if self._peers.own_state is GatewayState.READY:
             return json_answer(200, {"state": self._peers.own_state.value})
         problem = Problem(ErrorKind.GATEWAY_NOT_READY, f"state {self._peers.own_state.value}")
--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/listener.py
@@ -85,6 +85,11 @@
             self._socket.shutdown(socket.SHUT_RDWR)
         self._socket.close()
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the thread has ended or has just failed."""
+        return self._thread.is_failing
+
     @property
     def open_connections(self) -> int:
         """The number of open connections, including those that wait for a thread."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -254,7 +254,9 @@
             "front", settings.front_port, relay.serve, settings.max_connections
         )
         own_front = f"{settings.host}:{self._front_listener.port}"
-        directory = Directory(self._peers, own_front, directory_adapter, self._feed.table)
+        directory = Directory(
+            self._peers, own_front, directory_adapter, self._feed.table, self._is_working
+        )
         directory_connections = DIRECTORY_MAX_CONNECTIONS
         self._hop_listener = self._listener(
             "hops", settings.hop_port, hops.serve, settings.max_connections
@@ -377,6 +379,11 @@
                 received_after_stop_ms=round((request.started_s - stopped_s) * 1000),
             )
 
+    def _is_working(self) -> bool:
+        """Return whether the threads run without which no request is served or placed."""
+        parts = (self._loop, self._front_listener, self._hop_listener, self._reporter)
+        return not any(part.is_failing for part in parts)
+
     def _health_path(self, endpoint: Endpoint) -> str:
         table = self._feed.table()
         service = table.services.get(endpoint.service) if table is not None else None
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -94,6 +94,11 @@
         """Ask the exchange thread to stop after its current iteration."""
         self._is_open = False
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the thread has ended or has just failed."""
+        return self._thread.is_failing
+
     @property
     def member_count(self) -> int:
         """The number of gateways that report their state to this one, including itself."""
--- a/packages/primroseferry-relay/tests/relay_tests/test_directory.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_directory.py
@@ -20,6 +20,7 @@
 from .test_route_table import SERVICE
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from primroseferry_relay.messages import CompleteAnswer
@@ -39,12 +40,12 @@
         return json_answer(200, {"addresses": list(addresses), "ttl_s": ttl_s})
 
 
-def _directory(peers: PeerTable) -> Directory:
+def _directory(peers: PeerTable, is_working: Callable[[], bool] = lambda: True) -> Directory:
     bound = replace(ROUTE, prefix="/bound/", home_regions=frozenset({NORTH, EAST}))
     other = replace(ROUTE, prefix="/other/", home_regions=frozenset({SOUTH}))
     bound_too = replace(bound, prefix="/bound-too/")
     table = build_route_table(1, [ROUTE, bound, bound_too, other], [SERVICE])
-    return Directory(peers, OWN, PlainAdapter(), lambda: table)
+    return Directory(peers, OWN, PlainAdapter(), lambda: table, is_working)
 
 
 def _peers(state: GatewayState) -> PeerTable:
@@ -68,6 +69,13 @@
     assert _directory(peers).addresses(query) == [OWN, "north-2:80"]
 
 
+def test_gateway_whose_threads_fail_does_not_list_itself() -> None:
+    peers = _peers(GatewayState.READY)
+    _add_peer(peers, "north-2", NORTH, GatewayState.READY)
+    query = DirectoryQuery("a.example", NORTH)
+    assert _directory(peers, lambda: False).addresses(query) == ["north-2:80"]
+
+
 def test_without_a_local_gateway_regions_permitted_by_most_routes_are_listed() -> None:
     """The bound routes have no region in common; the region that permits most of them wins."""
     peers = _peers(GatewayState.DRAINING)
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -202,6 +202,11 @@
         """Stop watching and close ``watch``."""
         self.run_soon(lambda: self._remove_watch(watch))
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the loop's thread has ended or has just failed."""
+        return self._thread.is_failing
+
     def in_flight_calls(self) -> int:
         """Return the number of active calls."""
         return len(self._active)
