--- a/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
@@ -135,7 +135,7 @@
             position = StorePosition(int(reply.get("era", 0)), int(reply.get("as_of", 0)))
             is_listing = reply.get("is_listing") is True
             is_confirmed = reply.get("is_confirmed") is True
-        except (ValueError, KeyError, TypeError, AttributeError) as error:
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             _log_failure(holder, f"malformed answer: {error!r}")
             return
         state = self._state
--- a/packages/primroseferry-relay/tests/relay_tests/test_endless_bytes.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_endless_bytes.py
@@ -9,6 +9,10 @@
 from typing import TYPE_CHECKING
 
 import pytest
+from primroseferry_relay.control.control_state import ControlState
+from primroseferry_relay.control.metadata_store import START
+from primroseferry_relay.control.peer_sync import PeerSync
+from primroseferry_relay.control.watch_duty import WatchDuty
 from primroseferry_relay.forwarding.hop import OUTCOME_HEADER
 
 from .relay_harness import RelayHarness
@@ -182,3 +186,27 @@
     assert wait_until(lambda: len(sent_bytes) >= 2, harness)
     assert sent_bytes[0] < MAX_PING_ANSWER_BYTES
     assert harness.reach.unreachable() == ["e-0"]
+
+
+NESTED_JSON = b"[" * 200_000
+CONTROL_FLOODS = {
+    "headers": (HEAD, b"X-More: y\r\n" * 500),
+    "body": (HEAD + b"\r\n", BLOCK),
+    "nested": (HEAD + b"Content-Length: %d\r\n\r\n" % len(NESTED_JSON) + NESTED_JSON, b""),
+}
+
+
+@pytest.mark.parametrize("kind", list(CONTROL_FLOODS))
+def test_flood_in_answer_to_a_fetch_of_control_items_changes_nothing(
+    loop: CurlLoop, kind: str
+) -> None:
+    first, block = CONTROL_FLOODS[kind]
+    peer = _flood(first, itertools.repeat(block, 100_000 if block else 0))
+    peers = RelayHarness(loop, []).peers
+    state = ControlState(lambda _item: None)
+    sync = PeerSync(loop, peers, state, WatchDuty(peers))
+    assert sync._fetch_lock.acquire(blocking=False)
+    sync._fetch(peer.address, START)
+    assert state.position == START
+    assert loop.buffers.total_bytes == 0
+    assert sync._fetch_lock.acquire(blocking=False)
