Leave room for small answers and request bodies beside large ones

Four whole answers of 16 MiB at callers that read slowly would have filled the limit for some ten seconds, and every other answer would have been stopped. Shares that shrink as connections are added let the sum reach 7.4 times the limit. Now no answer below an equal share is stopped, and twice the limit is the end for all. 48 MiB for answers, 32 MiB for request bodies.

--- a/packages/primroseferry-relay/src/primroseferry_relay/ingress/request_bodies.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/ingress/request_bodies.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
-DEFAULT_MAX_BYTES = 48 * 1024 * 1024
+DEFAULT_MAX_BYTES = 32 * 1024 * 1024
 
 
 class RequestBodies:
@@ -37,10 +37,14 @@
     def resize(self, connection: Hashable, size_bytes: int) -> bool:
         """Record how much of a body was read; ``False`` if it must be refused."""
         with self._lock:
-            self._total_bytes += size_bytes - self._sizes.get(connection, 0)
+            total_bytes = self._total_bytes + size_bytes - self._sizes.get(connection, 0)
+            count = len(self._sizes) + (connection not in self._sizes)
+            is_small = size_bytes * count <= self._max_bytes
+            if total_bytes > self._max_bytes * (2 if is_small else 1):
+                return False
+            self._total_bytes = total_bytes
             self._sizes[connection] = size_bytes
-            is_within = self._total_bytes <= self._max_bytes
-            return is_within or size_bytes * len(self._sizes) <= self._max_bytes
+            return True
 
     def release(self, connection: Hashable) -> None:
         """Count the body of a connection no more."""
--- a/packages/primroseferry-relay/tests/relay_tests/test_request_bodies.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_request_bodies.py
@@ -29,3 +29,10 @@
     for connection in list(sizes):
         bodies.release(connection)
     assert bodies.total_bytes == 0
+
+
+def test_bodies_that_shrink_with_their_share_stay_below_twice_the_limit() -> None:
+    bodies = RequestBodies(10_000)
+    for connection in range(1, 1_000):
+        bodies.resize(connection, 10_000 // connection)
+    assert bodies.total_bytes <= 20_000
--- a/packages/primroseferry-transport/src/primroseferry_transport/answer_buffers.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/answer_buffers.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
-DEFAULT_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+DEFAULT_MAX_BUFFERED_BYTES = 48 * 1024 * 1024
 
 CallT = TypeVar("CallT", bound="Hashable")
 
@@ -20,6 +20,8 @@
 
     The limit of a single answer does not bound the sum: any number of endpoints may send at once.
     The largest answer is the first to go, so that a flood does not end the small answers beside it.
+    None goes that is below an equal share of the limit, so that answers which slow callers keep do
+    not end all others, until the sum reaches twice the limit.
 
     >>> buffers = AnswerBuffers[str](max_bytes=100)
     >>> buffers.resize("flood", 90)
@@ -51,6 +53,10 @@
             if self._total_bytes <= self._max_bytes or not self._sizes:
                 return None
             largest = max(self._sizes, key=self._sizes.__getitem__)
+            count = len(self._sizes) + len(self._kept)
+            is_small = self._sizes[largest] * count <= self._max_bytes
+            if is_small and self._total_bytes <= 2 * self._max_bytes:
+                return None
             self._total_bytes -= self._sizes.pop(largest)
             return largest
 
--- a/packages/primroseferry-transport/src/primroseferry_transport/unsent_bytes.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/unsent_bytes.py
@@ -4,7 +4,7 @@
 
 import threading
 
-DEFAULT_LIMIT_BYTES = 64 * 1024 * 1024
+DEFAULT_LIMIT_BYTES = 32 * 1024 * 1024
 
 
 class UnsentBytes:
