Wait for signals also in a process with more than 1,024 descriptors

Cause: select() takes descriptors below 1,024 only, and the test process had more ('filedescriptor out of range in select()'). A gateway makes its wakeup at its start, so it was not hit, but it must not depend on that. The selector of the platform has no such limit. The test now occupies 1,100 descriptors first; it failed before and passes, and waits for its own signal before the handler is restored.

--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/signal_wakeup.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/signal_wakeup.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import select
+import selectors
 import signal
 import socket
 
@@ -20,15 +20,18 @@
         self._reader, self._writer = socket.socketpair()
         self._reader.setblocking(False)
         self._writer.setblocking(False)
+        self._selector = selectors.DefaultSelector()
+        self._selector.register(self._reader, selectors.EVENT_READ)
         signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
 
     def wait(self, timeout_s: float) -> None:
         """Wait until a signal arrives, at most ``timeout_s`` seconds."""
-        if select.select([self._reader], [], [], timeout_s)[0]:
+        if self._selector.select(timeout_s):
             self._reader.recv(READ_BYTES)
 
     def close(self) -> None:
         """Stop receiving signals."""
         signal.set_wakeup_fd(-1)
+        self._selector.close()
         self._reader.close()
         self._writer.close()
--- a/packages/primroseferry-relay/tests/relay_tests/test_signal_wakeup.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_signal_wakeup.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import resource
 import signal
 import threading
 import time
@@ -24,7 +26,21 @@
     signal.signal(signal.SIGUSR1, before)
 
 
-def test_signal_that_another_thread_receives_ends_the_wait(received: list[int]) -> None:
+@pytest.fixture
+def many_descriptors() -> Iterator[None]:
+    """Occupy so many descriptors that those opened next are beyond the limit of ``select``."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(soft, 4_096), hard))
+    files = [os.open(os.devnull, os.O_RDONLY) for _ in range(1_100)]
+    yield
+    for file in files:
+        os.close(file)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
+def test_signal_that_another_thread_receives_ends_the_wait(
+    received: list[int], many_descriptors: None
+) -> None:
     wakeup = SignalWakeup()
     is_over = threading.Event()
     thread = threading.Thread(target=is_over.wait)
@@ -35,14 +51,19 @@
         assert thread.ident is not None
         signal.pthread_kill(thread.ident, signal.SIGUSR1)
 
-    threading.Thread(target=send).start()
+    sender = threading.Thread(target=send)
+    sender.start()
     started_s = time.monotonic()
-    wakeup.wait(WAIT_S)
+    try:
+        wakeup.wait(WAIT_S)
+    finally:
+        # A signal after the handler is restored would end the process.
+        sender.join()
+        is_over.set()
+        thread.join()
+        wakeup.close()
     assert received == [signal.SIGUSR1]
     assert time.monotonic() - started_s < WAIT_S / 2
-    is_over.set()
-    thread.join()
-    wakeup.close()
 
 
 def test_wait_without_a_signal_ends_at_its_limit(received: list[int]) -> None:
