Log requests to cold endpoints, and endpoints that say they are cold before their entry

An arrival at a cold endpoint could not be told apart by its cause: sent by a gateway that took the endpoint for warm, or by one that knew and was not the chosen sender.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -143,8 +143,18 @@
         """Record for how many ms an endpoint reports that it stays cold."""
         with self._lock:
             entry = self._entries.get(endpoint)
-            if entry is not None:
-                entry.cold_until_s = self._clock_s() + cold_ms / 1000
+            if entry is None:
+                return
+            now_s = self._clock_s()
+            is_news = cold_ms > 0 and entry.cold_until_s <= now_s
+            entry.cold_until_s = now_s + cold_ms / 1000
+        if is_news:
+            log_event(
+                Event.ENDPOINT_COLD,
+                endpoint=endpoint,
+                started_ms=entry.endpoint.started_ms,
+                cold_ms=cold_ms,
+            )
 
     def note_leaving(self, run: EndpointRun) -> bool:
         """Record that an endpoint is leaving; return ``True`` if this was not known before."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -254,7 +254,7 @@
             return NotRun("the endpoint accepts no new requests", is_sent=False)
         if self._policy.backoffs.remaining_s(endpoint.endpoint) > 0:
             return NotRun("the endpoint asked for a backoff", is_sent=False)
-        if not self._acquire_cold_send(endpoint, service):
+        if not self._acquire_cold_send(endpoint, service, plan):
             return NotRun("the endpoint is cold and its request rate is used up", is_sent=False)
         if not self._permits.acquire(endpoint.run, plan.is_urgent):
             reason = "the endpoint's request limit is used up"
@@ -499,10 +499,19 @@
         is_sender = self._peers.is_chosen(endpoint.endpoint)
         return is_sender and self._policy.cold_limiter.may_send(endpoint.endpoint)
 
-    def _acquire_cold_send(self, endpoint: Endpoint, service: Service) -> bool:
+    def _acquire_cold_send(self, endpoint: Endpoint, service: Service, plan: AttemptPlan) -> bool:
         if service.warmup_per_s <= 0 or not self._catalog.is_cold(endpoint.endpoint):
             return True
-        return self._policy.cold_limiter.take(endpoint.endpoint, service.warmup_per_s)
+        if not self._policy.cold_limiter.take(endpoint.endpoint, service.warmup_per_s):
+            return False
+        log_event(
+            Event.COLD_ENDPOINT_SEND,
+            request_id=plan.request_id,
+            endpoint=endpoint.endpoint,
+            started_ms=endpoint.started_ms,
+            is_chosen=int(self._peers.is_chosen(endpoint.endpoint)),
+        )
+        return True
 
     def _note_reply(
         self, endpoint: Endpoint, status: int, metadata: ReplyMetadata, sent_s: float
