Treat a run of an endpoint as cold from a lost connection until the endpoint was asked

Cause: a run was known by its entry in the store only. Between the start of the new run and the arrival of its entry (up to a heartbeat and the store's delay) each gateway took the new run for the old, warm one: after its own trial or ping it sent all it had (8 requests from one gateway), each gateway made its own trial, and gateways that never saw the loss sent as before (35 from 8). The answer to the ping named the cold time and nobody read it.

Change: a connection that breaks or cannot be opened makes the listed run unverified. Two gateways of the region, by rendezvous hashing, are told, tell the others, and ask the endpoint for its health; an unverified run counts as cold, so the one chosen gateway sends to it at the cold rate. The answer says whether it is cold: then all know it before its entry, and forget its circuit, pace and parts of prompts. Weighed: a question by each gateway (30 times the health checks, at a cold endpoint), the digests (50 to 100 ms later), versions in each answer (nothing there names the run). A gateway repeats a loss as news only after an answer, and not while it is partitioned, so that losses of its own links cost the region a health check and few datagrams.

--- a/packages/primroseferry-core/src/primroseferry_core/events.py
+++ b/packages/primroseferry-core/src/primroseferry_core/events.py
@@ -97,6 +97,8 @@
     GATEWAY_PARTITION_ENDED = (5029, "warning", "endpoints of the region are reachable again")
     ENDPOINTS_BRITTLE = (5030, "warning", "endpoints of a service said that they are brittle")
     COLD_ENDPOINT_SEND = (5031, "info", "request sent to a cold endpoint")
+    ENDPOINT_RUN_UNVERIFIED = (5033, "warning", "endpoint may have restarted, counts as cold")
+    ENDPOINT_RUN_VERIFIED = (5034, "info", "endpoint that may have restarted was checked")
     ENDPOINT_COLD = (5032, "warning", "endpoint said that it is cold, its entry does not say so")
     PROMPT_PART_RELEASED = (5026, "info", "part of prompts no longer held to crash endpoints")
     KEY_CLAIMED = (6001, "info", "idempotency key claimed in the key-value service")
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoint_adapter.py
@@ -86,5 +86,8 @@
     def ping_headers(self, endpoint: EndpointId) -> list[Header]:
         """Return the headers of a request that ``endpoint`` answers but does not run."""
 
+    def health_headers(self, endpoint: EndpointId) -> list[Header]:
+        """Return the headers of a request for the health of ``endpoint`` and no other."""
+
     def read_reply(self, headers: Sequence[Header]) -> ReplyMetadata:
         """Decode an endpoint's headers."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -139,11 +139,11 @@
             for name in list(self._entries.keys() - listed.keys()):
                 self._remove(name, now_s)
 
-    def set_cold(self, endpoint: EndpointId, cold_ms: float) -> None:
-        """Record for how many ms an endpoint reports that it stays cold."""
+    def set_cold(self, run: EndpointRun, cold_ms: float) -> None:
+        """Record for how many ms an endpoint reports that it stays cold, if ``run`` is listed."""
         with self._lock:
-            entry = self._entries.get(endpoint)
-            if entry is None:
+            entry = self._entries.get(run.endpoint)
+            if entry is None or entry.endpoint.run != run:
                 return
             now_s = self._clock_s()
             is_news = cold_ms > 0 and entry.cold_until_s <= now_s
@@ -151,8 +151,8 @@
         if is_news:
             log_event(
                 Event.ENDPOINT_COLD,
-                endpoint=endpoint,
-                started_ms=entry.endpoint.started_ms,
+                endpoint=run.endpoint,
+                started_ms=run.started_ms,
                 cold_ms=cold_ms,
             )
 
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -14,6 +14,7 @@
 import random
 import threading
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
@@ -27,9 +28,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from primroseferry_core.ids import RegionId
     from primroseferry_policy.breaker import Breakers
+    from primroseferry_transport.calls import Header
     from primroseferry_transport.curl_loop import CurlLoop
     from primroseferry_transport.curl_loop import HttpResult
     from primroseferry_transport.curl_loop import PendingCall
@@ -39,6 +42,9 @@
     from .endpoint import Endpoint
     from .endpoint import EndpointRun
 
+HTTP_OK = 200
+# Status of an endpoint that is not the one for which a request was meant.
+OTHER_ENDPOINT_STATUS = 421
 PING_INTERVAL_S = 0.5
 PING_CONNECT_TIMEOUT_MS = 400
 PING_TIMEOUT_MS = 800
@@ -55,6 +61,16 @@
 MAX_PING_TIMEOUT_AFTER_AN_END_MS = 300
 
 
+@dataclass(frozen=True, slots=True)
+class HealthAnswer:
+    """What an endpoint answered when it was asked for its health.
+
+    ``cold_ms`` is how many ms it stays cold, ``None`` if the answer does not tell.
+    """
+
+    cold_ms: float | None
+
+
 class EndpointReach:
     """Which endpoints of the own region this gateway can reach."""
 
@@ -81,6 +97,9 @@
         self._was_answered = False
         self._is_partitioned = False
         self._lock = threading.Lock()
+        # Called with each endpoint that left a ping unanswered, or answered one.
+        self.on_unanswered_ping: Callable[[Endpoint], None] = lambda _endpoint: None
+        self.on_answered_ping: Callable[[Endpoint], None] = lambda _endpoint: None
 
     @property
     def is_partitioned(self) -> bool:
@@ -112,6 +131,35 @@
         with self._lock:
             return sorted(run.endpoint for run in self._unreachable)
 
+    def ask_health(
+        self, endpoint: Endpoint, on_answer: Callable[[HealthAnswer | None], None]
+    ) -> None:
+        """Ask an endpoint for its health without blocking; no answer gives ``None``.
+
+        An endpoint without a path for its health gets a ping, whose answer tells nothing of it.
+        """
+        path = self._health_path(endpoint)
+        adapter = self._adapter
+        if path:
+            headers = adapter.health_headers(endpoint.endpoint)
+        else:
+            headers = adapter.ping_headers(endpoint.endpoint)
+        pending = self._send_request(endpoint, headers, PING_TIMEOUT_MS)
+        pending.future.add_done_callback(
+            lambda future: on_answer(self._health_answer(future.result(), bool(path)))
+        )
+
+    def _health_answer(self, result: HttpResult, has_path: bool) -> HealthAnswer | None:
+        if not isinstance(result, Ok):
+            return None
+        reply = result.ok_value
+        cold_ms = self._adapter.read_reply(reply.header_lines).cold_ms
+        if reply.status == HTTP_OK:
+            return HealthAnswer(cold_ms or 0.0)
+        if has_path and reply.status == OTHER_ENDPOINT_STATUS:
+            return None
+        return HealthAnswer(cold_ms)
+
     def tick(self) -> None:
         """Send the pings that are due; called many times a second, never blocks."""
         now_s = self._clock_s()
@@ -162,10 +210,16 @@
         return False
 
     def _send_ping(self, endpoint: Endpoint, timeout_ms: int) -> PendingCall:
+        headers = self._adapter.ping_headers(endpoint.endpoint)
+        return self._send_request(endpoint, headers, timeout_ms)
+
+    def _send_request(
+        self, endpoint: Endpoint, headers: Sequence[Header], timeout_ms: int
+    ) -> PendingCall:
         call = HttpCall(
             "GET",
             f"http://{endpoint.address}/",
-            headers=tuple(self._adapter.ping_headers(endpoint.endpoint)),
+            headers=tuple(headers),
             connect_timeout_ms=min(PING_CONNECT_TIMEOUT_MS, timeout_ms),
             timeout_ms=timeout_ms,
             is_repeatable=False,
@@ -185,6 +239,10 @@
                 self._unreachable.discard(endpoint.run)
             else:
                 self._unreachable.add(endpoint.run)
+        if is_answered:
+            self.on_answered_ping(endpoint)
+        else:
+            self.on_unanswered_ping(endpoint)
         if is_answered and was_unreachable:
             self._breakers.succeed(endpoint.endpoint)
         if is_answered is was_unreachable:
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -36,6 +36,7 @@
 from ..control.watch_duty import oldest_answer_age_ms
 from ..endpoints.catalog import EndpointCatalog
 from ..endpoints.endpoint_reach import EndpointReach
+from ..endpoints.run_verification import RunVerification
 from ..forwarding.hop_server import HopServer
 from ..forwarding.region_attempts import RegionAttempts
 from ..ingress.directory import Directory
@@ -183,11 +184,24 @@
             self._policy.breakers,
             self._health_path,
         )
+        self._runs = RunVerification(
+            self._catalog,
+            self._peers,
+            self._reach.ask_health,
+            self._warmup_s,
+            self._policy.forget,
+            lambda: self._reach.is_partitioned,
+        )
+        self._reach.on_answered_ping = self._runs.note_contact
+        self._reach.on_unanswered_ping = lambda endpoint: self._runs.note_lost(
+            endpoint, "a ping was not answered"
+        )
         peer_feed = PeerFeed(
             self._catalog,
             self._policy,
             self._sync,
             self._feed.table,
+            self._runs,
             (records, versions, self._resumptions, self._reach),
         )
         self._reporter = Reporter(
@@ -201,6 +215,7 @@
             self._permits,
             streams,
         )
+        self._runs.connect(self._reporter.send_run_notice)
         self._watches = [
             StoreWatch(
                 self._store,
@@ -232,6 +247,7 @@
             self._reporter,
             self._permits,
             self._reach,
+            self._runs,
         )
         self._local = local
         local.crash_attribution.on_repeated_loss = self._records.record_now
@@ -405,6 +421,12 @@
         service = table.services.get(endpoint.service) if table is not None else None
         return service.health_path if service is not None else ""
 
+    def _warmup_s(self, endpoint: Endpoint) -> float:
+        """Return how long an endpoint is cold after a start, 0 if its service has no warm-up."""
+        table = self._feed.table()
+        service = table.services.get(endpoint.service) if table is not None else None
+        return service.warmup_s if service is not None and service.warmup_per_s > 0 else 0.0
+
     def _in_flight_requests(self) -> int:
         return self._front_listener.open_connections + self._hop_listener.busy_connections
 
@@ -482,6 +504,7 @@
             "streams": self._resumptions.dump(),
             "is_partitioned": self._reach.is_partitioned,
             "unreachable_endpoints": self._reach.unreachable(),
+            "unverified_endpoints": self._runs.unverified(),
             "endpoints": dump_endpoints(self._catalog, self._policy),
             "gateways": dump_gateways(self._peers),
             **dump_policy(self._policy),
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -31,6 +31,7 @@
 from .endpoint_adapter import EndpointRequestOptions
 from .endpoints.brittle_endpoints import REST_S
 from .endpoints.brittle_endpoints import BrittleEndpoints
+from .endpoints.endpoint_reach import OTHER_ENDPOINT_STATUS
 from .endpoints.sample import choose_sample
 from .membership.peer import ServiceSummary
 from .relay_policy import PlacedRequest
@@ -57,6 +58,7 @@
     from .endpoints.endpoint import Endpoint
     from .endpoints.endpoint import EndpointRun
     from .endpoints.endpoint_reach import EndpointReach
+    from .endpoints.run_verification import RunVerification
     from .endpoints.software_version import VersionHash
     from .membership.peer_table import PeerTable
     from .membership.request_permits import RequestPermits
@@ -83,8 +85,6 @@
 OVERLOADED_STATUS = 503
 # Statuses of an endpoint that has no room for a request.
 FULL_STATUSES = frozenset({429, OVERLOADED_STATUS})
-# Status of an endpoint that is not the one for which the request was meant.
-OTHER_ENDPOINT_STATUS = 421
 # Reference request for the summary that other regions receive: a prompt that is mostly cached.
 TYPICAL_GENERATION = Generation(prompt_tokens=1_000, answer_tokens=200)
 
@@ -155,6 +155,7 @@
         reporter: PeerReporter,
         permits: RequestPermits,
         reach: EndpointReach,
+        runs: RunVerification,
     ) -> None:
         self._region = region
         self._loop = loop
@@ -166,6 +167,7 @@
         self._permits = permits
         self._brittle = BrittleEndpoints(peers)
         self._reach = reach
+        self._runs = runs
         self.crash_attribution = CrashAttribution(
             policy.quarantine,
             catalog,
@@ -493,14 +495,19 @@
             and self._policy.breakers.permits(endpoint.endpoint)
         ]
 
+    def _counts_as_cold(self, endpoint: Endpoint, service: Service) -> bool:
+        if service.warmup_per_s <= 0:
+            return False
+        return self._catalog.is_cold(endpoint.endpoint) or self._runs.is_unverified(endpoint.run)
+
     def _may_send_cold(self, endpoint: Endpoint, service: Service) -> bool:
-        if service.warmup_per_s <= 0 or not self._catalog.is_cold(endpoint.endpoint):
+        if not self._counts_as_cold(endpoint, service):
             return True
         is_sender = self._peers.is_chosen(endpoint.endpoint)
         return is_sender and self._policy.cold_limiter.may_send(endpoint.endpoint)
 
     def _acquire_cold_send(self, endpoint: Endpoint, service: Service, plan: AttemptPlan) -> bool:
-        if service.warmup_per_s <= 0 or not self._catalog.is_cold(endpoint.endpoint):
+        if not self._counts_as_cold(endpoint, service):
             return True
         if not self._policy.cold_limiter.take(endpoint.endpoint, service.warmup_per_s):
             return False
@@ -509,7 +516,7 @@
             request_id=plan.request_id,
             endpoint=endpoint.endpoint,
             started_ms=endpoint.started_ms,
-            is_chosen=int(self._peers.is_chosen(endpoint.endpoint)),
+            is_unverified=int(self._runs.is_unverified(endpoint.run)),
         )
         return True
 
@@ -521,7 +528,7 @@
         if metadata.is_not_run and status in FULL_STATUSES and self._brittle.is_brittle(endpoint):
             self._policy.backoffs.note(endpoint.endpoint, REST_S)
         if metadata.cold_ms is not None:
-            self._catalog.set_cold(endpoint.endpoint, metadata.cold_ms)
+            self._runs.note_cold(endpoint, metadata.cold_ms)
         if metadata.is_leaving and self._catalog.note_leaving(endpoint.run):
             self._reporter.send_endpoint_leaving(endpoint.run)
         if status == OVERLOADED_STATUS and metadata.rest_s is not None:
@@ -562,6 +569,7 @@
                 policy.pace.observe_call(service.name, observed_ms)
         if isinstance(outcome, StreamEnded) and call.first_byte_s is not None:
             policy.slot_times.observe(service.name, (time.monotonic() - call.first_byte_s) * 1000)
+        self._note_run(option.endpoint, outcome)
         match outcome:
             case Answered() | StreamEnded():
                 policy.breakers.succeed(endpoint_id)
@@ -577,6 +585,18 @@
             case _:
                 policy.breakers.release(endpoint_id)
 
+    def _note_run(self, endpoint: Endpoint, outcome: AttemptOutcome) -> None:
+        """Record what an outcome says of whether the endpoint still runs."""
+        match outcome:
+            case NotRun(reason, is_sent=False):
+                self._runs.note_lost(endpoint, reason)
+            case Lost(reason, is_connection_lost=True):
+                self._runs.note_lost(endpoint, reason)
+            case StreamBroken(reason, is_connection_lost=True):
+                self._runs.note_lost(endpoint, reason)
+            case Answered() | StreamEnded() | NotRun():
+                self._runs.note_contact(endpoint)
+
 
 class _FirstEventSink:
     """Forwards a stream to a sink and reports its start to ``on_first``."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -32,6 +32,8 @@
 from ..endpoints.request_limits import MAX_LIMIT_PER_S
 from ..endpoints.request_limits import LimitObservation
 from ..endpoints.request_limits import ObservationId
+from ..endpoints.run_notice import RunNotice
+from ..endpoints.run_notice import RunStanding
 from ..endpoints.software_version import VersionHash
 from ..streams.stream_origins import StreamKey
 from ..streams.stream_origins import StreamOrigin
@@ -106,6 +108,7 @@
     ORIGIN_REPORT = 14
     ORIGIN_QUERY = 15
     ORIGIN_REPLY = 16
+    RUN_NOTICE = 17
 
 
 def encode(datagram: Datagram) -> bytes:
@@ -130,6 +133,8 @@
             return _pack(_Kind.BLAME, [fingerprint, death])
         case LeavingNotice(run):
             return _pack(_Kind.LEAVING, _run_fields(run))
+        case RunNotice(run, standing, cold_ms):
+            return _pack(_Kind.RUN_NOTICE, [_run_fields(run), standing.value, round(cold_ms)])
         case SuspicionInventory(reply_to, content_hashes):
             return _pack(_Kind.SUSPICION_INVENTORY, [reply_to, content_hashes])
         case Suspicions(entries):
@@ -242,6 +247,11 @@
             return Blame(Fingerprint(_string(fields[0])), _string(fields[1]))
         case _Kind.LEAVING:
             return LeavingNotice(_decode_run(fields))
+        case _Kind.RUN_NOTICE:
+            run_fields, standing, cold_ms = fields[:3]
+            return RunNotice(
+                _decode_run(run_fields), RunStanding(standing), float(_non_negative_int(cold_ms))
+            )
         case _Kind.SUSPICION_INVENTORY:
             reply_to, content_hashes = fields[:2]
             return SuspicionInventory(_string(reply_to), bytes(memoryview(content_hashes)))
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/datagrams.py
@@ -12,6 +12,8 @@
 from typing import TYPE_CHECKING
 from typing import NewType
 
+from ..endpoints.run_notice import RunNotice
+
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -276,6 +278,7 @@
     | RemoteParts
     | Blame
     | LeavingNotice
+    | RunNotice
     | SuspicionInventory
     | Suspicions
     | PermitRequest
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/exchange.py
@@ -20,6 +20,7 @@
 
 from ..control.metadata_store import START
 from ..endpoints.endpoint_point import endpoint_hash
+from ..endpoints.run_notice import RunNotice
 from .codec import decode
 from .codec import digest_header
 from .codec import encode
@@ -126,6 +127,9 @@
     def on_endpoint_leaving(self, run: EndpointRun) -> None:
         """Record an endpoint that announced to another gateway that it is leaving."""
 
+    def on_run_notice(self, notice: RunNotice) -> None:
+        """Apply what another gateway says of an endpoint's run that may have ended."""
+
     def tick(self) -> None:
         """Run periodic work; called every ``TICK_INTERVAL_S``."""
 
@@ -289,6 +293,12 @@
         for peer in self._peers.live_in(self._own.region) * 2:
             self._send(peer.address.report, data)
 
+    def send_run_notice(self, addresses: Sequence[str], notice: RunNotice) -> None:
+        """Send what this gateway knows of an endpoint's run that may have ended."""
+        data = encode(notice)
+        for address in addresses:
+            self._send(address, data)
+
     def _handle(self, datagram: Datagram) -> None:
         match datagram:
             case MemberUpdate():
@@ -314,6 +324,8 @@
                 self._feed.on_blame(blame)
             case LeavingNotice(run):
                 self._feed.on_endpoint_leaving(run)
+            case RunNotice() as notice:
+                self._feed.on_run_notice(notice)
             case SuspicionInventory():
                 self._suspicion_sync.on_inventory(datagram)
             case Suspicions():
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/peer_feed.py
@@ -21,6 +21,8 @@
     from ..endpoints.catalog import EndpointCatalog
     from ..endpoints.endpoint import EndpointRun
     from ..endpoints.endpoint_point import EndpointHash
+    from ..endpoints.run_notice import RunNotice
+    from ..endpoints.run_verification import RunVerification
     from ..relay_policy import RelayPolicy
     from ..routes.route_table import RouteTable
     from .datagrams import Blame
@@ -47,13 +49,15 @@
         policy: RelayPolicy,
         sync: PeerSync,
         current_table: Callable[[], RouteTable | None],
+        runs: RunVerification,
         tasks: Sequence[PeriodicTask],
     ) -> None:
         self._catalog = catalog
         self._policy = policy
         self._sync = sync
         self._current_table = current_table
-        self._tasks = tasks
+        self._runs = runs
+        self._tasks = (runs, *tasks)
 
     def on_digest(self, digest: Digest, own_loads: Mapping[EndpointHash, OpenWork]) -> None:
         """Apply the region's loads; ``own_loads`` is this gateway's share of them."""
@@ -92,6 +96,10 @@
         """Record an endpoint that announced to another gateway that it is leaving."""
         self._catalog.note_leaving(run)
 
+    def on_run_notice(self, notice: RunNotice) -> None:
+        """Apply what another gateway says of an endpoint's run that may have ended."""
+        self._runs.on_notice(notice)
+
     def tick(self) -> None:
         """Fetch newer control items from peers, and run the other tasks."""
         self._sync.tick()
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/reporter.py
@@ -26,6 +26,7 @@
     from primroseferry_policy.quarantine import SuspicionReport
 
     from ..endpoints.endpoint import EndpointRun
+    from ..endpoints.run_notice import RunNotice
     from ..relay_policy import PlacedRequest
     from .datagrams import Blame
     from .exchange import ExchangeFeed
@@ -124,6 +125,10 @@
         """Send a leaving endpoint to the region's gateways."""
         self._exchange.send_endpoint_leaving(run)
 
+    def send_run_notice(self, addresses: Sequence[str], notice: RunNotice) -> None:
+        """Send what this gateway knows of an endpoint's run that may have ended."""
+        self._exchange.send_run_notice(addresses, notice)
+
     def send_request_limits(self) -> None:
         """Report a request limit that an endpoint has just named, changed or lifted."""
         self._exchange.send_request_limits()
--- a/packages/primroseferry-relay/tests/relay_tests/fleet_simulation.py
+++ b/packages/primroseferry-relay/tests/relay_tests/fleet_simulation.py
@@ -45,6 +45,7 @@
     from primroseferry_policy.prompt import PromptPart
     from primroseferry_relay.endpoints.endpoint import EndpointRun
     from primroseferry_relay.endpoints.endpoint_point import EndpointHash
+    from primroseferry_relay.endpoints.run_notice import RunNotice
     from primroseferry_relay.membership.datagrams import Digest
 
 LOCAL_DELAY_S = 0.0005
@@ -100,6 +101,8 @@
         self.blames: list[Blame] = []
         self.quarantine = Quarantine(clock, trial_waits_s=trial_waits_s, wall_clock_s=clock)
         self.leaving: list[EndpointRun] = []
+        self.handle_run_notice: Callable[[RunNotice], None] = lambda _notice: None
+        self.run_tasks: Callable[[], None] = lambda: None
         self.lost = 0
 
     def on_digest(self, digest: Digest, own_loads: Mapping[EndpointHash, OpenWork]) -> None:
@@ -122,8 +125,12 @@
     def on_endpoint_leaving(self, run: EndpointRun) -> None:
         self.leaving.append(run)
 
+    def on_run_notice(self, notice: RunNotice) -> None:
+        self.handle_run_notice(notice)
+
     def tick(self) -> None:
-        """Do nothing: this feed has no periodic work."""
+        """Run the periodic work of the test, if there is any."""
+        self.run_tasks()
 
 
 class FleetSimulation:
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -28,6 +28,7 @@
 from primroseferry_relay.endpoints.endpoint import Endpoint
 from primroseferry_relay.endpoints.endpoint import EndpointState
 from primroseferry_relay.endpoints.endpoint_reach import EndpointReach
+from primroseferry_relay.endpoints.run_verification import RunVerification
 from primroseferry_relay.forwarding.region_attempts import RegionAttempts
 from primroseferry_relay.ingress.listener import Listener
 from primroseferry_relay.local_attempts import LocalAttempts
@@ -119,6 +120,9 @@
     def ping_headers(self, endpoint: EndpointId) -> list[Header]:
         return [Header("X-Endpoint", f"not-{endpoint}")]
 
+    def health_headers(self, endpoint: EndpointId) -> list[Header]:
+        return [Header("X-Endpoint", endpoint)]
+
     def read_reply(self, headers: Sequence[Header]) -> ReplyMetadata:
         values = {header.name.lower(): header.value for header in headers}
         rest = values.get("retry-after")
@@ -130,6 +134,7 @@
             is_leaving="x-leaving" in values,
             rest_s=float(rest) if rest else None,
             request_limit_per_s=float(limit) if limit else None,
+            cold_ms=float(values["x-cold-ms"]) if "x-cold-ms" in values else None,
             rejections_per_s=float(values["x-brittle"]) if "x-brittle" in values else None,
         )
 
@@ -187,6 +192,13 @@
         self.permits = RequestPermits(self.policy.request_limits, peers)
         adapter = TestAdapter()
         self.reach = EndpointReach(NORTH, loop, adapter, self.catalog, self.policy.breakers)
+        self.runs = RunVerification(
+            self.catalog,
+            peers,
+            self.reach.ask_health,
+            lambda endpoint: self._warmup_s(endpoint),
+            self.policy.forget,
+        )
         self.local = local = LocalAttempts(
             NORTH,
             loop,
@@ -197,6 +209,7 @@
             self,
             self.permits,
             self.reach,
+            self.runs,
         )
         regions = RegionAttempts(loop, peers, self.policy)
         self.origins = StreamOrigins()
@@ -238,6 +251,10 @@
     def send_endpoint_leaving(self, run: EndpointRun) -> None:
         self.leaving.append(run)
 
+    def _warmup_s(self, endpoint: Endpoint) -> float:
+        service = self.table.services[endpoint.service] if self.table is not None else None
+        return service.warmup_s if service is not None and service.warmup_per_s > 0 else 0.0
+
     def send_request_limits(self) -> None:
         self.limit_reports += 1
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
@@ -115,7 +115,16 @@
     assert catalog.is_cold(ENDPOINT.endpoint)
     clock.now_s += 1.5
     assert not catalog.is_cold(ENDPOINT.endpoint)
-    catalog.set_cold(ENDPOINT.endpoint, 500)
+    catalog.set_cold(ENDPOINT.run, 500)
+    assert catalog.is_cold(ENDPOINT.endpoint)
+
+
+def test_late_answer_of_an_earlier_run_does_not_end_the_warmup_of_the_next() -> None:
+    catalog = EndpointCatalog(Clock())
+    catalog.put(ENDPOINT)
+    cold = replace(ENDPOINT, started_ms=ENDPOINT.started_ms + 1, warmup_left_ms=3_000)
+    catalog.put(cold)
+    catalog.set_cold(ENDPOINT.run, 0)
     assert catalog.is_cold(ENDPOINT.endpoint)
 
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_codec.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_codec.py
@@ -25,6 +25,8 @@
 from primroseferry_relay.endpoints.endpoint_point import run_hash
 from primroseferry_relay.endpoints.request_limits import LimitObservation
 from primroseferry_relay.endpoints.request_limits import ObservationId
+from primroseferry_relay.endpoints.run_notice import RunNotice
+from primroseferry_relay.endpoints.run_notice import RunStanding
 from primroseferry_relay.endpoints.software_version import VersionHash
 from primroseferry_relay.membership import codec
 from primroseferry_relay.membership.codec import MAX_DATAGRAM_BYTES
@@ -115,6 +117,7 @@
     RemoteParts((RemotePart(ENGINE_HASH, PartId("ab12"), 6_300),)),
     Blame(Fingerprint("f"), "e-1@100"),
     LeavingNotice(RUN),
+    *(RunNotice(RUN, standing, 2_800.0) for standing in RunStanding),
     PermitRequest("10.0.0.2:82", 2**40, IssuerRole.STANDBY, True, run_hash(RUN), 0.5),
     PermitRequest("10.0.0.2:82", 8, IssuerRole.PRIMARY, False, run_hash(RUN), 20.0),
     PermitReply(8, is_granted=False, ask_again_ms=250),
--- a/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
@@ -8,6 +8,7 @@
 import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import ServiceId
+from primroseferry_relay.membership.peer_table import DISCOVERY_TIMEOUT_S
 
 from .relay_harness import RelayHarness
 from .relay_harness import TestAdapter
@@ -25,9 +26,10 @@
 
 def test_request_to_a_backed_off_endpoint_takes_none_of_its_cold_rate(loop: CurlLoop) -> None:
     harness = RelayHarness(loop, [fixed_answer_endpoint()])
+    harness.skipped_s = DISCOVERY_TIMEOUT_S
     (option,) = harness.local.rank(SERVICE, plan().generation, ())
     name = option.endpoint.endpoint
-    harness.catalog.set_cold(name, 60_000)
+    harness.catalog.set_cold(option.endpoint.run, 60_000)
     harness.policy.backoffs.note(name, 30)
     harness.local.run(option, COLD, plan(), None, lambda _call: None)
     assert harness.policy.cold_limiter.may_send(name)
