Ask who may send to a cold endpoint also when the request is sent

A request that was chosen for a warm endpoint and sent when it had become cold asked only the limiter of its own gateway, whether or not that one is the chosen sender: one request a gateway, 30 in a region of 30. The new test failed before: the endpoint got the request.

--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -509,6 +509,9 @@
     def _acquire_cold_send(self, endpoint: Endpoint, service: Service, plan: AttemptPlan) -> bool:
         if not self._counts_as_cold(endpoint, service):
             return True
+        # The endpoint may have become cold since it was chosen.
+        if not self._peers.is_chosen(endpoint.endpoint):
+            return False
         if not self._policy.cold_limiter.take(endpoint.endpoint, service.warmup_per_s):
             return False
         log_event(
--- a/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
@@ -8,8 +8,12 @@
 import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import ServiceId
+from primroseferry_relay.attempts.outcome import NotRun
 from primroseferry_relay.membership.peer_table import DISCOVERY_TIMEOUT_S
 
+from .peer_samples import peer_of
+from .peer_samples import roster_of
+from .relay_harness import NORTH
 from .relay_harness import RelayHarness
 from .relay_harness import TestAdapter
 from .test_part_copies import ENGINES
@@ -35,6 +39,22 @@
     assert harness.policy.cold_limiter.may_send(name)
 
 
+def test_endpoint_that_became_cold_after_the_choice_gets_requests_of_one_gateway_only(
+    loop: CurlLoop,
+) -> None:
+    endpoint = fixed_answer_endpoint()
+    harness = RelayHarness(loop, [endpoint])
+    harness.skipped_s = DISCOVERY_TIMEOUT_S
+    (option,) = harness.local.rank(COLD, plan().generation, ())
+    harness.catalog.set_cold(option.endpoint.run, 60_000)
+    others = [peer_of(f"g-{number}", NORTH) for number in range(2, 30)]
+    harness.peers.put_roster(roster_of(NORTH, *others))
+    assert not harness.peers.is_chosen(option.endpoint.endpoint)
+    outcome = harness.local.run(option, COLD, plan(), None, lambda _call: None)
+    assert isinstance(outcome, NotRun)
+    assert endpoint.requests == []
+
+
 def test_retry_that_is_not_sent_takes_nothing_of_the_retry_budget(loop: CurlLoop) -> None:
     failing = fixed_answer_endpoint("500 Internal Server Error")
     harness = RelayHarness(loop, [failing, fixed_answer_endpoint()])
