Take a connection cut short by the request's deadline for no sign of a restart

A request with a few milliseconds left gives up its connection before the endpoint can answer. That says nothing of the endpoint, but put its run in doubt, and so at the cold rate. The new test failed before.

--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -572,7 +572,8 @@
                 policy.pace.observe_call(service.name, observed_ms)
         if isinstance(outcome, StreamEnded) and call.first_byte_s is not None:
             policy.slot_times.observe(service.name, (time.monotonic() - call.first_byte_s) * 1000)
-        self._note_run(option.endpoint, outcome)
+        if not call.ended_by_deadline:
+            self._note_run(option.endpoint, outcome)
         match outcome:
             case Answered() | StreamEnded():
                 policy.breakers.succeed(endpoint_id)
--- a/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -10,10 +11,13 @@
 from primroseferry_core.ids import ServiceId
 from primroseferry_relay.attempts.outcome import NotRun
 from primroseferry_relay.membership.peer_table import DISCOVERY_TIMEOUT_S
+from primroseferry_relay.routes.route_table import build_route_table
 
 from .peer_samples import peer_of
 from .peer_samples import roster_of
+from .relay_harness import LIMITS
 from .relay_harness import NORTH
+from .relay_harness import ROUTES
 from .relay_harness import RelayHarness
 from .relay_harness import TestAdapter
 from .test_part_copies import ENGINES
@@ -55,6 +59,27 @@
     assert endpoint.requests == []
 
 
+def test_connection_that_the_deadline_cuts_short_does_not_put_the_run_in_doubt(
+    loop: CurlLoop,
+) -> None:
+    with socket.create_server(("127.0.0.1", 0), backlog=0) as server:
+        address = server.getsockname()
+        # The queue of connections is full, so the next one is not answered.
+        waiting = [socket.create_connection(address, 0.1)]
+        endpoint = fixed_answer_endpoint()
+        harness = RelayHarness(loop, [endpoint])
+        harness.table = build_route_table(4, ROUTES, [COLD], LIMITS)
+        (entry,) = harness.catalog.entries().values()
+        entry = replace(entry, address=f"127.0.0.1:{address[1]}")
+        harness.catalog.put(entry)
+        assert status_of(harness.call("/short/")) == 504
+        assert not harness.runs.is_unverified(entry.run)
+        assert status_of(harness.call("/safe/")) in (502, 503)
+        assert harness.runs.is_unverified(entry.run)
+        for connection in waiting:
+            connection.close()
+
+
 def test_retry_that_is_not_sent_takes_nothing_of_the_retry_budget(loop: CurlLoop) -> None:
     failing = fixed_answer_endpoint("500 Internal Server Error")
     harness = RelayHarness(loop, [failing, fixed_answer_endpoint()])
