--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -139,12 +139,22 @@
             for name in list(self._entries.keys() - listed.keys()):
                 self._remove(name, now_s)
 
-    def set_cold(self, endpoint: EndpointId, cold_ms: float) -> None:
-        """Record for how many ms an endpoint reports that it stays cold."""
+    def set_cold(self, run: EndpointRun, cold_ms: float) -> None:
+        """Record for how many ms an endpoint reports that it stays cold, if ``run`` is listed."""
         with self._lock:
-            entry = self._entries.get(endpoint)
-            if entry is not None:
-                entry.cold_until_s = self._clock_s() + cold_ms / 1000
+            entry = self._entries.get(run.endpoint)
+            if entry is None or entry.endpoint.run != run:
+                return
+            now_s = self._clock_s()
+            is_news = cold_ms > 0 and entry.cold_until_s <= now_s
+            entry.cold_until_s = now_s + cold_ms / 1000
+        if is_news:
+            log_event(
+                Event.ENDPOINT_COLD,
+                endpoint=run.endpoint,
+                started_ms=run.started_ms,
+                cold_ms=cold_ms,
+            )
 
     def note_leaving(self, run: EndpointRun) -> bool:
         """Record that an endpoint is leaving; return ``True`` if this was not known before."""
