Join no stream with another version at a gateway that lags behind others

Trace: a gateway that had been cut off heard of the others again at 24.28 and 24.48 s, and got what they knew of the store, a second version among it, at 24.69 s; the three streams were taken up at 24.27, 24.49 and 24.50 s. The gateways that it asked had restarted and knew of no stream, so it believed that the only version it knew had begun them (source only-version).

A gateway that another one is ahead of in the store's history now asks the store, and refuses the stream if the store does not answer. The new test failed before. What remains: the first of the three may have come before any word of how far the others were.

--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -169,6 +169,7 @@
             self._peers,
             streams,
             StreamRecords(self._store, origins, self._incarnation),
+            lambda: bool(self._peers.peers_ahead_of(self._state.position)),
         )
         self._feed = ControlFeed(
             control_adapter, self._catalog, self._peers, self._policy, records, versions
--- a/packages/primroseferry-relay/src/primroseferry_relay/streams/resumptions.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/streams/resumptions.py
@@ -23,6 +23,7 @@
 from .stream_origins import StreamOrigin
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
     from primroseferry_core.ids import ServiceId
@@ -60,7 +61,10 @@
 
 
 class Resumptions:
-    """Finds the origins of streams and records those of new ones."""
+    """Finds the origins of streams and records those of new ones.
+
+    ``is_behind`` returns whether another gateway is known to have newer control items.
+    """
 
     def __init__(
         self,
@@ -70,6 +74,7 @@
         peers: PeerTable,
         sync: StreamSync,
         stream_records: StreamRecords,
+        is_behind: Callable[[], bool] = lambda: False,
     ) -> None:
         self._origins = origins
         self._catalog = catalog
@@ -77,6 +82,7 @@
         self._peers = peers
         self._sync = sync
         self._stream_records = stream_records
+        self._is_behind = is_behind
         self._counts: Counter[OriginSource] = Counter()
         self._shared_services: set[ServiceId] = set()
         self._is_recorder = False
@@ -169,7 +175,8 @@
         (version,) = possible
         if not self._is_history_complete and not self._records.is_recorded(version):
             return None
-        if answer.is_representative and not self._peers.is_cut_off:
+        is_in_step = not self._peers.is_cut_off and not self._is_behind()
+        if answer.is_representative and is_in_step:
             return version
         if self._peers.store_age_ms() > MAX_VIEW_AGE_MS:
             return None
--- a/packages/primroseferry-relay/tests/relay_tests/test_resumptions_out_of_step.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_resumptions_out_of_step.py
@@ -8,6 +8,7 @@
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.ids import new_incarnation_id
 from primroseferry_relay.control.metadata_store import StoreFailure
+from primroseferry_relay.control.metadata_store import StorePosition
 from primroseferry_relay.control.stream_records import StreamRecords
 from primroseferry_relay.control.version_records import VersionRecords
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
@@ -88,8 +89,15 @@
         address = f"{name}:82"
         self.sync.connect(lambda: address, lambda to, data: fleet.send(address, to, data))
         streams = StreamRecords(self.store, self.origins, new_incarnation_id(), fleet.clock)
+        self.position = StorePosition(0, 1)
         self.resumptions = Resumptions(
-            self.origins, self.catalog, self.records, self.peers, self.sync, streams
+            self.origins,
+            self.catalog,
+            self.records,
+            self.peers,
+            self.sync,
+            streams,
+            lambda: bool(self.peers.peers_ahead_of(self.position)),
         )
 
     def receive(self, data: bytes) -> None:
@@ -246,6 +254,29 @@
     assert_not_joined(gateway.resume())
 
 
+def test_stream_is_not_joined_at_a_gateway_that_lags_while_the_others_have_restarted() -> None:
+    fleet = Fleet()
+    fleet.cut([ASIDE], [ASIDE])
+    fleet.entries = [OLD, NEW]
+    fleet.run(5)
+    fleet.begin_stream()
+    for name in NAMES:
+        if name != ASIDE:
+            fleet.restart(name)
+    aside = fleet.gateways[ASIDE]
+    # It hears of the others again, but has not fetched what they know.
+    aside.catalog.replace_all = lambda _entries: None  # type: ignore[method-assign]
+    aside.records.apply = lambda _item: None  # type: ignore[method-assign]
+    fleet.cut([], [ASIDE])
+    for gateway in fleet.gateways.values():
+        fleet.deliver(gateway)
+    for region in REGIONS:
+        roster = aside.peers.roster(region)
+        assert roster is not None
+        aside.peers.confirm(region, roster.version, ControlStatus(2, 0.0, ("n-2:81",)))
+    assert_not_joined(aside.resume())
+
+
 @pytest.mark.parametrize("frozen_s", [2.4, 5.0])
 def test_stream_goes_on_at_its_version_at_a_gateway_that_stood_still(frozen_s: float) -> None:
     fleet = Fleet()
