End doubts about runs by proof, and begin them anew with each loss

Fewer datagrams come from elsewhere: a run that was verified within a second is announced only if it does not answer, and only those that reported the loss get the outcome; - the doubt ended before the cold time was set, and both were read in the wrong order; An answer to a request that was sent before the loss now ends the doubt: a process that ends takes its connections with it; - a cold time known from an answer is told again each second until the entry comes, is not shortened by a late entry of the same run, and is not taken from a run that is not listed.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -53,6 +53,8 @@
 class _CatalogEntry:
     endpoint: Endpoint
     cold_until_s: float
+    # The same by the endpoint's own answer, which is newer than its entry.
+    answered_cold_until_s: float = float("-inf")
     remove_at_s: float | None = None
 
 
@@ -97,6 +99,7 @@
         with self._lock:
             entry = self._entries.get(endpoint.endpoint)
             cold_until_s = self._clock_s() + endpoint.warmup_left_ms / 1000
+            answered_s = float("-inf")
             if entry is None or entry.endpoint.run != endpoint.run:
                 change = "new"
                 if entry is not None:
@@ -104,10 +107,12 @@
             else:
                 is_changed = entry.endpoint.state is not endpoint.state
                 change = endpoint.state.value if is_changed else ""
+                answered_s = entry.answered_cold_until_s
                 if endpoint.warmup_left_ms == entry.endpoint.warmup_left_ms:
                     cold_until_s = entry.cold_until_s
+                cold_until_s = max(cold_until_s, answered_s)
             self._delete(endpoint.endpoint)
-            self._entries[endpoint.endpoint] = _CatalogEntry(endpoint, cold_until_s)
+            self._entries[endpoint.endpoint] = _CatalogEntry(endpoint, cold_until_s, answered_s)
             self._versions.add(endpoint)
             self._by_service_and_region.setdefault(_service_in_region(endpoint), {})[
                 endpoint.endpoint
@@ -147,7 +152,7 @@
                 return
             now_s = self._clock_s()
             is_news = cold_ms > 0 and entry.cold_until_s <= now_s
-            entry.cold_until_s = now_s + cold_ms / 1000
+            entry.cold_until_s = entry.answered_cold_until_s = now_s + cold_ms / 1000
         if is_news:
             log_event(
                 Event.ENDPOINT_COLD,
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -97,9 +97,8 @@
         self._was_answered = False
         self._is_partitioned = False
         self._lock = threading.Lock()
-        # Called with each endpoint that left a ping unanswered, or answered one.
-        self.on_unanswered_ping: Callable[[Endpoint], None] = lambda _endpoint: None
-        self.on_answered_ping: Callable[[Endpoint], None] = lambda _endpoint: None
+        # Called with an endpoint that leaves a ping unanswered and answered the one before.
+        self.on_became_unreachable: Callable[[Endpoint], None] = lambda _endpoint: None
 
     @property
     def is_partitioned(self) -> bool:
@@ -239,10 +238,8 @@
                 self._unreachable.discard(endpoint.run)
             else:
                 self._unreachable.add(endpoint.run)
-        if is_answered:
-            self.on_answered_ping(endpoint)
-        else:
-            self.on_unanswered_ping(endpoint)
+        if not is_answered and not was_unreachable:
+            self.on_became_unreachable(endpoint)
         if is_answered and was_unreachable:
             self._breakers.succeed(endpoint.endpoint)
         if is_answered is was_unreachable:
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_notice.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_notice.py
@@ -27,9 +27,10 @@
     """The standing of the run that an entry describes.
 
     ``cold_ms`` is how many ms the endpoint stays cold, by its own answer; 0 unless the run is
-    verified.
+    verified. ``reply_to`` is the address to which the outcome of a check is sent, empty for none.
     """
 
     run: EndpointRun
     standing: RunStanding
     cold_ms: float = 0.0
+    reply_to: str = ""
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
@@ -5,9 +5,12 @@
 refused or broken connection makes the listed run unverified, at all gateways of the region, and an
 unverified run counts as cold: one gateway sends to it, at the rate that a cold endpoint sustains.
 
-Two gateways of the region, chosen by rendezvous hashing, ask the endpoint for its health, and tell
-the others for how long it says that it stays cold. While these two get no answer, more gateways
-join in, since the two may be partitioned from the endpoint.
+A gateway of the region, chosen by rendezvous hashing, asks the endpoint for its health, and tells
+the others for how long it says that it stays cold. Without an answer another gateway joins in, and
+then one after another, since the first may be partitioned from the endpoint.
+
+A request that was sent before a loss and is answered after it proves that the process still runs,
+whatever the health check says: a process that ends takes all its connections with it.
 """
 
 from __future__ import annotations
@@ -15,6 +18,7 @@
 import threading
 import time
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from primroseferry_core.bounded_map import BoundedMap
@@ -36,42 +40,70 @@
     from .endpoint import EndpointRun
     from .endpoint_reach import HealthAnswer
 
-# Gateways that check a run and tell the others.
+# Gateways that are told of a loss, tell all others and check the run.
 CHECKERS = 2
-# One more gateway checks a run each time this has passed without an answer.
-ESCALATION_S = 1.0
+# The second one checks only if the first has not verified the run within this time.
+SECOND_CHECK_S = 0.3
+# Without an answer a third gateway checks too, each of the others in turn for this long.
+TURN_S = 1.0
 CHECK_INTERVAL_S = 0.25
+# The interval between checks of a run that has been in doubt for ``LONG_DOUBT_S``.
+LONG_CHECK_INTERVAL_S = 1.0
+LONG_DOUBT_S = 2.0
 # The least time between two checks of a run. Many gateways may report one loss.
 MIN_CHECK_INTERVAL_S = 0.05
+# An answer that took longer says nothing: this process may have stood still since it came.
+MAX_CHECK_S = 1.0
+# How long a loss may be past when it becomes known here.
+LOSS_DELAY_S = 0.1
+# How long the endpoint has to tell its health before an answer to an earlier request counts.
+PROOF_DELAY_S = 0.1
 # A gateway that lost a run tells all others itself if nobody has within this time: the checkers may
 # have ended too.
-ANNOUNCEMENT_TIMEOUT_S = 0.1
+ANNOUNCEMENT_TIMEOUT_S = 0.2
 # While a run is unverified, the gateways are told so at this interval; one that is told nothing for
 # three times as long takes it for verified.
 NOTICE_INTERVAL_S = 1.0
 NOTICE_LIFETIME_S = 3.0
-# A gateway that gets no answer from an endpoint reports the loss again after this time.
-REPORT_INTERVAL_S = 10.0
+# How old a gateway's place in the order of the region's gateways may be.
+RANK_LIFETIME_S = 0.5
 MAX_RUNS = 4_096
 
 
 @dataclass(slots=True)
-class _Unverified:
+class _Doubt:
     """A run that may have ended.
 
-    ``lost_s`` is the time of the latest loss, ``heard_s`` that of the latest loss or notice,
-    ``notified_s`` when this gateway last told the others. ``is_announced``: this gateway or another
-    one has told all. ``answered_s`` is when the endpoint first gave an answer that does not say
-    whether it is cold.
+    ``lost_s`` is when the latest loss became known here, ``heard_s`` when the latest loss or notice
+    did. ``is_reported``: this gateway has told of its own loss. ``is_announced``: all gateways were
+    told, not only those in ``reporters``. ``answered_s`` is when the endpoint first gave an answer
+    that does not say whether it is cold, ``proven_s`` when an answer first proved that the process
+    outlived the loss. ``rank`` is this gateway's place in the order of checkers among ``gateways``.
     """
 
     endpoint: Endpoint
     since_s: float
     lost_s: float
     heard_s: float
-    notified_s: float = float("-inf")
+    is_reported: bool = False
     is_announced: bool = False
+    notified_s: float = float("-inf")
+    reporters: set[str] = field(default_factory=set)
+    checked_s: float = float("-inf")
+    is_checking: bool = False
     answered_s: float | None = None
+    proven_s: float | None = None
+    rank: int = 0
+    gateways: int = 1
+    ranked_s: float = float("-inf")
+
+
+@dataclass(slots=True)
+class _ColdRun:
+    """An endpoint that is cold, though the entry of its earlier run is still listed."""
+
+    until_s: float
+    told_s: float
 
 
 class RunVerification:
@@ -100,53 +132,67 @@
         self._on_new_run = on_new_run
         self._is_partitioned = is_partitioned
         self._clock_s = clock_s
+        self._own_address: Callable[[], str] = str
         self._send: Callable[[Sequence[str], RunNotice], None] = lambda _addresses, _notice: None
-        self._unverified: dict[EndpointRun, _Unverified] = {}
-        self._reported_s: BoundedMap[EndpointRun, float] = BoundedMap(MAX_RUNS)
-        self._checked_s: BoundedMap[EndpointRun, float] = BoundedMap(MAX_RUNS)
+        self._doubts: dict[EndpointRun, _Doubt] = {}
+        self._cold: dict[EndpointRun, _ColdRun] = {}
         self._verified_s: BoundedMap[EndpointRun, float] = BoundedMap(MAX_RUNS)
         self._lock = threading.Lock()
 
-    def connect(self, send: Callable[[Sequence[str], RunNotice], None]) -> None:
-        """Set the function that sends a notice to the datagram addresses of other gateways."""
-        self._send = send
+    def connect(
+        self, own_address: Callable[[], str], send: Callable[[Sequence[str], RunNotice], None]
+    ) -> None:
+        """Set the function that sends a notice to addresses, and the one that gets replies."""
+        self._own_address, self._send = own_address, send
 
     def is_unverified(self, run: EndpointRun) -> bool:
         """Whether a listed run may have ended."""
-        return bool(self._unverified) and run in self._unverified
+        return bool(self._doubts) and run in self._doubts
 
     def unverified(self) -> list[str]:
         """Return the names of the endpoints whose listed run may have ended."""
         with self._lock:
-            return sorted(run.endpoint for run in self._unverified)
+            return sorted(run.endpoint for run in self._doubts)
 
-    def note_contact(self, endpoint: Endpoint) -> None:
-        """Record an answer of an endpoint: the next loss is news."""
-        if endpoint.run in self._reported_s:
-            with self._lock:
-                self._reported_s.pop(endpoint.run, None)
+    def note_answer(self, endpoint: Endpoint, sent_s: float) -> None:
+        """Record an answer of an endpoint to a request that was sent at ``sent_s``."""
+        if not self._doubts:
+            return
+        with self._lock:
+            doubt = self._doubts.get(endpoint.run)
+            if doubt is None:
+                return
+            now_s = self._clock_s()
+            if sent_s <= doubt.lost_s - LOSS_DELAY_S:
+                doubt.proven_s = doubt.proven_s or now_s
+            else:
+                doubt.answered_s = doubt.answered_s or now_s
 
     def note_lost(self, endpoint: Endpoint, reason: str) -> None:
         """Record that a connection to an endpoint broke, or could not be opened."""
         if self._warmup_s(endpoint) <= 0 or self._is_partitioned():
             return
         now_s = self._clock_s()
+        doubt = self._begin(endpoint, reason, now_s)
+        if doubt is None:
+            return
         with self._lock:
-            reported_s = self._reported_s.get(endpoint.run, float("-inf"))
-            if now_s - reported_s < REPORT_INTERVAL_S:
-                return
-            self._reported_s.put(endpoint.run, now_s)
-        if not self._suspend(endpoint, reason, is_loss=True):
+            self._note_loss(doubt, now_s)
+            is_reported, doubt.is_reported = doubt.is_reported, True
+        if is_reported:
             return
         checkers = self._peers.order_by_key(endpoint.endpoint)[:CHECKERS]
         if self._peers.own_instance in checkers:
-            self._handle_loss(endpoint.run)
+            self._handle_loss(doubt)
             return
         addresses = [self._peers.report_address(name) for name in checkers]
-        self._send([name for name in addresses if name], RunNotice(endpoint.run, RunStanding.LOST))
+        notice = RunNotice(endpoint.run, RunStanding.LOST, reply_to=self._own_address())
+        self._send([address for address in addresses if address], notice)
 
     def note_cold(self, endpoint: Endpoint, cold_ms: float) -> None:
         """Record for how many ms an endpoint said in an answer that it stays cold."""
+        if not self._is_listed(endpoint.run):
+            return
         if cold_ms > 0 and not self._catalog.is_cold(endpoint.endpoint):
             self._end(endpoint.run, cold_ms, "answer")
             self._broadcast(RunNotice(endpoint.run, RunStanding.VERIFIED, cold_ms))
@@ -158,156 +204,209 @@
         endpoint = self._catalog.find(notice.run.endpoint)
         if endpoint is None or endpoint.run != notice.run:
             return
+        now_s = self._clock_s()
         match notice.standing:
             case RunStanding.LOST:
-                if self._suspend(endpoint, "told by a gateway that lost it", is_loss=True):
-                    self._handle_loss(notice.run)
+                doubt = self._begin(endpoint, "told by a gateway that lost it", now_s)
+                if doubt is not None:
+                    with self._lock:
+                        self._note_loss(doubt, now_s)
+                        if notice.reply_to:
+                            doubt.reporters.add(notice.reply_to)
+                    self._handle_loss(doubt)
             case RunStanding.UNVERIFIED:
-                self._suspend(endpoint, "told by a gateway that checks it", is_loss=False)
-                self._note_announced(notice.run)
-                if self._is_checker(endpoint, CHECKERS):
-                    self._check_run(notice.run)
+                doubt = self._begin(endpoint, "told by a gateway that checks it", now_s)
+                if doubt is not None:
+                    with self._lock:
+                        doubt.heard_s = now_s
+                        doubt.is_announced = True
+                    self._check_if_due(doubt)
             case RunStanding.VERIFIED:
                 self._end(notice.run, notice.cold_ms, "peer")
 
     def tick(self) -> None:
         """Send the checks and notices that are due; called many times a second, never blocks."""
-        if not self._unverified:
+        if self._cold:
+            self._tell_cold_runs()
+        if not self._doubts:
             return
         with self._lock:
-            entries = list(self._unverified.items())
-        for run, entry in entries:
-            listed = self._catalog.find(run.endpoint)
-            if listed is None or listed.run != run:
+            doubts = list(self._doubts.items())
+        for run, doubt in doubts:
+            if self._is_listed(run):
+                self._tick_doubt(run, doubt)
+            else:
                 with self._lock:
-                    self._unverified.pop(run, None)
-                continue
-            self._tick_run(run, entry)
+                    self._doubts.pop(run, None)
 
-    def _tick_run(self, run: EndpointRun, entry: _Unverified) -> None:
+    def _tick_doubt(self, run: EndpointRun, doubt: _Doubt) -> None:
         now_s = self._clock_s()
-        answered_s = entry.answered_s
-        if answered_s is not None and now_s - answered_s >= self._warmup_s(entry.endpoint):
-            # Whenever the run that answered began, it is warm by now.
-            self._verify(run, 0.0)
+        is_proven = doubt.proven_s is not None and now_s - doubt.since_s >= PROOF_DELAY_S
+        answered_s = doubt.answered_s
+        # Whenever the run began that answered, it is warm after a whole warm-up.
+        is_warm = answered_s is not None and now_s - answered_s >= self._warmup_s(doubt.endpoint)
+        if is_proven or is_warm:
+            self._verify(run, 0.0, "answer")
             return
-        checkers = CHECKERS + int((now_s - entry.since_s) / ESCALATION_S)
-        if self._is_checker(entry.endpoint, CHECKERS):
-            if now_s - entry.since_s >= NOTICE_INTERVAL_S:
-                self._notify(run)
-        elif now_s - entry.heard_s > NOTICE_LIFETIME_S:
+        if self._rank(doubt) < CHECKERS:
+            if now_s - doubt.since_s >= NOTICE_INTERVAL_S:
+                self._announce(doubt)
+        elif now_s - doubt.heard_s > NOTICE_LIFETIME_S:
             self._end(run, 0.0, "no notice")
             return
-        elif not entry.is_announced and now_s - entry.since_s >= ANNOUNCEMENT_TIMEOUT_S:
-            self._notify(run)
-        checked_s = self._checked_s.get(run, float("-inf"))
-        is_due = now_s - checked_s >= CHECK_INTERVAL_S or entry.lost_s > checked_s
-        if is_due and self._is_checker(entry.endpoint, checkers):
-            self._check_run(run)
-
-    def _is_checker(self, endpoint: Endpoint, checkers: int) -> bool:
-        return self._peers.own_instance in self._peers.order_by_key(endpoint.endpoint)[:checkers]
-
-    def _suspend(self, endpoint: Endpoint, reason: str, *, is_loss: bool) -> bool:
-        """Make a listed run unverified; return ``False`` if it is not the listed one."""
-        run = endpoint.run
-        listed = self._catalog.find(run.endpoint)
-        if listed is None or listed.run != run:
-            return False
+        elif not doubt.is_announced and now_s - doubt.since_s >= ANNOUNCEMENT_TIMEOUT_S:
+            self._announce(doubt)
+        self._check_if_due(doubt)
+
+    def _tell_cold_runs(self) -> None:
+        """Tell gateways that may have started since of endpoints that are cold by their answers."""
         now_s = self._clock_s()
         with self._lock:
-            known = self._unverified.get(run)
-            if known is None:
-                self._unverified[run] = _Unverified(endpoint, now_s, now_s, now_s)
-            else:
-                known.heard_s = now_s
-                known.lost_s = now_s if is_loss else known.lost_s
-                known.answered_s = None if is_loss else known.answered_s
-        if known is None:
-            log_event(
-                Event.ENDPOINT_RUN_UNVERIFIED,
-                endpoint=run.endpoint,
-                started_ms=run.started_ms,
-                reason=reason,
-            )
-        return True
+            for run in [run for run, cold in self._cold.items() if cold.until_s <= now_s]:
+                del self._cold[run]
+            due = [
+                (run, cold)
+                for run, cold in self._cold.items()
+                if now_s - cold.told_s >= NOTICE_INTERVAL_S
+            ]
+        for run, cold in due:
+            cold.told_s = now_s
+            order = self._peers.order_by_key(run.endpoint)
+            if self._is_listed(run) and self._peers.own_instance in order[:CHECKERS]:
+                left_ms = (cold.until_s - now_s) * 1000
+                self._broadcast(RunNotice(run, RunStanding.VERIFIED, left_ms))
+
+    def _is_listed(self, run: EndpointRun) -> bool:
+        listed = self._catalog.find(run.endpoint)
+        return listed is not None and listed.run == run
+
+    def _begin(self, endpoint: Endpoint, reason: str, now_s: float) -> _Doubt | None:
+        """Return the doubt about a run, if need be a new one; ``None`` if it is not listed."""
+        run = endpoint.run
+        if not self._is_listed(run):
+            return None
+        with self._lock:
+            known = self._doubts.get(run)
+            if known is not None:
+                return known
+            doubt = _Doubt(endpoint, now_s, now_s, now_s)
+            self._doubts[run] = doubt
+        log_event(
+            Event.ENDPOINT_RUN_UNVERIFIED,
+            endpoint=run.endpoint,
+            started_ms=run.started_ms,
+            reason=reason,
+        )
+        return doubt
+
+    def _note_loss(self, doubt: _Doubt, now_s: float) -> None:
+        doubt.lost_s = doubt.heard_s = now_s
+        doubt.answered_s = doubt.proven_s = None
 
-    def _handle_loss(self, run: EndpointRun) -> None:
+    def _handle_loss(self, doubt: _Doubt) -> None:
         """Check a run that was lost, and tell the others at once unless it was just verified.
 
         Reports of one loss come one after another, also when the endpoint has been asked already.
         """
-        if self._clock_s() - self._verified_s.get(run, float("-inf")) >= NOTICE_INTERVAL_S:
-            self._notify(run)
-        self._check_run(run)
+        verified_s = self._verified_s.get(doubt.endpoint.run, float("-inf"))
+        if self._clock_s() - verified_s >= NOTICE_INTERVAL_S:
+            self._announce(doubt)
+        self._check_if_due(doubt)
 
-    def _notify(self, run: EndpointRun) -> None:
+    def _announce(self, doubt: _Doubt) -> None:
         """Tell the region's gateways that a run is unverified, unless they were told just now."""
         now_s = self._clock_s()
         with self._lock:
-            entry = self._unverified.get(run)
-            if entry is None or now_s - entry.notified_s < NOTICE_INTERVAL_S:
+            if now_s - doubt.notified_s < NOTICE_INTERVAL_S:
                 return
-            entry.notified_s = now_s
-            entry.is_announced = True
-        self._broadcast(RunNotice(run, RunStanding.UNVERIFIED))
-
-    def _note_announced(self, run: EndpointRun) -> None:
-        with self._lock:
-            entry = self._unverified.get(run)
-            if entry is not None:
-                entry.is_announced = True
+            doubt.notified_s = now_s
+            doubt.is_announced = True
+        self._broadcast(RunNotice(doubt.endpoint.run, RunStanding.UNVERIFIED))
 
-    def _check_run(self, run: EndpointRun) -> None:
+    def _rank(self, doubt: _Doubt) -> int:
+        """Return this gateway's place in the order in which gateways check a run."""
+        now_s = self._clock_s()
+        if now_s - doubt.ranked_s >= RANK_LIFETIME_S:
+            order = self._peers.order_by_key(doubt.endpoint.endpoint)
+            own = self._peers.own_instance
+            doubt.rank = order.index(own) if own in order else len(order) + CHECKERS
+            doubt.gateways = len(order)
+            doubt.ranked_s = now_s
+        return doubt.rank
+
+    def _is_checker(self, doubt: _Doubt, age_s: float) -> bool:
+        rank = self._rank(doubt)
+        if rank < CHECKERS:
+            return rank == 0 or age_s >= SECOND_CHECK_S
+        others = doubt.gateways - CHECKERS
+        turn = int(age_s / TURN_S)
+        return others > 0 and turn > 0 and rank == CHECKERS + (turn - 1) % others
+
+    def _check_if_due(self, doubt: _Doubt) -> None:
         now_s = self._clock_s()
+        age_s = now_s - doubt.since_s
+        if not self._is_checker(doubt, age_s):
+            return
+        is_long = age_s >= LONG_DOUBT_S or doubt.answered_s is not None
+        interval_s = LONG_CHECK_INTERVAL_S if is_long else CHECK_INTERVAL_S
+        if doubt.lost_s >= doubt.checked_s:
+            interval_s = MIN_CHECK_INTERVAL_S
         with self._lock:
-            entry = self._unverified.get(run)
-            checked_s = self._checked_s.get(run, float("-inf"))
-            if entry is None or now_s - checked_s < MIN_CHECK_INTERVAL_S:
+            if doubt.is_checking or now_s - doubt.checked_s < interval_s:
                 return
-            self._checked_s.put(run, now_s)
-        self._check(entry.endpoint, lambda answer: self._on_health(run, now_s, answer))
+            doubt.is_checking, doubt.checked_s = True, now_s
+        self._check(doubt.endpoint, lambda answer: self._on_health(doubt, now_s, answer))
 
-    def _on_health(self, run: EndpointRun, sent_s: float, answer: HealthAnswer | None) -> None:
+    def _on_health(self, doubt: _Doubt, sent_s: float, answer: HealthAnswer | None) -> None:
+        now_s = self._clock_s()
         with self._lock:
-            entry = self._unverified.get(run)
-        if entry is None:
+            doubt.is_checking = False
+            is_over = self._doubts.get(doubt.endpoint.run) is not doubt
+            is_telling = sent_s >= doubt.lost_s and now_s - sent_s <= MAX_CHECK_S
+            if answer is not None and answer.cold_ms is None and is_telling:
+                doubt.answered_s = doubt.answered_s or now_s
+        if is_over:
             return
         if answer is None:
-            if self._is_checker(entry.endpoint, CHECKERS):
-                self._notify(run)
-            return
-        with self._lock:
-            if sent_s < entry.lost_s:
-                return
-            if answer.cold_ms is None:
-                entry.answered_s = entry.answered_s or self._clock_s()
-                return
-        self._verify(run, answer.cold_ms)
-
-    def _verify(self, run: EndpointRun, cold_ms: float) -> None:
-        """End the doubt about a run at all gateways of the region."""
-        self._end(run, cold_ms, "health")
-        self._broadcast(RunNotice(run, RunStanding.VERIFIED, cold_ms))
+            if self._rank(doubt) < CHECKERS:
+                self._announce(doubt)
+        elif answer.cold_ms is not None and is_telling:
+            self._verify(doubt.endpoint.run, answer.cold_ms, "health")
+
+    def _verify(self, run: EndpointRun, cold_ms: float, source: str) -> None:
+        """End the doubt about a run, also at the gateways that were told of it."""
+        doubt = self._end(run, cold_ms, source)
+        notice = RunNotice(run, RunStanding.VERIFIED, cold_ms)
+        if cold_ms > 0 or doubt is None or doubt.is_announced:
+            self._broadcast(notice)
+        else:
+            self._send(sorted(doubt.reporters), notice)
 
-    def _end(self, run: EndpointRun, cold_ms: float, source: str) -> None:
-        with self._lock:
-            entry = self._unverified.pop(run, None)
-            self._verified_s.put(run, self._clock_s())
-        is_restarted = cold_ms > 0 and not self._catalog.is_cold(run.endpoint)
+    def _end(self, run: EndpointRun, cold_ms: float, source: str) -> _Doubt | None:
+        now_s = self._clock_s()
+        is_restarted = (
+            cold_ms > 0 and self._is_listed(run) and not self._catalog.is_cold(run.endpoint)
+        )
         if cold_ms > 0:
+            # Before the doubt ends, so that the run counts as cold all the time.
             self._catalog.set_cold(run, cold_ms)
+        with self._lock:
+            doubt = self._doubts.pop(run, None)
+            self._verified_s.put(run, now_s)
+            if cold_ms > 0 and run not in self._cold:
+                self._cold[run] = _ColdRun(now_s + cold_ms / 1000, now_s)
         if is_restarted:
             self._on_new_run(run.endpoint)
-        if entry is not None:
+        if doubt is not None:
             log_event(
                 Event.ENDPOINT_RUN_VERIFIED,
                 endpoint=run.endpoint,
                 started_ms=run.started_ms,
                 cold_ms=cold_ms,
                 source=source,
-                after_ms=round((self._clock_s() - entry.since_s) * 1000),
+                after_ms=round((now_s - doubt.since_s) * 1000),
             )
+        return doubt
 
     def _broadcast(self, notice: RunNotice) -> None:
         self._send(
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -193,8 +193,7 @@
             self._policy.forget,
             lambda: self._reach.is_partitioned,
         )
-        self._reach.on_answered_ping = self._runs.note_contact
-        self._reach.on_unanswered_ping = lambda endpoint: self._runs.note_lost(
+        self._reach.on_became_unreachable = lambda endpoint: self._runs.note_lost(
             endpoint, "a ping was not answered"
         )
         peer_feed = PeerFeed(
@@ -216,7 +215,7 @@
             self._permits,
             streams,
         )
-        self._runs.connect(self._reporter.send_run_notice)
+        self._runs.connect(lambda: self._reporter.address, self._reporter.send_run_notice)
         self._watches = [
             StoreWatch(
                 self._store,
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -498,7 +498,8 @@
     def _counts_as_cold(self, endpoint: Endpoint, service: Service) -> bool:
         if service.warmup_per_s <= 0:
             return False
-        return self._catalog.is_cold(endpoint.endpoint) or self._runs.is_unverified(endpoint.run)
+        # In this order: a run is cold before the doubt about it ends.
+        return self._runs.is_unverified(endpoint.run) or self._catalog.is_cold(endpoint.endpoint)
 
     def _may_send_cold(self, endpoint: Endpoint, service: Service) -> bool:
         if not self._counts_as_cold(endpoint, service):
@@ -573,7 +574,7 @@
         if isinstance(outcome, StreamEnded) and call.first_byte_s is not None:
             policy.slot_times.observe(service.name, (time.monotonic() - call.first_byte_s) * 1000)
         if not call.ended_by_deadline:
-            self._note_run(option.endpoint, outcome)
+            self._note_run(option.endpoint, outcome, open_request.started_s)
         match outcome:
             case Answered() | StreamEnded():
                 policy.breakers.succeed(endpoint_id)
@@ -589,7 +590,7 @@
             case _:
                 policy.breakers.release(endpoint_id)
 
-    def _note_run(self, endpoint: Endpoint, outcome: AttemptOutcome) -> None:
+    def _note_run(self, endpoint: Endpoint, outcome: AttemptOutcome, sent_s: float) -> None:
         """Record what an outcome says of whether the endpoint still runs."""
         match outcome:
             case NotRun(reason, is_sent=False):
@@ -599,7 +600,7 @@
             case StreamBroken(reason, is_connection_lost=True):
                 self._runs.note_lost(endpoint, reason)
             case Answered() | StreamEnded() | NotRun():
-                self._runs.note_contact(endpoint)
+                self._runs.note_answer(endpoint, sent_s)
 
 
 class _FirstEventSink:
--- a/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/membership/codec.py
@@ -133,8 +133,9 @@
             return _pack(_Kind.BLAME, [fingerprint, death])
         case LeavingNotice(run):
             return _pack(_Kind.LEAVING, _run_fields(run))
-        case RunNotice(run, standing, cold_ms):
-            return _pack(_Kind.RUN_NOTICE, [_run_fields(run), standing.value, round(cold_ms)])
+        case RunNotice(run, standing, cold_ms, reply_to):
+            fields = [_run_fields(run), standing.value, round(cold_ms), reply_to]
+            return _pack(_Kind.RUN_NOTICE, fields)
         case SuspicionInventory(reply_to, content_hashes):
             return _pack(_Kind.SUSPICION_INVENTORY, [reply_to, content_hashes])
         case Suspicions(entries):
@@ -248,9 +249,12 @@
         case _Kind.LEAVING:
             return LeavingNotice(_decode_run(fields))
         case _Kind.RUN_NOTICE:
-            run_fields, standing, cold_ms = fields[:3]
+            run_fields, standing, cold_ms, reply_to = fields[:4]
             return RunNotice(
-                _decode_run(run_fields), RunStanding(standing), float(_non_negative_int(cold_ms))
+                _decode_run(run_fields),
+                RunStanding(standing),
+                float(_non_negative_int(cold_ms)),
+                _string(reply_to),
             )
         case _Kind.SUSPICION_INVENTORY:
             reply_to, content_hashes = fields[:2]
--- a/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_catalog.py
@@ -119,6 +119,14 @@
     assert catalog.is_cold(ENDPOINT.endpoint)
 
 
+def test_late_entry_of_the_same_run_does_not_shorten_a_cold_time_that_was_answered() -> None:
+    catalog = EndpointCatalog(Clock())
+    catalog.put(replace(ENDPOINT, warmup_left_ms=10))
+    catalog.set_cold(ENDPOINT.run, 3_000)
+    catalog.put(ENDPOINT)
+    assert catalog.is_cold(ENDPOINT.endpoint)
+
+
 def test_late_answer_of_an_earlier_run_does_not_end_the_warmup_of_the_next() -> None:
     catalog = EndpointCatalog(Clock())
     catalog.put(ENDPOINT)
--- a/packages/primroseferry-relay/tests/relay_tests/test_codec.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_codec.py
@@ -117,7 +117,7 @@
     RemoteParts((RemotePart(ENGINE_HASH, PartId("ab12"), 6_300),)),
     Blame(Fingerprint("f"), "e-1@100"),
     LeavingNotice(RUN),
-    *(RunNotice(RUN, standing, 2_800.0) for standing in RunStanding),
+    *(RunNotice(RUN, standing, 2_800.0, "10.0.0.2:82") for standing in RunStanding),
     PermitRequest("10.0.0.2:82", 2**40, IssuerRole.STANDBY, True, run_hash(RUN), 0.5),
     PermitRequest("10.0.0.2:82", 8, IssuerRole.PRIMARY, False, run_hash(RUN), 20.0),
     PermitReply(8, is_granted=False, ask_again_ms=250),
--- a/packages/primroseferry-relay/tests/relay_tests/test_cold_restarts_at_scale.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_cold_restarts_at_scale.py
@@ -12,6 +12,7 @@
 from primroseferry_policy.breaker import Breakers
 from primroseferry_policy.shared_budget import ColdEndpointLimiter
 from primroseferry_relay.endpoints.catalog import EndpointCatalog
+from primroseferry_relay.endpoints.endpoint_reach import PING_INTERVAL_S
 from primroseferry_relay.endpoints.endpoint_reach import HealthAnswer
 from primroseferry_relay.endpoints.run_verification import RunVerification
 
@@ -77,7 +78,9 @@
         self.catalog.put(ENDPOINT)
         self._breakers = Breakers(clock)
         self._cold_limiter = ColdEndpointLimiter(clock)
-        self._open_until_s: list[float] = []
+        self._open_since_s: list[float] = []
+        self._next_ping_s = float("-inf")
+        self._is_unreachable = False
         self.runs = RunVerification(
             self.catalog,
             gateway.peers,
@@ -86,7 +89,7 @@
             self._breakers.forget,
             clock_s=clock,
         )
-        self.runs.connect(gateway.exchange.send_run_notice)
+        self.runs.connect(lambda: gateway.address, gateway.exchange.send_run_notice)
         gateway.feed.handle_run_notice = self.runs.on_notice
         gateway.feed.run_tasks = self.runs.tick
 
@@ -100,7 +103,7 @@
 
     def send(self) -> None:
         listed = self.catalog.find(ENDPOINT.endpoint)
-        if listed is None or not self._breakers.permits(listed.endpoint):
+        if listed is None or self._is_unreachable or not self._breakers.permits(listed.endpoint):
             return
         if self.catalog.is_cold(listed.endpoint) or self.runs.is_unverified(listed.run):
             is_chosen = self._gateway.peers.is_chosen(listed.endpoint)
@@ -113,12 +116,31 @@
             return
         self._endpoint.arrivals.append((self._clock(), self.name))
         self._breakers.succeed(listed.endpoint)
-        self.runs.note_contact(listed)
-        self._open_until_s.append(self._clock() + REQUEST_S)
+        self._open_since_s.append(self._clock())
 
     def lose_connections(self) -> None:
-        if any(until_s > self._clock() for until_s in self._open_until_s):
+        if self._open_since_s:
             self.runs.note_lost(ENDPOINT, "connection lost")
+        self._open_since_s.clear()
+
+    def tick(self) -> None:
+        """End the requests that are answered by now, and ping an endpoint with an open circuit."""
+        listed = self.catalog.find(ENDPOINT.endpoint)
+        now_s = self._clock()
+        while listed is not None and self._open_since_s:
+            sent_s = self._open_since_s[0]
+            if now_s - sent_s < REQUEST_S:
+                break
+            self.runs.note_answer(listed, sent_s)
+            del self._open_since_s[0]
+        is_suspect = self._is_unreachable or not self._breakers.permits(ENDPOINT.endpoint)
+        if listed is None or not is_suspect or now_s < self._next_ping_s:
+            return
+        self._next_ping_s = now_s + PING_INTERVAL_S
+        was_unreachable = self._is_unreachable
+        self._is_unreachable = not self._endpoint.answers(self.name)
+        if self._is_unreachable and not was_unreachable:
+            self.runs.note_lost(listed, "ping")
 
     def _check(self, _endpoint: object, on_answer: Callable[[HealthAnswer | None], None]) -> None:
         is_answered = self._endpoint.answers(self.name)
@@ -159,6 +181,9 @@
             sender.catalog.put(entry)
 
     def _send_requests(self) -> None:
+        for sender in self.senders:
+            if sender.is_running:
+                sender.tick()
         if self._random.random() < REQUESTS_PER_S * STEP_S:
             self._random.choice([one for one in self.senders if one.is_running]).send()
 
@@ -210,6 +235,25 @@
     assert len(world.endpoint.arrivals) - started >= REQUESTS_PER_S
 
 
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("gateways", [7, 30])
+def test_crash_just_after_connections_were_reset_does_not_flood_the_new_run(
+    gateways: int, seed: int
+) -> None:
+    world = ColdRestart(gateways, seed)
+    world.run(2.0)
+    for sender in world.senders:
+        sender.runs.note_lost(ENDPOINT, "reset")
+    world.run(0.3)
+    world.crash()
+    world.run(DOWN_S)
+    world.endpoint.start()
+    world.run(1.2)
+    world.write_entry()
+    world.run(WARMUP_S)
+    assert world.endpoint.worst_cold_second() <= MAX_ARRIVALS_IN_A_SECOND
+
+
 @pytest.mark.parametrize("gateways", [2, 7, 65])
 def test_connections_reset_everywhere_do_not_keep_a_sound_endpoint_from_its_requests(
     gateways: int,
--- a/packages/primroseferry-relay/tests/relay_tests/test_run_verification.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_run_verification.py
@@ -16,9 +16,8 @@
 from primroseferry_relay.endpoints.endpoint_reach import HealthAnswer
 from primroseferry_relay.endpoints.run_notice import RunNotice
 from primroseferry_relay.endpoints.run_notice import RunStanding
-from primroseferry_relay.endpoints.run_verification import ESCALATION_S
 from primroseferry_relay.endpoints.run_verification import NOTICE_LIFETIME_S
-from primroseferry_relay.endpoints.run_verification import REPORT_INTERVAL_S
+from primroseferry_relay.endpoints.run_verification import TURN_S
 from primroseferry_relay.endpoints.run_verification import RunVerification
 from primroseferry_relay.membership.peer import GatewayState
 from primroseferry_relay.membership.peer_table import DISCOVERY_TIMEOUT_S
@@ -31,9 +30,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from primroseferry_relay.endpoints.endpoint import EndpointRun
+
 NORTH = RegionId("north")
 WARMUP_S = 3.0
 COLD_MS = 2_800.0
+OWN_ADDRESS = "g-0:82"
 
 
 def endpoint_of(name: str = "e-1", started_ms: int = 1) -> Endpoint:
@@ -72,7 +74,10 @@
             lambda: self.is_partitioned,
             self.clock,
         )
-        self.runs.connect(lambda addresses, notice: self.sent.append((tuple(addresses), notice)))
+        self.runs.connect(
+            lambda: OWN_ADDRESS,
+            lambda addresses, notice: self.sent.append((tuple(addresses), notice)),
+        )
         self.wait(DISCOVERY_TIMEOUT_S + 0.1)
 
     def wait(self, seconds: float) -> None:
@@ -144,7 +149,7 @@
     assert gateway.sent == [
         (
             tuple(gateway.address_of(name) for name in checkers),
-            RunNotice(endpoint.run, RunStanding.LOST),
+            RunNotice(endpoint.run, RunStanding.LOST, reply_to=OWN_ADDRESS),
         )
     ]
     assert gateway.runs.is_unverified(endpoint.run)
@@ -157,9 +162,12 @@
     endpoint = gateway.list_endpoint(rank)
     for _ in range(5):
         gateway.runs.on_notice(RunNotice(endpoint.run, RunStanding.LOST))
-    assert len(gateway.checks) == 1
+    assert len(gateway.checks) == (rank == 0)
     assert gateway.standings() == [RunStanding.UNVERIFIED]
     assert len(gateway.sent[0][0]) == 6
+    gateway.wait(0.9)
+    # One check at a time, and the second gateway joins in.
+    assert len(gateway.checks) == 1
 
 
 def test_answer_to_a_check_that_was_sent_before_the_last_loss_says_nothing() -> None:
@@ -231,28 +239,115 @@
     gateway = Gateway(others=6)
     endpoint = gateway.list_endpoint(rank=3)
     gateway.runs.on_notice(RunNotice(endpoint.run, RunStanding.UNVERIFIED))
-    gateway.wait(ESCALATION_S)
+    gateway.wait(TURN_S)
     assert gateway.checks == []
-    gateway.wait(ESCALATION_S + 0.2)
+    gateway.wait(TURN_S + 0.2)
     gateway.checks[0](HealthAnswer(0.0))
     assert not gateway.runs.is_unverified(endpoint.run)
     assert gateway.standings()[-1] is RunStanding.VERIFIED
 
 
-def test_loss_is_news_only_after_contact() -> None:
+def test_crash_soon_after_a_loss_that_was_verified_is_seen() -> None:
     gateway = Gateway(others=3)
     endpoint = gateway.list_endpoint()
+    gateway.runs.note_lost(endpoint, "reset")
+    gateway.checks[0](HealthAnswer(0.0))
+    gateway.clock.now_s += 0.3
     gateway.runs.note_lost(endpoint, "refused")
+    assert gateway.runs.is_unverified(endpoint.run)
+
+
+def test_loss_of_a_run_that_was_just_verified_is_answered_to_its_reporter_only() -> None:
+    gateway = Gateway(others=6)
+    endpoint = gateway.list_endpoint()
+    gateway.runs.note_lost(endpoint, "reset")
     gateway.checks[0](HealthAnswer(0.0))
+    gateway.clock.now_s += 0.1
+    gateway.sent.clear()
+    notice = RunNotice(endpoint.run, RunStanding.LOST, reply_to="g-3:82")
+    gateway.runs.on_notice(notice)
+    gateway.checks[1](HealthAnswer(0.0))
+    assert gateway.sent == [
+        (("g-3:82",), RunNotice(endpoint.run, RunStanding.VERIFIED)),
+    ]
+
+
+def test_lost_run_that_was_just_verified_is_announced_if_it_does_not_answer() -> None:
+    gateway = Gateway(others=6)
+    endpoint = gateway.list_endpoint()
+    gateway.runs.note_lost(endpoint, "reset")
+    gateway.checks[0](HealthAnswer(0.0))
+    gateway.clock.now_s += 0.1
+    gateway.sent.clear()
     gateway.runs.note_lost(endpoint, "refused")
+    assert gateway.sent == []
+    gateway.checks[1](None)
+    assert gateway.standings() == [RunStanding.UNVERIFIED]
+
+
+def test_endpoint_whose_health_path_is_deaf_is_not_held_while_it_serves() -> None:
+    gateway = Gateway(others=3)
+    endpoint = gateway.list_endpoint()
+    sent_s = gateway.clock.now_s
+    gateway.clock.now_s += 0.3
+    gateway.runs.note_lost(endpoint, "reset")
+    gateway.clock.now_s += 0.1
+    gateway.runs.note_answer(endpoint, sent_s)
+    gateway.wait(0.2)
     assert not gateway.runs.is_unverified(endpoint.run)
-    gateway.runs.note_contact(endpoint)
-    gateway.runs.note_lost(endpoint, "refused")
+    assert gateway.standings()[-1] is RunStanding.VERIFIED
+
+
+def test_answer_to_a_request_sent_after_the_loss_does_not_prove_that_the_run_is_the_same() -> None:
+    gateway = Gateway(others=3)
+    endpoint = gateway.list_endpoint()
+    gateway.runs.note_lost(endpoint, "reset")
+    gateway.runs.note_answer(endpoint, gateway.clock.now_s + 0.2)
+    gateway.wait(WARMUP_S - 0.2)
     assert gateway.runs.is_unverified(endpoint.run)
-    gateway.checks[-1](HealthAnswer(0.0))
-    gateway.wait(REPORT_INTERVAL_S + 0.2)
+    gateway.wait(0.4)
+    assert not gateway.runs.is_unverified(endpoint.run)
+
+
+def test_doubt_does_not_end_before_the_cold_time_is_known() -> None:
+    gateway = Gateway(others=3)
+    endpoint = gateway.list_endpoint()
     gateway.runs.note_lost(endpoint, "refused")
-    assert gateway.runs.is_unverified(endpoint.run)
+    was_unverified: list[bool] = []
+    set_cold = gateway.catalog.set_cold
+
+    def record_and_set(run: EndpointRun, cold_ms: float) -> None:
+        was_unverified.append(gateway.runs.is_unverified(run))
+        set_cold(run, cold_ms)
+
+    gateway.catalog.set_cold = record_and_set  # type: ignore[method-assign]
+    gateway.checks[0](HealthAnswer(COLD_MS))
+    assert was_unverified == [True]
+
+
+def test_cold_endpoint_is_told_of_again_until_its_entry_comes() -> None:
+    gateway = Gateway(others=3)
+    endpoint = gateway.list_endpoint()
+    gateway.runs.note_lost(endpoint, "refused")
+    gateway.checks[0](HealthAnswer(COLD_MS))
+    gateway.sent.clear()
+    gateway.wait(1.2)
+    (notice,) = [notice for _, notice in gateway.sent]
+    assert notice.standing is RunStanding.VERIFIED
+    assert COLD_MS - 1_300 <= notice.cold_ms <= COLD_MS - 900
+    gateway.catalog.put(endpoint_of(endpoint.endpoint, started_ms=2))
+    gateway.sent.clear()
+    gateway.wait(1.2)
+    assert gateway.sent == []
+
+
+def test_cold_answer_of_an_earlier_run_says_nothing_of_the_listed_one() -> None:
+    gateway = Gateway(others=3)
+    endpoint = gateway.list_endpoint()
+    gateway.runs.note_cold(endpoint_of(endpoint.endpoint, started_ms=0), COLD_MS)
+    assert gateway.sent == []
+    assert gateway.new_runs == []
+    assert not gateway.catalog.is_cold(endpoint.endpoint)
 
 
 def test_losses_of_a_partitioned_gateway_say_nothing_of_runs() -> None:
