Hold an outcome against an endpoint only while its run is the one of the attempt

An attempt that began on one run of an endpoint and ended after the next run was listed, or after the endpoint was found to have started again, wrote its outcome into the state of the new run: a refused connection opened the circuit of an endpoint that had just started, an answer or failure ended the trial that was in flight there, and a slow answer slowed its pace. The outcome of an attempt on a removed endpoint left a circuit that nothing removed any more.

`RelayPolicy` now counts how often the state of an endpoint was discarded, and circuits and pace take an outcome only if that is what it was when the attempt began. The state is discarded after the new entry is in the catalog, so that no attempt on the run of before begins in between.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -75,9 +75,10 @@
                 self._apply_routes(table, item)
             case EndpointChanged(endpoint):
                 known = self._catalog.find(endpoint.endpoint)
+                self._catalog.put(endpoint)
+                # After the entry: no attempt on the run of before begins any more.
                 if known is not None and known.run != endpoint.run:
                     self._policy.forget(endpoint.endpoint)
-                self._catalog.put(endpoint)
             case EndpointRemoved(endpoint, _reason):
                 self._catalog.remove(endpoint)
             case DomainEvacuated(domain, is_closed):
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -252,6 +252,7 @@
     ) -> AttemptOutcome:
         """Make one attempt. ``on_start`` receives the call before it runs, to cancel it later."""
         endpoint = option.endpoint
+        times_forgotten = self._policy.times_forgotten(endpoint.endpoint)
         if not self._catalog.is_available(endpoint):
             return NotRun("the endpoint accepts no new requests", is_sent=False)
         if self._policy.backoffs.remaining_s(endpoint.endpoint) > 0:
@@ -265,7 +266,7 @@
             return NotRun("this gateway's slots of the endpoint are taken", is_sent=False)
         try:
             with self._policy.breakers.attempt(endpoint.endpoint):
-                return self._send(option, service, plan, sink, on_start)
+                return self._send(option, service, plan, sink, on_start, times_forgotten)
         finally:
             self._brittle.leave(endpoint)
 
@@ -339,6 +340,7 @@
         plan: AttemptPlan,
         sink: StreamSink | None,
         on_start: Callable[[AttemptCall], None],
+        times_forgotten: int,
     ) -> AttemptOutcome:
         endpoint, choice = option.endpoint, option.choice
         policy = self._policy
@@ -367,7 +369,8 @@
             outcome = call.run()
         finally:
             policy.loads.end(open_request)
-        self._record_outcome(option, service, call, open_request, outcome)
+        is_same_run = policy.times_forgotten(endpoint.endpoint) == times_forgotten
+        self._record_outcome(option, service, call, open_request, outcome, is_same_run)
         self.crash_attribution.record_outcome(endpoint, plan.suspect, plan.request_id, outcome)
         return outcome
 
@@ -559,12 +562,15 @@
         call: EndpointCall,
         open_request: OpenRequest,
         outcome: AttemptOutcome,
+        is_same_run: bool,
     ) -> None:
+        """Record an outcome; it says nothing of the endpoint unless ``is_same_run``."""
         policy = self._policy
         endpoint_id = option.endpoint.endpoint
         if call.first_byte_s is not None:
             observed_ms = (call.first_byte_s - open_request.started_s) * 1000
-            policy.pace.observe(endpoint_id, option.choice.first_ms, observed_ms)
+            if is_same_run:
+                policy.pace.observe(endpoint_id, option.choice.first_ms, observed_ms)
             if (
                 service.engine is None
                 and policy.loads.work(endpoint_id).requests < option.endpoint.slots
@@ -575,19 +581,22 @@
         if not call.ended_by_deadline:
             self._note_run(option.endpoint, outcome)
         match outcome:
-            case Answered() | StreamEnded():
-                policy.breakers.succeed(endpoint_id)
-            case NotRun(is_sent=True):
-                policy.breakers.release(endpoint_id)
-            case NotRun(reason) | Lost(reason) | StreamBroken(reason):
-                if call.ended_by_deadline:
-                    policy.breakers.release(endpoint_id)
-                else:
-                    is_unreached = isinstance(outcome, NotRun)
-                    policy.breakers.fail(endpoint_id, is_certain=is_unreached)
+            case NotRun(reason, is_sent=False) | Lost(reason) | StreamBroken(reason):
                 log_event(Event.ATTEMPT_FAILED, endpoint=endpoint_id, reason=reason)
+        if is_same_run:
+            self._record_in_circuit(endpoint_id, call, outcome)
+
+    def _record_in_circuit(
+        self, endpoint: EndpointId, call: EndpointCall, outcome: AttemptOutcome
+    ) -> None:
+        breakers = self._policy.breakers
+        match outcome:
+            case Answered() | StreamEnded():
+                breakers.succeed(endpoint)
+            case NotRun(is_sent=False) | Lost() | StreamBroken() if not call.ended_by_deadline:
+                breakers.fail(endpoint, is_certain=isinstance(outcome, NotRun))
             case _:
-                policy.breakers.release(endpoint_id)
+                breakers.release(endpoint)
 
     def _note_run(self, endpoint: Endpoint, outcome: AttemptOutcome) -> None:
         """Record what an outcome says of whether the endpoint still runs."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/relay_policy.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import threading
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from primroseferry_core.bounded_map import BoundedMap
 from primroseferry_policy.breaker import Breakers
 from primroseferry_policy.endpoint_backoffs import EndpointBackoffs
 from primroseferry_policy.endpoint_loads import EndpointLoads
@@ -28,6 +30,8 @@
 # How long a request that crashed endpoints waits for its next trial: after the second crash, the
 # third and so on. The last wait also applies to all further crashes.
 TRIAL_WAITS_S = (5.0, 60.0, 600.0, 3_600.0, 86_400.0)
+# A fleet replaces far fewer endpoints while an attempt lasts.
+MAX_FORGOTTEN = 4_096
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,9 +59,22 @@
     slot_times: SlotTimes = field(default_factory=SlotTimes)
     backoffs: EndpointBackoffs = field(default_factory=EndpointBackoffs)
     request_limits: RequestLimits = field(default_factory=RequestLimits)
+    _forgotten: BoundedMap[EndpointId, int] = field(
+        default_factory=lambda: BoundedMap(MAX_FORGOTTEN)
+    )
+    _lock: threading.Lock = field(default_factory=threading.Lock)
+
+    def times_forgotten(self, endpoint: EndpointId) -> int:
+        """Return how often the state of an endpoint was discarded.
+
+        What was observed at an endpoint counts only while this number is the one of before.
+        """
+        return self._forgotten.get(endpoint, 0)
 
     def forget(self, endpoint: EndpointId) -> None:
         """Discard all state of an endpoint whose process was replaced or has ended."""
+        with self._lock:
+            self._forgotten.put(endpoint, self._forgotten.get(endpoint, 0) + 1)
         self.pace.forget(endpoint)
         self.breakers.forget(endpoint)
         self.parts.forget(endpoint)
--- /dev/null
+++ b/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
@@ -0,0 +1,143 @@
+"""What a gateway learned of an earlier run of an endpoint does not count for the next one."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import pytest
+from primroseferry_core.ids import EndpointId
+from primroseferry_policy.breaker import BreakerState
+from primroseferry_relay.control.changes import EndpointChanged
+from primroseferry_relay.control.changes import EndpointRemoved
+from primroseferry_relay.control.control_feed import ControlFeed
+from primroseferry_relay.control.metadata_store import StoredItem
+from primroseferry_relay.control.quarantine_records import QuarantineRecords
+
+from .relay_harness import RelayHarness
+from .scripted_endpoint import ScriptedEndpoint
+from .scripted_endpoint import answer
+from .test_part_copies import plan
+from .test_partition import closed_endpoint
+from .test_relay import fixed_answer_endpoint
+from .test_route_table import SERVICE
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Callable
+
+    from primroseferry_relay.attempts.outcome import AttemptOutcome
+    from primroseferry_relay.control.changes import ControlChange
+    from primroseferry_relay.endpoints.endpoint import Endpoint
+    from primroseferry_transport.curl_loop import CurlLoop
+
+    from .scripted_endpoint import Received
+
+NAME = EndpointId("e-0")
+
+
+class _ListedChange:
+    """Adapter whose items all describe one change."""
+
+    prefixes = ("",)
+
+    def __init__(self) -> None:
+        self.change: ControlChange = EndpointRemoved(NAME, "")
+
+    def decode(self, _item: StoredItem) -> ControlChange:
+        return self.change
+
+
+class _Gateway:
+    """A relay with one endpoint whose entry changes as in the store."""
+
+    def __init__(self, loop: CurlLoop, endpoint: ScriptedEndpoint) -> None:
+        self.harness = harness = RelayHarness(loop, [endpoint])
+        self.policy = harness.policy
+        self.breakers = harness.policy.breakers
+        self._adapter = _ListedChange()
+        self._feed = ControlFeed(
+            self._adapter,
+            harness.catalog,
+            harness.peers,
+            harness.policy,
+            QuarantineRecords(harness.store, harness.policy.quarantine, harness.peers),
+            harness.version_records,
+        )
+
+    def entry(self) -> Endpoint:
+        return self.harness.catalog.entries()[NAME]
+
+    def list_next_run(self) -> None:
+        entry = self.entry()
+        self._apply(EndpointChanged(replace(entry, started_ms=entry.started_ms + 1)))
+
+    def unlist(self) -> None:
+        self._apply(EndpointRemoved(NAME, "expired"))
+
+    def begin_trial(self) -> None:
+        self.breakers.fail(NAME, is_certain=True)
+        self.breakers.permit_trial_now(NAME)
+        self.breakers.begin(NAME)
+
+    def run(self, amid: Callable[[], None]) -> AttemptOutcome:
+        """Make an attempt on the present run, and call ``amid`` once it has begun."""
+        (option,) = self.harness.local.rank(SERVICE, plan().generation, ())
+        return self.harness.local.run(option, SERVICE, plan(), None, lambda _call: amid())
+
+    def _apply(self, change: ControlChange) -> None:
+        self._adapter.change = change
+        self._feed.apply(StoredItem(f"endpoints/{NAME}", b"", 1))
+
+
+def _slow_endpoint() -> ScriptedEndpoint:
+    def script(connection: socket.socket, request: Received) -> None:
+        time.sleep(0.3)
+        connection.sendall(answer(request))
+
+    return ScriptedEndpoint(script)
+
+
+def test_failure_on_an_earlier_run_does_not_open_the_circuit_of_the_next_one(
+    loop: CurlLoop,
+) -> None:
+    gateway = _Gateway(loop, closed_endpoint())
+    gateway.run(gateway.list_next_run)
+    assert gateway.breakers.permits(NAME)
+
+
+def test_failure_on_a_removed_endpoint_leaves_no_circuit(loop: CurlLoop) -> None:
+    gateway = _Gateway(loop, closed_endpoint())
+    gateway.run(gateway.unlist)
+    assert gateway.breakers.states() == {}
+
+
+def test_failure_on_a_run_found_to_have_ended_does_not_open_the_circuit(loop: CurlLoop) -> None:
+    gateway = _Gateway(loop, closed_endpoint())
+    gateway.run(lambda: gateway.harness.runs.note_cold(gateway.entry(), 2_800))
+    assert gateway.breakers.permits(NAME)
+
+
+@pytest.mark.parametrize("endpoint", [closed_endpoint(), fixed_answer_endpoint()])
+def test_outcome_of_an_earlier_run_does_not_end_the_trial_of_the_next_one(
+    loop: CurlLoop, endpoint: ScriptedEndpoint
+) -> None:
+    gateway = _Gateway(loop, endpoint)
+
+    def restart() -> None:
+        gateway.list_next_run()
+        gateway.begin_trial()
+
+    gateway.run(restart)
+    assert gateway.breakers.states() == {NAME: BreakerState.HALF_OPEN}
+
+
+def test_slow_answer_of_an_earlier_run_does_not_slow_the_pace_of_the_next_one(
+    loop: CurlLoop,
+) -> None:
+    gateway = _Gateway(loop, _slow_endpoint())
+    gateway.run(lambda: None)
+    assert gateway.policy.pace.ratio(NAME) > 1.0
+    gateway.run(gateway.list_next_run)
+    assert gateway.policy.pace.ratio(NAME) == 1.0
