Back off only the run of an endpoint that asked for it

A 503 with `Retry-After` that arrived after the next run of the endpoint was listed kept this gateway from sending to the new run for the time that the old one had named, up to five minutes; so did a rejection by a brittle endpoint, for a second. After a removal it did so to whatever was listed next under the id. A backoff is now noted only while the run that answered is the listed one. The four cases of the new test failed before, with 30 s of backoff.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -198,6 +198,11 @@
             entry = self._entries.get(endpoint)
             return entry.endpoint if entry is not None else None
 
+    def is_listed(self, run: EndpointRun) -> bool:
+        """Whether the entry of an endpoint describes exactly this run."""
+        listed = self.find(run.endpoint)
+        return listed is not None and listed.run == run
+
     def find_by_hash(self, endpoint_hash: EndpointHash) -> EndpointId | None:
         """Return the endpoint with this hash in datagrams, ``None`` if none is listed."""
         with self._lock:
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -531,12 +531,16 @@
     ) -> None:
         self._note_request_limit(endpoint.run, status, metadata, sent_s)
         self._brittle.note_answer(endpoint, metadata.rejections_per_s)
-        if metadata.is_not_run and status in FULL_STATUSES and self._brittle.is_brittle(endpoint):
-            self._policy.backoffs.note(endpoint.endpoint, REST_S)
         if metadata.cold_ms is not None:
             self._runs.note_cold(endpoint, metadata.cold_ms)
         if metadata.is_leaving and self._catalog.note_leaving(endpoint.run):
             self._reporter.send_endpoint_leaving(endpoint.run)
+        if self._catalog.is_listed(endpoint.run):
+            self._note_backoff(endpoint, status, metadata)
+
+    def _note_backoff(self, endpoint: Endpoint, status: int, metadata: ReplyMetadata) -> None:
+        if metadata.is_not_run and status in FULL_STATUSES and self._brittle.is_brittle(endpoint):
+            self._policy.backoffs.note(endpoint.endpoint, REST_S)
         if status == OVERLOADED_STATUS and metadata.rest_s is not None:
             self._policy.backoffs.note(endpoint.endpoint, metadata.rest_s)
             log_event(Event.ENDPOINT_BACKOFF, endpoint=endpoint.endpoint, rest_s=metadata.rest_s)
--- a/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
@@ -141,3 +141,14 @@
     assert gateway.policy.pace.ratio(NAME) > 1.0
     gateway.run(gateway.list_next_run)
     assert gateway.policy.pace.ratio(NAME) == 1.0
+
+
+@pytest.mark.parametrize("extra", ["", "X-Brittle: 2\r\n"])
+@pytest.mark.parametrize("is_listed_again", [True, False])
+def test_rejection_by_an_earlier_run_does_not_back_the_next_one_off(
+    loop: CurlLoop, extra: str, is_listed_again: bool
+) -> None:
+    rejection = f"X-Not-Run: 1\r\nRetry-After: 30\r\n{extra}"
+    gateway = _Gateway(loop, fixed_answer_endpoint("503 Service Unavailable", extra=rejection))
+    gateway.run(gateway.list_next_run if is_listed_again else gateway.unlist)
+    assert gateway.policy.backoffs.remaining_s(NAME) == 0
