Keep what is known of a run when an earlier one says that it is cold

An answer of a run that came after the next one was listed, and said that its endpoint is cold, discarded the circuit, pace and parts of prompts of the new run and told the region that the old run was verified, unless the new run was itself cold. The new test failed before: a circuit that the new run's failure had opened was closed.

--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -531,11 +531,11 @@
     ) -> None:
         self._note_request_limit(endpoint.run, status, metadata, sent_s)
         self._brittle.note_answer(endpoint, metadata.rejections_per_s)
-        if metadata.cold_ms is not None:
-            self._runs.note_cold(endpoint, metadata.cold_ms)
         if metadata.is_leaving and self._catalog.note_leaving(endpoint.run):
             self._reporter.send_endpoint_leaving(endpoint.run)
         if self._catalog.is_listed(endpoint.run):
+            if metadata.cold_ms is not None:
+                self._runs.note_cold(endpoint, metadata.cold_ms)
             self._note_backoff(endpoint, status, metadata)
 
     def _note_backoff(self, endpoint: Endpoint, status: int, metadata: ReplyMetadata) -> None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
@@ -152,3 +152,17 @@
     gateway = _Gateway(loop, fixed_answer_endpoint("503 Service Unavailable", extra=rejection))
     gateway.run(gateway.list_next_run if is_listed_again else gateway.unlist)
     assert gateway.policy.backoffs.remaining_s(NAME) == 0
+
+
+def test_cold_answer_of_an_earlier_run_does_not_discard_what_is_known_of_the_next_one(
+    loop: CurlLoop,
+) -> None:
+    gateway = _Gateway(loop, fixed_answer_endpoint(extra="X-Cold-Ms: 2800\r\n"))
+
+    def restart() -> None:
+        gateway.list_next_run()
+        gateway.breakers.fail(NAME, is_certain=True)
+
+    gateway.run(restart)
+    assert not gateway.breakers.permits(NAME)
+    assert not gateway.harness.catalog.is_cold(NAME)
