Look at an endpoint again after the wait for a permit

A request to an endpoint that names a request limit waits up to 0.1 s for a permit. What was checked before was not checked again, so it was sent to the address of a run that was no longer listed, past the limit and the cold rate of the run that answers there now; and to a run that had become cold meanwhile, by gateways that may not send to it. The cold rate is now taken after the permit, when the endpoint is known to be still available. Both new tests failed before.

--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -257,11 +257,14 @@
             return NotRun("the endpoint accepts no new requests", is_sent=False)
         if self._policy.backoffs.remaining_s(endpoint.endpoint) > 0:
             return NotRun("the endpoint asked for a backoff", is_sent=False)
-        if not self._acquire_cold_send(endpoint, service, plan):
-            return NotRun("the endpoint is cold and its request rate is used up", is_sent=False)
         if not self._permits.acquire(endpoint.run, plan.is_urgent):
             reason = "the endpoint's request limit is used up"
             return NotRun(reason, is_sent=False, is_permit_denied=True)
+        # A permit takes a while to come.
+        if not self._catalog.is_available(endpoint):
+            return NotRun("the endpoint accepts no new requests any more", is_sent=False)
+        if not self._acquire_cold_send(endpoint, service, plan):
+            return NotRun("the endpoint is cold and its request rate is used up", is_sent=False)
         if not self._brittle.enter(endpoint):
             return NotRun("this gateway's slots of the endpoint are taken", is_sent=False)
         try:
--- a/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
@@ -9,6 +9,7 @@
 import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_policy.breaker import BreakerState
+from primroseferry_relay.attempts.outcome import NotRun
 from primroseferry_relay.control.changes import EndpointChanged
 from primroseferry_relay.control.changes import EndpointRemoved
 from primroseferry_relay.control.control_feed import ControlFeed
@@ -30,6 +31,7 @@
     from primroseferry_relay.attempts.outcome import AttemptOutcome
     from primroseferry_relay.control.changes import ControlChange
     from primroseferry_relay.endpoints.endpoint import Endpoint
+    from primroseferry_relay.endpoints.endpoint import EndpointRun
     from primroseferry_transport.curl_loop import CurlLoop
 
     from .scripted_endpoint import Received
@@ -166,3 +168,19 @@
     gateway.run(restart)
     assert not gateway.breakers.permits(NAME)
     assert not gateway.harness.catalog.is_cold(NAME)
+
+
+def test_permit_of_an_earlier_run_sends_nothing_to_the_next_one(
+    loop: CurlLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    endpoint = fixed_answer_endpoint()
+    gateway = _Gateway(loop, endpoint)
+
+    def acquire(_run: EndpointRun, _is_urgent: bool) -> bool:
+        gateway.list_next_run()
+        return True
+
+    monkeypatch.setattr(gateway.harness.permits, "acquire", acquire)
+    outcome = gateway.run(lambda: None)
+    assert isinstance(outcome, NotRun)
+    assert endpoint.requests == []
--- a/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
@@ -27,6 +27,7 @@
 from .test_route_table import SERVICE
 
 if TYPE_CHECKING:
+    from primroseferry_relay.endpoints.endpoint import EndpointRun
     from primroseferry_transport.curl_loop import CurlLoop
 
 COLD = replace(SERVICE, warmup_s=60.0, warmup_per_s=1.0)
@@ -59,6 +60,26 @@
     assert endpoint.requests == []
 
 
+def test_endpoint_that_became_cold_during_the_wait_for_a_permit_gets_requests_of_one_gateway_only(
+    loop: CurlLoop, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    endpoint = fixed_answer_endpoint()
+    harness = RelayHarness(loop, [endpoint])
+    harness.skipped_s = DISCOVERY_TIMEOUT_S
+    (option,) = harness.local.rank(COLD, plan().generation, ())
+    others = [peer_of(f"g-{number}", NORTH) for number in range(2, 30)]
+    harness.peers.put_roster(roster_of(NORTH, *others))
+
+    def acquire(run: EndpointRun, _is_urgent: bool) -> bool:
+        harness.catalog.set_cold(run, 60_000)
+        return True
+
+    monkeypatch.setattr(harness.permits, "acquire", acquire)
+    outcome = harness.local.run(option, COLD, plan(), None, lambda _call: None)
+    assert isinstance(outcome, NotRun)
+    assert endpoint.requests == []
+
+
 def test_connection_that_the_deadline_cuts_short_does_not_put_the_run_in_doubt(
     loop: CurlLoop,
 ) -> None:
