Count open requests at an earlier address no longer as load of an endpoint

An endpoint that started again under its id at another address, after a power cut for instance, took over the open requests of the run before: they counted as its load, and those without a first byte made it look overdue, until their deadlines or, for streams that a leaving process still ended, for minutes. The same was reported to the region. Requests are now counted for the address that they were sent to. Those at an unchanged address go on to count: they may have reached the new process before its entry came. Two of the three new tests failed before; the third holds that.

--- a/packages/primroseferry-policy/src/primroseferry_policy/endpoint_loads.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/endpoint_loads.py
@@ -55,6 +55,7 @@
     memory_tokens: int
     expected_first_ms: float
     started_s: float
+    address: str = ""
     is_answering: bool = False
 
 
@@ -76,10 +77,16 @@
         generation: Generation,
         uncached_tokens: int,
         expected_first_ms: float,
+        address: str = "",
     ) -> OpenRequest:
-        """Record a request that is sent to the endpoint."""
+        """Record a request that is sent to the endpoint at an address."""
         request = OpenRequest(
-            endpoint, uncached_tokens, generation.memory_tokens, expected_first_ms, self._clock_s()
+            endpoint,
+            uncached_tokens,
+            generation.memory_tokens,
+            expected_first_ms,
+            self._clock_s(),
+            address,
         )
         with self._lock:
             self._own.setdefault(endpoint, {})[id(request)] = request
@@ -97,6 +104,19 @@
             if not own:
                 self._own.pop(request.endpoint, None)
 
+    def set_address(self, endpoint: EndpointId, address: str) -> None:
+        """Drop this gateway's requests that were sent to an earlier address of the endpoint.
+
+        Those sent to the same address may have reached the process that listens there now.
+        """
+        with self._lock:
+            own = self._own.get(endpoint, {})
+            kept = {key: request for key, request in own.items() if request.address == address}
+            if kept:
+                self._own[endpoint] = kept
+            else:
+                self._own.pop(endpoint, None)
+
     def update_region(
         self,
         region_work: Mapping[EndpointId, OpenWork],
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_feed.py
@@ -79,6 +79,7 @@
                 # After the entry: no attempt on the run of before begins any more.
                 if known is not None and known.run != endpoint.run:
                     self._policy.forget(endpoint.endpoint)
+                self._policy.loads.set_address(endpoint.endpoint, endpoint.address)
             case EndpointRemoved(endpoint, _reason):
                 self._catalog.remove(endpoint)
             case DomainEvacuated(domain, is_closed):
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -349,7 +349,11 @@
         policy = self._policy
         attempt = self._endpoint_attempt(option, plan)
         open_request = policy.loads.begin(
-            endpoint.endpoint, plan.generation, choice.uncached_tokens, choice.first_ms
+            endpoint.endpoint,
+            plan.generation,
+            choice.uncached_tokens,
+            choice.first_ms,
+            endpoint.address,
         )
         try:
             if service.engine is not None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
@@ -9,6 +9,7 @@
 import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_policy.breaker import BreakerState
+from primroseferry_policy.endpoint_loads import NO_WORK
 from primroseferry_relay.attempts.outcome import NotRun
 from primroseferry_relay.control.changes import EndpointChanged
 from primroseferry_relay.control.changes import EndpointRemoved
@@ -73,7 +74,10 @@
 
     def list_next_run(self) -> None:
         entry = self.entry()
-        self._apply(EndpointChanged(replace(entry, started_ms=entry.started_ms + 1)))
+        self.list_run(replace(entry, started_ms=entry.started_ms + 1))
+
+    def list_run(self, entry: Endpoint) -> None:
+        self._apply(EndpointChanged(entry))
 
     def unlist(self) -> None:
         self._apply(EndpointRemoved(NAME, "expired"))
@@ -184,3 +188,37 @@
     outcome = gateway.run(lambda: None)
     assert isinstance(outcome, NotRun)
     assert endpoint.requests == []
+
+
+@pytest.mark.parametrize("is_unlisted_first", [True, False])
+def test_open_request_at_an_earlier_address_is_no_load_of_the_next_run(
+    loop: CurlLoop, is_unlisted_first: bool
+) -> None:
+    gateway = _Gateway(loop, fixed_answer_endpoint())
+    loads = gateway.policy.loads
+    entry = gateway.entry()
+
+    def restart() -> None:
+        time.sleep(0.2)
+        assert loads.overdue_ms(NAME) > 0
+        if is_unlisted_first:
+            gateway.unlist()
+        gateway.list_run(replace(entry, started_ms=2, address="127.0.0.1:1"))
+        assert loads.overdue_ms(NAME) == 0
+        assert loads.work(NAME) == NO_WORK
+        assert loads.own_work() == {}
+
+    gateway.run(restart)
+    assert loads.own_work() == {}
+
+
+def test_open_request_at_the_same_address_may_be_at_the_next_run(loop: CurlLoop) -> None:
+    gateway = _Gateway(loop, fixed_answer_endpoint())
+    loads = gateway.policy.loads
+
+    def restart() -> None:
+        gateway.list_next_run()
+        assert loads.work(NAME).requests == 1
+
+    gateway.run(restart)
+    assert loads.own_work() == {}
