Close a circuit by a ping only if the run that answered is listed

An unreachable endpoint whose next run was listed at another address while a ping was on its way: the answer of the old run closed the circuit that the new run's failures had opened, and put all requests on it again. The new test failed before.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -243,7 +243,7 @@
             self.on_answered_ping(endpoint)
         else:
             self.on_unanswered_ping(endpoint)
-        if is_answered and was_unreachable:
+        if is_answered and was_unreachable and self._catalog.is_listed(endpoint.run):
             self._breakers.succeed(endpoint.endpoint)
         if is_answered is was_unreachable:
             log_event(
