Bound the endpoints whose next cold send is remembered

The limiter of cold endpoints kept a time for every id that was ever cold: a gateway of a fleet that replaces its endpoints never gave them back. It now keeps the 4,096 latest. The new test failed before, with 8,192.

--- a/packages/primroseferry-policy/src/primroseferry_policy/shared_budget.py
+++ b/packages/primroseferry-policy/src/primroseferry_policy/shared_budget.py
@@ -7,6 +7,8 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from primroseferry_core.bounded_map import BoundedMap
+
 from .recent_maximum import RecentMaximum
 
 if TYPE_CHECKING:
@@ -24,6 +26,8 @@
 # A gateway that loses contact with others divides the slack by the most gateways seen in this time:
 # behind a network partition they may still run and spend their shares.
 LIVE_GATEWAYS_RETENTION_S = 7_200.0
+# Far more endpoints than are cold at one time.
+MAX_COLD_ENDPOINTS = 4_096
 
 
 class _Window:
@@ -111,9 +115,14 @@
 
     def __init__(self, clock_s: Callable[[], float] = time.monotonic) -> None:
         self._clock_s = clock_s
-        self._next_s: dict[EndpointId, float] = {}
+        self._next_s: BoundedMap[EndpointId, float] = BoundedMap(MAX_COLD_ENDPOINTS)
         self._lock = threading.Lock()
 
+    @property
+    def size(self) -> int:
+        """The number of endpoints whose next send time is kept."""
+        return len(self._next_s)
+
     def may_send(self, endpoint: EndpointId) -> bool:
         """Whether a request may be sent now."""
         return self._clock_s() >= self._next_s.get(endpoint, 0.0)
@@ -127,5 +136,5 @@
             now_s = self._clock_s()
             if now_s < self._next_s.get(endpoint, 0.0):
                 return False
-            self._next_s[endpoint] = now_s + 1.0 / max(0.1, per_s * COLD_RATE_SAFETY_FACTOR)
+            self._next_s.put(endpoint, now_s + 1.0 / max(0.1, per_s * COLD_RATE_SAFETY_FACTOR))
             return True
--- a/packages/primroseferry-policy/tests/test_shared_limits.py
+++ b/packages/primroseferry-policy/tests/test_shared_limits.py
@@ -17,6 +17,7 @@
 from primroseferry_policy.prompt import PartId
 from primroseferry_policy.prompt import PromptPart
 from primroseferry_policy.reading_load import PrefillLoad
+from primroseferry_policy.shared_budget import MAX_COLD_ENDPOINTS
 from primroseferry_policy.shared_budget import ColdEndpointLimiter
 from primroseferry_policy.shared_budget import SharedRetryBudget
 
@@ -86,6 +87,16 @@
     assert max_per_s <= 2.8 * 1.5 + 3
 
 
+def test_limiter_does_not_keep_every_endpoint_that_was_ever_cold() -> None:
+    clock = Clock()
+    limiter = ColdEndpointLimiter(clock)
+    for number in range(2 * MAX_COLD_ENDPOINTS):
+        clock.now_s += 0.01
+        assert limiter.take(EndpointId(f"e-{number}"), 2.8)
+    assert limiter.size <= MAX_COLD_ENDPOINTS
+    assert not limiter.may_send(EndpointId(f"e-{2 * MAX_COLD_ENDPOINTS - 1}"))
+
+
 def test_reported_region_work_excludes_own_requests() -> None:
     loads = EndpointLoads()
     region_work = {ENDPOINT: OpenWork(3, 1_000, 1_200)}
