Describe what is kept of an endpoint across its runs

Tests hold what was right before: a new run starts without what was known of the one before, the cold rate counts across runs, and leaving and request limits are those of one run.

--- a/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_restarted_endpoints.py
@@ -10,6 +10,11 @@
 from primroseferry_core.ids import EndpointId
 from primroseferry_policy.breaker import BreakerState
 from primroseferry_policy.endpoint_loads import NO_WORK
+from primroseferry_policy.far_parts import PartPrefill
+from primroseferry_policy.part_cache import NO_CACHED_TOKENS
+from primroseferry_policy.part_cache import PREFILL_DELAY_S
+from primroseferry_policy.prompt import PartId
+from primroseferry_policy.prompt import PromptPart
 from primroseferry_relay.attempts.outcome import NotRun
 from primroseferry_relay.control.changes import EndpointChanged
 from primroseferry_relay.control.changes import EndpointRemoved
@@ -38,6 +43,7 @@
     from .scripted_endpoint import Received
 
 NAME = EndpointId("e-0")
+PARTS = (PromptPart(PartId("p"), 10),)
 
 
 class _ListedChange:
@@ -222,3 +228,46 @@
 
     gateway.run(restart)
     assert loads.own_work() == {}
+
+
+@pytest.mark.parametrize("is_unlisted", [True, False])
+def test_next_run_starts_without_what_was_known_of_the_one_before(
+    loop: CurlLoop, is_unlisted: bool
+) -> None:
+    gateway = _Gateway(loop, fixed_answer_endpoint())
+    policy = gateway.policy
+    entry = gateway.entry()
+    gateway.breakers.fail(NAME, is_certain=True)
+    policy.pace.observe(NAME, 100, 900)
+    policy.parts.record_prefill(NAME, PARTS)
+    policy.remote_parts.note(PartPrefill(NAME, PARTS[0].part, 10))
+    policy.prefill_load.note(NAME, 1_000)
+    policy.backoffs.note(NAME, 30)
+    if is_unlisted:
+        gateway.unlist()
+    gateway.list_run(replace(entry, started_ms=2))
+    time.sleep(PREFILL_DELAY_S)
+    assert gateway.breakers.states() == {}
+    assert policy.pace.ratio(NAME) == 1.0
+    assert policy.parts.cached_tokens(NAME, PARTS) == NO_CACHED_TOKENS
+    assert policy.remote_parts.find(PARTS) is None
+    assert policy.prefill_load.tokens_per_s(NAME) == 0
+    assert policy.backoffs.remaining_s(NAME) == 0
+
+
+def test_cold_rate_counts_across_runs(loop: CurlLoop) -> None:
+    """The last request to the run before may have reached the new process."""
+    gateway = _Gateway(loop, fixed_answer_endpoint())
+    assert gateway.policy.cold_limiter.take(NAME, 1.0)
+    gateway.list_next_run()
+    assert not gateway.policy.cold_limiter.may_send(NAME)
+
+
+def test_leaving_and_request_limit_are_those_of_one_run(loop: CurlLoop) -> None:
+    gateway = _Gateway(loop, fixed_answer_endpoint(extra="X-Leaving: 1\r\nX-Limit: 2\r\n"))
+    run = gateway.entry().run
+    gateway.run(gateway.list_next_run)
+    limits, catalog = gateway.policy.request_limits, gateway.harness.catalog
+    next_run = gateway.entry().run
+    assert (catalog.is_leaving(run), limits.limit_per_s(run)) == (True, 2.0)
+    assert (catalog.is_leaving(next_run), limits.limit_per_s(next_run)) == (False, None)
