Divide the slots of a brittle endpoint anew when its next run has others

The own share of an endpoint's slots was kept by its id until the gateways of the region changed. A next run with fewer slots got as many requests as the one before, which makes it reject what it must not reject; one with more slots left the new ones to nobody. The share is now kept by id and number of slots. Both cases of the new test failed before: four slots given out of one, and of twelve.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/brittle_endpoints.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/brittle_endpoints.py
@@ -10,6 +10,7 @@
 import threading
 import time
 from collections import Counter
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primroseferry_core.bounded_map import BoundedMap
@@ -39,6 +40,14 @@
 _GATEWAYS_KEY = "slots"
 
 
+@dataclass(frozen=True, slots=True)
+class _SlotsKey:
+    """An endpoint and its number of slots, which another run may change."""
+
+    endpoint: EndpointId
+    slots: int
+
+
 class BrittleEndpoints:
     """The services whose endpoints are brittle, and this gateway's slots there."""
 
@@ -49,7 +58,7 @@
         self._open: Counter[EndpointRun] = Counter()
         self._gateways: Sequence[InstanceId] = ()
         self._refreshed_s = float("-inf")
-        self._slots: BoundedMap[EndpointId, int] = BoundedMap(MAX_ENDPOINTS)
+        self._slots: BoundedMap[_SlotsKey, int] = BoundedMap(MAX_ENDPOINTS)
         self._lock = threading.Lock()
 
     def note_answer(self, endpoint: Endpoint, rejections_per_s: float | None) -> None:
@@ -104,7 +113,8 @@
                 if gateways != self._gateways:
                     self._gateways = gateways
                     self._slots.clear()
-        known = self._slots.get(endpoint.endpoint)
+        key = _SlotsKey(endpoint.endpoint, endpoint.slots)
+        known = self._slots.get(key)
         if known is None:
             names = [str(name) for name in self._gateways]
             own = str(self._peers.own_instance)
@@ -113,5 +123,5 @@
                 for slot in range(endpoint.slots)
             )
             with self._lock:
-                self._slots.put(endpoint.endpoint, known)
+                self._slots.put(key, known)
         return known
--- a/packages/primroseferry-relay/tests/relay_tests/test_brittle_endpoints.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_brittle_endpoints.py
@@ -77,6 +77,16 @@
         assert sum(after) == entry.slots
 
 
+@pytest.mark.parametrize("slots", [1, 12])
+def test_slots_of_a_run_with_another_number_of_slots_are_divided_anew(slots: int) -> None:
+    views = gateways(3, Clock())
+    for entry in ENDPOINTS:
+        before = [view.own_slots(entry) for view in views]
+        next_run = replace(entry, started_ms=entry.started_ms + 1, slots=slots)
+        assert sum(view.own_slots(next_run) for view in views) == slots
+        assert [view.own_slots(entry) for view in views] == before
+
+
 def test_requests_beyond_the_own_slots_are_not_sent() -> None:
     clock = Clock()
     view = gateways(2, clock)[0]
