--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -240,7 +240,7 @@
                 self._unreachable.add(endpoint.run)
         if not is_answered and not was_unreachable:
             self.on_became_unreachable(endpoint)
-        if is_answered and was_unreachable:
+        if is_answered and was_unreachable and self._catalog.is_listed(endpoint.run):
             self._breakers.succeed(endpoint.endpoint)
         if is_answered is was_unreachable:
             log_event(
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
@@ -191,7 +191,7 @@
 
     def note_cold(self, endpoint: Endpoint, cold_ms: float) -> None:
         """Record for how many ms an endpoint said in an answer that it stays cold."""
-        if not self._is_listed(endpoint.run):
+        if not self._catalog.is_listed(endpoint.run):
             return
         if cold_ms > 0 and not self._catalog.is_cold(endpoint.endpoint):
             self._end(endpoint.run, cold_ms, "answer")
@@ -233,7 +233,7 @@
         with self._lock:
             doubts = list(self._doubts.items())
         for run, doubt in doubts:
-            if self._is_listed(run):
+            if self._catalog.is_listed(run):
                 self._tick_doubt(run, doubt)
             else:
                 with self._lock:
@@ -272,18 +272,14 @@
         for run, cold in due:
             cold.told_s = now_s
             order = self._peers.order_by_key(run.endpoint)
-            if self._is_listed(run) and self._peers.own_instance in order[:CHECKERS]:
+            if self._catalog.is_listed(run) and self._peers.own_instance in order[:CHECKERS]:
                 left_ms = (cold.until_s - now_s) * 1000
                 self._broadcast(RunNotice(run, RunStanding.VERIFIED, left_ms))
 
-    def _is_listed(self, run: EndpointRun) -> bool:
-        listed = self._catalog.find(run.endpoint)
-        return listed is not None and listed.run == run
-
     def _begin(self, endpoint: Endpoint, reason: str, now_s: float) -> _Doubt | None:
         """Return the doubt about a run, if need be a new one; ``None`` if it is not listed."""
         run = endpoint.run
-        if not self._is_listed(run):
+        if not self._catalog.is_listed(run):
             return None
         with self._lock:
             known = self._doubts.get(run)
@@ -385,7 +381,7 @@
     def _end(self, run: EndpointRun, cold_ms: float, source: str) -> _Doubt | None:
         now_s = self._clock_s()
         is_restarted = (
-            cold_ms > 0 and self._is_listed(run) and not self._catalog.is_cold(run.endpoint)
+            cold_ms > 0 and self._catalog.is_listed(run) and not self._catalog.is_cold(run.endpoint)
         )
         if cold_ms > 0:
             # Before the doubt ends, so that the run counts as cold all the time.
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -252,20 +252,24 @@
     ) -> AttemptOutcome:
         """Make one attempt. ``on_start`` receives the call before it runs, to cancel it later."""
         endpoint = option.endpoint
+        times_forgotten = self._policy.times_forgotten(endpoint.endpoint)
         if not self._catalog.is_available(endpoint):
             return NotRun("the endpoint accepts no new requests", is_sent=False)
         if self._policy.backoffs.remaining_s(endpoint.endpoint) > 0:
             return NotRun("the endpoint asked for a backoff", is_sent=False)
-        if not self._acquire_cold_send(endpoint, service, plan):
-            return NotRun("the endpoint is cold and its request rate is used up", is_sent=False)
         if not self._permits.acquire(endpoint.run, plan.is_urgent):
             reason = "the endpoint's request limit is used up"
             return NotRun(reason, is_sent=False, is_permit_denied=True)
+        # A permit takes a while to come.
+        if not self._catalog.is_available(endpoint):
+            return NotRun("the endpoint accepts no new requests any more", is_sent=False)
+        if not self._acquire_cold_send(endpoint, service, plan):
+            return NotRun("the endpoint is cold and its request rate is used up", is_sent=False)
         if not self._brittle.enter(endpoint):
             return NotRun("this gateway's slots of the endpoint are taken", is_sent=False)
         try:
             with self._policy.breakers.attempt(endpoint.endpoint):
-                return self._send(option, service, plan, sink, on_start)
+                return self._send(option, service, plan, sink, on_start, times_forgotten)
         finally:
             self._brittle.leave(endpoint)
 
@@ -339,12 +343,17 @@
         plan: AttemptPlan,
         sink: StreamSink | None,
         on_start: Callable[[AttemptCall], None],
+        times_forgotten: int,
     ) -> AttemptOutcome:
         endpoint, choice = option.endpoint, option.choice
         policy = self._policy
         attempt = self._endpoint_attempt(option, plan)
         open_request = policy.loads.begin(
-            endpoint.endpoint, plan.generation, choice.uncached_tokens, choice.first_ms
+            endpoint.endpoint,
+            plan.generation,
+            choice.uncached_tokens,
+            choice.first_ms,
+            endpoint.address,
         )
         try:
             if service.engine is not None:
@@ -367,7 +376,8 @@
             outcome = call.run()
         finally:
             policy.loads.end(open_request)
-        self._record_outcome(option, service, call, open_request, outcome)
+        is_same_run = policy.times_forgotten(endpoint.endpoint) == times_forgotten
+        self._record_outcome(option, service, call, open_request, outcome, is_same_run)
         self.crash_attribution.record_outcome(endpoint, plan.suspect, plan.request_id, outcome)
         return outcome
 
@@ -529,12 +539,16 @@
     ) -> None:
         self._note_request_limit(endpoint.run, status, metadata, sent_s)
         self._brittle.note_answer(endpoint, metadata.rejections_per_s)
-        if metadata.is_not_run and status in FULL_STATUSES and self._brittle.is_brittle(endpoint):
-            self._policy.backoffs.note(endpoint.endpoint, REST_S)
-        if metadata.cold_ms is not None:
-            self._runs.note_cold(endpoint, metadata.cold_ms)
         if metadata.is_leaving and self._catalog.note_leaving(endpoint.run):
             self._reporter.send_endpoint_leaving(endpoint.run)
+        if self._catalog.is_listed(endpoint.run):
+            if metadata.cold_ms is not None:
+                self._runs.note_cold(endpoint, metadata.cold_ms)
+            self._note_backoff(endpoint, status, metadata)
+
+    def _note_backoff(self, endpoint: Endpoint, status: int, metadata: ReplyMetadata) -> None:
+        if metadata.is_not_run and status in FULL_STATUSES and self._brittle.is_brittle(endpoint):
+            self._policy.backoffs.note(endpoint.endpoint, REST_S)
         if status == OVERLOADED_STATUS and metadata.rest_s is not None:
             self._policy.backoffs.note(endpoint.endpoint, metadata.rest_s)
             log_event(Event.ENDPOINT_BACKOFF, endpoint=endpoint.endpoint, rest_s=metadata.rest_s)
@@ -560,12 +574,15 @@
         call: EndpointCall,
         open_request: OpenRequest,
         outcome: AttemptOutcome,
+        is_same_run: bool,
     ) -> None:
+        """Record an outcome; it says nothing of the endpoint unless ``is_same_run``."""
         policy = self._policy
         endpoint_id = option.endpoint.endpoint
         if call.first_byte_s is not None:
             observed_ms = (call.first_byte_s - open_request.started_s) * 1000
-            policy.pace.observe(endpoint_id, option.choice.first_ms, observed_ms)
+            if is_same_run:
+                policy.pace.observe(endpoint_id, option.choice.first_ms, observed_ms)
             if (
                 service.engine is None
                 and policy.loads.work(endpoint_id).requests < option.endpoint.slots
@@ -576,19 +593,22 @@
         if not call.ended_by_deadline:
             self._note_run(option.endpoint, outcome, open_request.started_s)
         match outcome:
-            case Answered() | StreamEnded():
-                policy.breakers.succeed(endpoint_id)
-            case NotRun(is_sent=True):
-                policy.breakers.release(endpoint_id)
-            case NotRun(reason) | Lost(reason) | StreamBroken(reason):
-                if call.ended_by_deadline:
-                    policy.breakers.release(endpoint_id)
-                else:
-                    is_unreached = isinstance(outcome, NotRun)
-                    policy.breakers.fail(endpoint_id, is_certain=is_unreached)
+            case NotRun(reason, is_sent=False) | Lost(reason) | StreamBroken(reason):
                 log_event(Event.ATTEMPT_FAILED, endpoint=endpoint_id, reason=reason)
+        if is_same_run:
+            self._record_in_circuit(endpoint_id, call, outcome)
+
+    def _record_in_circuit(
+        self, endpoint: EndpointId, call: EndpointCall, outcome: AttemptOutcome
+    ) -> None:
+        breakers = self._policy.breakers
+        match outcome:
+            case Answered() | StreamEnded():
+                breakers.succeed(endpoint)
+            case NotRun(is_sent=False) | Lost() | StreamBroken() if not call.ended_by_deadline:
+                breakers.fail(endpoint, is_certain=isinstance(outcome, NotRun))
             case _:
-                policy.breakers.release(endpoint_id)
+                breakers.release(endpoint)
 
     def _note_run(self, endpoint: Endpoint, outcome: AttemptOutcome, sent_s: float) -> None:
         """Record what an outcome says of whether the endpoint still runs."""
