Take a peer's item that a later own listing lacked as removed

A gateway that listed the store after a removal, and then fetched from a peer that lagged behind it but was ahead in another item, took the item back. No later change removed it: the gateway's watch began after the removal, and followers copied it. An endpoint entry or an evacuation that was taken back could so return at some gateways.

The gateway knew that the item was gone: its listing is complete. It now keeps the revision of its last listing of each prefix and stores such an item as a removal that a listing revealed, which peers fetch. Nothing changes in what gateways send each other.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
@@ -51,6 +51,8 @@
         self._items: dict[str, StoredItem] = {}
         self._position = START
         self._removals_known_from = START
+        # The revision and era of the last listing of each prefix.
+        self._listed: dict[str, StorePosition] = {}
         self._era_since_s = float("-inf")
         # Keys whose items are of an earlier era and were not confirmed in the current one.
         self._unconfirmed: set[str] = set()
@@ -110,6 +112,15 @@
             self._put(item)
             return True
 
+    def apply_fetched(self, items: Iterable[StoredItem]) -> int:
+        """Store the items that a peer sent; return how many of them are new here.
+
+        A peer may lag behind a removal although it is ahead in other items. An item that a later
+        listing of the store lacked was removed, and peers are told so.
+        """
+        with self._lock:
+            return sum(self.apply(self._as_listed(item)) for item in items)
+
     def apply_listing(
         self, prefix: str, items: Iterable[StoredItem], as_of: int, era: int = 0
     ) -> bool:
@@ -127,7 +138,7 @@
             if self._position == START or is_first_of_era or self._unconfirmed:
                 self._removals_known_from = StorePosition(era, as_of)
             self.enter_era(era)
-            step = self._position.step + 1 if self._position[:2] == (era, as_of) else 1
+            step = self._next_step(era, as_of)
             for item in listed.values():
                 if item.key not in self._unconfirmed or self._is_rewritten(item):
                     self.apply(item)
@@ -143,6 +154,7 @@
                     self._put(StoredItem(key, None, as_of, era, step))
             if self._is_settled:
                 self._unconfirmed = {key for key in self._unconfirmed if not key.startswith(prefix)}
+            self._listed[prefix] = StorePosition(era, as_of)
             self._on_listing(prefix, listed.keys())
             return True
 
@@ -190,6 +202,18 @@
         """Whether a listed item is no older copy of the one that is kept from an earlier era."""
         return item.revision >= self._items[item.key].revision
 
+    def _as_listed(self, item: StoredItem) -> StoredItem:
+        """Return a peer's item, or its removal if a listing since its change lacked it."""
+        if item.value is None or item.key in self._items:
+            return item
+        for prefix, (era, revision, _) in self._listed.items():
+            if item.key.startswith(prefix) and item.era == era and item.revision <= revision:
+                return StoredItem(item.key, None, revision, era, self._next_step(era, revision))
+        return item
+
+    def _next_step(self, era: int, revision: int) -> int:
+        return self._position.step + 1 if self._position[:2] == (era, revision) else 1
+
     def _put(self, item: StoredItem) -> None:
         self._items[item.key] = item
         if item.era < self.era:
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
@@ -140,7 +140,7 @@
             return
         state = self._state
         state.enter_era(position.era)
-        applied = sum(state.apply(item) for item in items)
+        applied = state.apply_fetched(items)
         keys = {item.key for item in items}
         if is_listing:
             state.drop_missing(keys, position)
--- a/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
@@ -182,6 +182,20 @@
     assert peer.values() == {"b": b"1"}
 
 
+def test_item_that_the_own_listing_lacked_is_not_taken_from_a_peer_that_lags_behind() -> None:
+    clock, store = Clock(), ModelStore()
+    lagging, watcher = Gateway(clock), Gateway(clock)
+    store.put("a", b"1")
+    store.put("b", b"1")
+    lagging.list_store(store)
+    store.remove("b")
+    watcher.list_store(store)
+    watcher.fetch_from(lagging)
+    assert watcher.values() == {"a": b"1"}
+    lagging.fetch_from(watcher)
+    assert lagging.values() == {"a": b"1"}
+
+
 def test_peer_of_an_earlier_era_fetches_the_new_one() -> None:
     clock, store = Clock(), ModelStore()
     watcher, peer = Gateway(clock), Gateway(clock)
