Send all control items to a peer that may lack unknown removals

A gateway answered a peer with the items since the peer's position although it did not know what was removed between: a follower that had fetched a listing, and a gateway that listed the store again, claimed to know each removal. A peer that had such an item kept it. What is removed because a peer's listing lacks it moreover has the item's own position, which does not reach a peer further on.

A gateway now knows removals from its last listing on, its own or a peer's, and answers peers further behind with a listing, as it does after its first one. An answer is made and taken in under the lock, so that no other thread sees the items of a listing without its removals. The answers' fields are the same.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
@@ -13,6 +13,7 @@
 
 import threading
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
@@ -32,6 +33,20 @@
 REWRITE_GRACE_S = 2.5
 
 
+@dataclass(frozen=True, slots=True)
+class PeerItems:
+    """What a gateway tells a peer: the items newer than the peer's position, or all of them.
+
+    ``position`` is the gateway's. ``is_listing`` says that these are all its items, so that others
+    up to the position were removed, ``is_confirmed`` that it keeps none of an earlier era.
+    """
+
+    items: tuple[StoredItem, ...]
+    position: StorePosition
+    is_listing: bool
+    is_confirmed: bool
+
+
 class ControlState:
     """Items by key.
 
@@ -112,14 +127,18 @@
             self._put(item)
             return True
 
-    def apply_fetched(self, items: Iterable[StoredItem]) -> int:
+    def apply_fetched(self, fetched: PeerItems) -> int:
         """Store the items that a peer sent; return how many of them are new here.
 
         A peer may lag behind a removal although it is ahead in other items. An item that a later
         listing of the store lacked was removed, and peers are told so.
         """
         with self._lock:
-            return sum(self.apply(self._as_listed(item)) for item in items)
+            self.enter_era(fetched.position.era)
+            applied = sum(self.apply(self._as_listed(item)) for item in fetched.items)
+            if fetched.is_listing:
+                self._drop_missing({item.key for item in fetched.items}, fetched.position)
+            return applied
 
     def apply_listing(
         self, prefix: str, items: Iterable[StoredItem], as_of: int, era: int = 0
@@ -134,9 +153,7 @@
         with self._lock:
             if era < self.era:
                 return False
-            is_first_of_era = era > self._removals_known_from.era
-            if self._position == START or is_first_of_era or self._unconfirmed:
-                self._removals_known_from = StorePosition(era, as_of)
+            self._removals_known_from = max(self._removals_known_from, StorePosition(era, as_of))
             self.enter_era(era)
             step = self._next_step(era, as_of)
             for item in listed.values():
@@ -158,13 +175,6 @@
             self._on_listing(prefix, listed.keys())
             return True
 
-    def knows_removals_after(self, position: StorePosition) -> bool:
-        """Whether ``items_after`` returns every removal since a position.
-
-        A gateway does not know what was removed before its first listings of an era.
-        """
-        return position >= self._removals_known_from
-
     def confirm(self, era: int, keys: Collection[str]) -> None:
         """Remove the items kept from earlier eras that are not among ``keys``.
 
@@ -176,17 +186,16 @@
             for key in self._unconfirmed - set(keys):
                 self._put(StoredItem(key, None, 0, era))
 
-    def drop_missing(self, keys: Collection[str], position: StorePosition) -> None:
-        """Remove the items up to a position that are not among all ``keys`` of a peer.
+    def for_peer(self, after: StorePosition) -> PeerItems:
+        """Return what a peer at a position lacks.
 
-        Items kept from an earlier era stay until they are confirmed.
+        These are all items if something may have been removed since then that this gateway never
+        knew: what was removed before a listing is not known.
         """
         with self._lock:
-            for key, item in list(self._items.items()):
-                is_missing = key not in keys and key not in self._unconfirmed
-                if is_missing and item.value is not None and item.position <= position:
-                    era, revision, step = item.position
-                    self._put(StoredItem(key, None, revision, era, step + 1))
+            is_listing = after < self._removals_known_from
+            items = self.items_after(START if is_listing else after)
+            return PeerItems(tuple(items), self._position, is_listing, not self._unconfirmed)
 
     def items_after(self, position: StorePosition) -> list[StoredItem]:
         """Return the items, removals included, that are newer than a position."""
@@ -194,6 +203,18 @@
             newer = [item for item in self._items.values() if item.position > position]
         return sorted(newer, key=lambda item: item.position)
 
+    def _drop_missing(self, keys: Collection[str], position: StorePosition) -> None:
+        """Remove the items up to a position that are not among all ``keys`` of a peer.
+
+        Items kept from an earlier era stay until they are confirmed.
+        """
+        self._removals_known_from = max(self._removals_known_from, position)
+        for key, item in list(self._items.items()):
+            is_missing = key not in keys and key not in self._unconfirmed
+            if is_missing and item.value is not None and item.position <= position:
+                era, revision, step = item.position
+                self._put(StoredItem(key, None, revision, era, step + 1))
+
     @property
     def _is_settled(self) -> bool:
         return self._clock_s() - self._era_since_s >= REWRITE_GRACE_S
--- a/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/peer_sync.py
@@ -19,6 +19,7 @@
 
 from ..messages import CompleteAnswer
 from ..messages import json_answer
+from .control_state import PeerItems
 from .metadata_store import START
 from .metadata_store import StoredItem
 from .metadata_store import StorePosition
@@ -81,9 +82,7 @@
 
         All items are returned, as a listing, if removals since then are not known here.
         """
-        state = self._state
-        is_listing = not state.knows_removals_after(after)
-        position = state.position
+        known = self._state.for_peer(after)
         items = [
             {
                 "key": item.key,
@@ -92,14 +91,14 @@
                 "era": item.era,
                 "step": item.step,
             }
-            for item in state.items_after(START if is_listing else after)
+            for item in known.items
         ]
         reply = {
             "items": items,
-            "era": position.era,
-            "as_of": position.revision,
-            "is_listing": is_listing,
-            "is_confirmed": not state.has_unconfirmed,
+            "era": known.position.era,
+            "as_of": known.position.revision,
+            "is_listing": known.is_listing,
+            "is_confirmed": known.is_confirmed,
         }
         return json_answer(200, reply)
 
@@ -121,7 +120,7 @@
     def _apply_reply(self, holder: str, after: StorePosition, body: bytes) -> None:
         try:
             reply = json.loads(body)
-            items = [
+            items = tuple(
                 StoredItem(
                     str(item["key"]),
                     None if item["value"] is None else base64.b64decode(item["value"]),
@@ -130,22 +129,19 @@
                     int(item.get("step", 0)),
                 )
                 for item in reply["items"]
-            ]
+            )
             # Earlier releases send the items only.
             position = StorePosition(int(reply.get("era", 0)), int(reply.get("as_of", 0)))
             is_listing = reply.get("is_listing") is True
             is_confirmed = reply.get("is_confirmed") is True
+            fetched = PeerItems(items, position, is_listing, is_confirmed)
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             _log_failure(holder, f"malformed answer: {error!r}")
             return
         state = self._state
-        state.enter_era(position.era)
-        applied = state.apply_fetched(items)
-        keys = {item.key for item in items}
-        if is_listing:
-            state.drop_missing(keys, position)
+        applied = state.apply_fetched(fetched)
         if is_confirmed and after == (position.era, 0, 0):
-            state.confirm(position.era, keys)
+            state.confirm(position.era, {item.key for item in items})
         log_event(
             Event.CONTROL_FROM_PEER,
             peer=holder,
--- a/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
@@ -196,6 +196,52 @@
     assert lagging.values() == {"a": b"1"}
 
 
+def test_removal_before_the_first_listing_reaches_a_gateway_through_a_follower() -> None:
+    clock, store = Clock(), ModelStore()
+    early, late, follower, lagging = (Gateway(clock) for _ in range(4))
+    store.put("a", b"1")
+    early.list_store(store)
+    lagging.fetch_from(early)
+    store.remove("a")
+    store.put("b", b"1")
+    late.list_store(store)
+    follower.fetch_from(late)
+    lagging.fetch_from(follower)
+    assert lagging.values() == {"b": b"1"}
+
+
+def test_removal_between_two_listings_reaches_a_peer_that_knew_the_item() -> None:
+    clock, store = Clock(), ModelStore()
+    early, watcher, lagging = (Gateway(clock) for _ in range(3))
+    store.put("a", b"1")
+    watcher.list_store(store)
+    store.put("b", b"1")
+    early.list_store(store)
+    lagging.fetch_from(early)
+    store.remove("b")
+    store.put("c", b"1")
+    watcher.list_store(store)
+    lagging.fetch_from(watcher)
+    assert lagging.values() == {"a": b"1", "c": b"1"}
+
+
+def test_removal_that_a_peers_listing_revealed_reaches_a_gateway_at_a_later_revision() -> None:
+    clock, store = Clock(), ModelStore()
+    early, late, follower, lagging = (Gateway(clock) for _ in range(4))
+    store.put("a", b"1")
+    early.list_store(store)
+    follower.fetch_from(early)
+    store.put("b", b"1")
+    early.watch(store)
+    lagging.fetch_from(early)
+    store.remove("a")
+    store.put("c", b"1")
+    late.list_store(store)
+    follower.fetch_from(late)
+    lagging.fetch_from(follower)
+    assert lagging.values() == {"b": b"1", "c": b"1"}
+
+
 def test_peer_of_an_earlier_era_fetches_the_new_one() -> None:
     clock, store = Clock(), ModelStore()
     watcher, peer = Gateway(clock), Gateway(clock)
@@ -224,7 +270,7 @@
     assert gateway.state.position == StorePosition(0, 5)
 
 
-@pytest.mark.parametrize("seed", [*range(300), 6583, 6682])
+@pytest.mark.parametrize("seed", [*range(300), 6583, 6682, 17196, 48050])
 def test_all_gateways_end_with_the_content_of_the_store(seed: int) -> None:
     """Two watchers and three followers, writes, returns from copies, late and lost answers."""
     draw = random.Random(seed)
