Compare items of the new era with the own listing, also where one is kept

While the item of an earlier era was kept, a gateway that had listed the store took any item of the new era from a peer that lagged behind: one that the listing lacked, or a value older than the listed one. It kept it, since its watch began after the listing.

Each item is now compared with the own listing since its change, whether or not the key is known. The gateway keeps the items of its last listing, without records of streams, for that.

The two new tests and seeds 12707, 19547 and 42554 failed before.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
@@ -47,6 +47,15 @@
     is_confirmed: bool
 
 
+@dataclass(frozen=True, slots=True)
+class _Listed:
+    """The last listing of a prefix: its items by key, its revision and era."""
+
+    items: dict[str, StoredItem]
+    as_of: int
+    era: int
+
+
 class ControlState:
     """Items by key.
 
@@ -66,8 +75,7 @@
         self._items: dict[str, StoredItem] = {}
         self._position = START
         self._removals_known_from = START
-        # The revision and era of the last listing of each prefix.
-        self._listed: dict[str, StorePosition] = {}
+        self._listed: dict[str, _Listed] = {}  # by prefix
         self._era_since_s = float("-inf")
         # Keys whose items are of an earlier era and were not confirmed in the current one.
         self._unconfirmed: set[str] = set()
@@ -115,12 +123,14 @@
     def apply(self, item: StoredItem) -> bool:
         """Store one item; return ``False`` if it is not newer than the current one.
 
+        An item that an own listing since its change lacked was removed, and peers are told so.
         Records of streams are not stored: each gateway reads them itself when it needs them.
         """
         if is_stream_record(item.key):
             return False
         with self._lock:
             self.enter_era(item.era)
+            item = self._as_listed(item)
             current = self._items.get(item.key)
             if current is not None and current.position >= item.position:
                 return False
@@ -128,14 +138,10 @@
             return True
 
     def apply_fetched(self, fetched: PeerItems) -> int:
-        """Store the items that a peer sent; return how many of them are new here.
-
-        A peer may lag behind a removal although it is ahead in other items. An item that a later
-        listing of the store lacked was removed, and peers are told so.
-        """
+        """Store the items that a peer sent; return how many of them are new here."""
         with self._lock:
             self.enter_era(fetched.position.era)
-            applied = sum(self.apply(self._as_listed(item)) for item in fetched.items)
+            applied = sum(self.apply(item) for item in fetched.items)
             if fetched.is_listing:
                 self._drop_missing({item.key for item in fetched.items}, fetched.position)
             return applied
@@ -156,6 +162,8 @@
             self._removals_known_from = max(self._removals_known_from, StorePosition(era, as_of))
             self.enter_era(era)
             step = self._next_step(era, as_of)
+            stored = {key: item for key, item in listed.items() if not is_stream_record(key)}
+            self._listed[prefix] = _Listed(stored, as_of, era)
             for item in listed.values():
                 if item.key not in self._unconfirmed or self._is_rewritten(item):
                     self.apply(item)
@@ -171,7 +179,6 @@
                     self._put(StoredItem(key, None, as_of, era, step))
             if self._is_settled:
                 self._unconfirmed = {key for key in self._unconfirmed if not key.startswith(prefix)}
-            self._listed[prefix] = StorePosition(era, as_of)
             self._on_listing(prefix, listed.keys())
             return True
 
@@ -224,12 +231,17 @@
         return item.revision >= self._items[item.key].revision
 
     def _as_listed(self, item: StoredItem) -> StoredItem:
-        """Return a peer's item, or its removal if a listing since its change lacked it."""
-        if item.value is None or item.key in self._items:
-            return item
-        for prefix, (era, revision, _) in self._listed.items():
-            if item.key.startswith(prefix) and item.era == era and item.revision <= revision:
-                return StoredItem(item.key, None, revision, era, self._next_step(era, revision))
+        """Return an item, or what a listing since its change says of its key."""
+        for prefix, listed in self._listed.items():
+            is_since = listed.era == item.era and listed.as_of >= item.revision
+            if not is_since or not item.key.startswith(prefix):
+                continue
+            found = listed.items.get(item.key)
+            if found is None and item.value is not None:
+                step = self._next_step(listed.era, listed.as_of)
+                return StoredItem(item.key, None, listed.as_of, listed.era, step)
+            if found is not None and found.position > item.position:
+                return found
         return item
 
     def _next_step(self, era: int, revision: int) -> int:
--- a/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
@@ -242,6 +242,36 @@
     assert lagging.values() == {"b": b"1", "c": b"1"}
 
 
+def test_item_removed_again_in_the_new_era_does_not_return_from_a_peer_that_lags_behind() -> None:
+    clock, store = Clock(), ModelStore()
+    lagging, watcher = Gateway(clock), Gateway(clock)
+    for number in range(5):
+        store.put("a", b"%d" % number)
+    watcher.list_store(store)
+    store.return_from((0, {}))
+    store.put("a", b"new")
+    lagging.list_store(store)
+    store.remove("a")
+    watcher.list_store(store)
+    watcher.fetch_from(lagging)
+    assert watcher.values() == {}
+
+
+def test_value_that_the_own_listing_lacked_is_not_taken_from_a_peer_that_lags_behind() -> None:
+    clock, store = Clock(), ModelStore()
+    lagging, watcher = Gateway(clock), Gateway(clock)
+    for number in range(5):
+        store.put("a", b"%d" % number)
+    watcher.list_store(store)
+    store.return_from((0, {}))
+    store.put("a", b"new")
+    lagging.list_store(store)
+    store.put("a", b"newer")
+    watcher.list_store(store)
+    watcher.fetch_from(lagging)
+    assert watcher.values() == {"a": b"newer"}
+
+
 def test_peer_of_an_earlier_era_fetches_the_new_one() -> None:
     clock, store = Clock(), ModelStore()
     watcher, peer = Gateway(clock), Gateway(clock)
@@ -270,7 +300,7 @@
     assert gateway.state.position == StorePosition(0, 5)
 
 
-@pytest.mark.parametrize("seed", [*range(300), 6583, 6682, 17196, 48050])
+@pytest.mark.parametrize("seed", [*range(300), 6583, 6682, 12707, 17196, 19547, 42554, 48050])
 def test_all_gateways_end_with_the_content_of_the_store(seed: int) -> None:
     """Two watchers and three followers, writes, returns from copies, late and lost answers."""
     draw = random.Random(seed)
