Remove items that a peer's listing has as removed earlier or of an old era

A gateway that took a peer's listing kept each item whose key the listing had, whatever it said of it: the removal of an earlier value, or an item that the peer itself kept from an earlier era. The item had been removed since, and the peer could not know when.

An item that the listing has as removed is now removed. One that the peer keeps from an earlier era is compared with the store or a peer that has compared its own, like those that the gateway keeps itself.

--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
@@ -143,7 +143,7 @@
             self.enter_era(fetched.position.era)
             applied = sum(self.apply(item) for item in fetched.items)
             if fetched.is_listing:
-                self._drop_missing({item.key for item in fetched.items}, fetched.position)
+                self._drop_missing(fetched)
             return applied
 
     def apply_listing(
@@ -210,15 +210,21 @@
             newer = [item for item in self._items.values() if item.position > position]
         return sorted(newer, key=lambda item: item.position)
 
-    def _drop_missing(self, keys: Collection[str], position: StorePosition) -> None:
-        """Remove the items up to a position that are not among all ``keys`` of a peer.
+    def _drop_missing(self, listing: PeerItems) -> None:
+        """Remove the items up to a peer's position that its listing lacks or knows as removed.
 
-        Items kept from an earlier era stay until they are confirmed.
+        Items kept from an earlier era stay until they are confirmed. So do those of which the peer
+        itself keeps one of an earlier era, since it may not know of their removal.
         """
-        self._removals_known_from = max(self._removals_known_from, position)
+        self._removals_known_from = max(self._removals_known_from, listing.position)
+        peers_items = {item.key: item for item in listing.items}
         for key, item in list(self._items.items()):
-            is_missing = key not in keys and key not in self._unconfirmed
-            if is_missing and item.value is not None and item.position <= position:
+            if key in self._unconfirmed or item.value is None or item.position > listing.position:
+                continue
+            peers_item = peers_items.get(key)
+            if peers_item is not None and peers_item.era < item.era:
+                self._unconfirmed.add(key)
+            elif peers_item is None or peers_item.value is None:
                 era, revision, step = item.position
                 self._put(StoredItem(key, None, revision, era, step + 1))
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
@@ -272,6 +272,42 @@
     assert watcher.values() == {"a": b"newer"}
 
 
+def test_removed_item_does_not_stay_because_a_peers_listing_has_its_earlier_removal() -> None:
+    clock, store = Clock(), ModelStore()
+    early, watcher, follower = (Gateway(clock) for _ in range(3))
+    watcher.list_store(store)
+    store.put("a", b"1")
+    store.remove("a")
+    watcher.watch(store)
+    store.put("a", b"2")
+    early.list_store(store)
+    follower.fetch_from(early)
+    store.remove("a")
+    store.put("b", b"1")
+    watcher.list_store(store)
+    follower.fetch_from(watcher)
+    assert follower.values() == {"b": b"1"}
+
+
+def test_removed_item_does_not_stay_because_a_peers_listing_keeps_one_of_an_earlier_era() -> None:
+    clock, store = Clock(), ModelStore()
+    early, watcher, follower = (Gateway(clock) for _ in range(3))
+    for number in range(5):
+        store.put("a", b"%d" % number)
+    watcher.list_store(store)
+    store.return_from((0, {}))
+    store.put("a", b"new")
+    early.list_store(store)
+    follower.fetch_from(early)
+    store.remove("a")
+    store.put("b", b"1")
+    watcher.list_store(store)
+    follower.fetch_from(watcher)
+    early.watch(store)
+    follower.fetch_from(early)
+    assert follower.values() == {"b": b"1"}
+
+
 def test_peer_of_an_earlier_era_fetches_the_new_one() -> None:
     clock, store = Clock(), ModelStore()
     watcher, peer = Gateway(clock), Gateway(clock)
@@ -300,7 +336,9 @@
     assert gateway.state.position == StorePosition(0, 5)
 
 
-@pytest.mark.parametrize("seed", [*range(300), 6583, 6682, 12707, 17196, 19547, 42554, 48050])
+@pytest.mark.parametrize(
+    "seed", [*range(300), 6583, 6682, 12707, 17196, 19547, 42554, 48050, 52047, 54687]
+)
 def test_all_gateways_end_with_the_content_of_the_store(seed: int) -> None:
     """Two watchers and three followers, writes, returns from copies, late and lost answers."""
     draw = random.Random(seed)
