Count held streams in the capacity test when all have been answered

The test read how many streams the endpoints hold once, as soon as the other requests were refused. A stream counts as held from its first event on, so a count read in a slow moment missed the last: 7 instead of 8.

The gateways admit 8.

It waits until 8 streams are held, and asserts that it is no more. A refused or lost request too many still fails it: of 24 requests 16 must be refused and 8 complete, and fewer than 8 held streams time out.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,6 +9,7 @@
 from primroseferry_standins.caller import CallFailedError
 from primroseferry_standins.caller import StreamedAnswer
 from primroseferry_standins.caller import chat
+from primroseferry_standins.deployment import Deployment
 from primroseferry_standins.deployment import DeploymentShape
 from primroseferry_standins.deployment import EndpointShape
 from primroseferry_standins.deployment import start_deployment
@@ -62,7 +63,9 @@
         wait_until(
             lambda: outcomes["over-capacity"] == refused, "requests beyond the capacity are refused"
         )
-        held = sum(len(row.control("/state")["held"]) for row in deployment.endpoints.values())
+        # A stream is held only when its first event was sent.
+        wait_until(lambda: _held(deployment) >= CAPACITY, "the other requests are answered")
+        held = _held(deployment)
         for engine in deployment.endpoints.values():
             engine.fault(hold_at_event=0)
         for thread in threads:
@@ -72,5 +75,9 @@
     assert outcomes == {"complete": CAPACITY, "over-capacity": refused}
 
 
+def _held(deployment: Deployment) -> int:
+    return sum(len(row.control("/state")["held"]) for row in deployment.endpoints.values())
+
+
 def _kind(answer: Answer) -> str:
     return str(answer.json()["type"]).rpartition(":")[2]
