Tell peers the step of the latest position in updates

A gateway's updates named the era and the revision of its position, not the step. Peers at the same revision did not see that it was ahead, and did not fetch a removal that only its listing had revealed, until a later change.

--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -528,7 +528,12 @@
                 self._peers.own_state,
                 settings.link_mbps,
             ),
-            ControlStatus(position.revision, oldest_answer_age_ms(self._watches), era=position.era),
+            ControlStatus(
+                position.revision,
+                oldest_answer_age_ms(self._watches),
+                era=position.era,
+                step=position.step,
+            ),
             self._policy.loads.own_work(),
         )
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_readiness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_readiness.py
@@ -10,6 +10,8 @@
 from primroseferry_core.ids import FailureDomainId
 from primroseferry_core.ids import InstanceId
 from primroseferry_relay.control.changes import ItemIgnored
+from primroseferry_relay.control.metadata_store import StoredItem
+from primroseferry_relay.control.metadata_store import StorePosition
 from primroseferry_relay.lifecycle.relay_gateway import RelayGateway
 from primroseferry_relay.lifecycle.settings import RelaySettings
 from primroseferry_relay.lifecycle.settings import RetryLimits
@@ -27,7 +29,6 @@
     from collections.abc import Iterator
 
     from primroseferry_relay.control.changes import ControlChange
-    from primroseferry_relay.control.metadata_store import StoredItem
     from primroseferry_relay.ingress.listener import Listener
 
 HOST = "127.0.0.1"
@@ -110,3 +111,10 @@
     assert thread._run == run
     time.sleep(1.0)
     assert readiness(gateway) == 200
+
+
+def test_position_that_a_listing_revealed_is_told_to_peers(gateway: RelayGateway) -> None:
+    gateway._state.apply(StoredItem("a", b"1", 1, era=2))
+    gateway._state.apply_listing("", [], as_of=3, era=2)
+    assert gateway._state.position == StorePosition(2, 3, 1)
+    assert gateway._local_state("x").control.position == gateway._state.position
