--- a/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
@@ -337,7 +337,7 @@
 
 
 @pytest.mark.parametrize(
-    "seed", [*range(300), 6583, 6682, 12707, 17196, 19547, 42554, 48050, 52047, 54687]
+    "seed", [*range(300), 6583, 6682, 12707, 17196, 19547, 42554, 48050, 52047, 54687, 146333]
 )
 def test_all_gateways_end_with_the_content_of_the_store(seed: int) -> None:
     """Two watchers and three followers, writes, returns from copies, late and lost answers."""
