--- a/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/control/control_state.py
@@ -13,6 +13,7 @@
 
 import threading
 import time
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from primroseferry_core.events import Event
@@ -32,6 +33,29 @@
 REWRITE_GRACE_S = 2.5
 
 
+@dataclass(frozen=True, slots=True)
+class PeerItems:
+    """What a gateway tells a peer: the items newer than the peer's position, or all of them.
+
+    ``position`` is the gateway's. ``is_listing`` says that these are all its items, so that others
+    up to the position were removed, ``is_confirmed`` that it keeps none of an earlier era.
+    """
+
+    items: tuple[StoredItem, ...]
+    position: StorePosition
+    is_listing: bool
+    is_confirmed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Listed:
+    """The last listing of a prefix: its items by key, its revision and era."""
+
+    items: dict[str, StoredItem]
+    as_of: int
+    era: int
+
+
 class ControlState:
     """Items by key.
 
@@ -51,6 +75,7 @@
         self._items: dict[str, StoredItem] = {}
         self._position = START
         self._removals_known_from = START
+        self._listed: dict[str, _Listed] = {}  # by prefix
         self._era_since_s = float("-inf")
         # Keys whose items are of an earlier era and were not confirmed in the current one.
         self._unconfirmed: set[str] = set()
@@ -98,18 +123,29 @@
     def apply(self, item: StoredItem) -> bool:
         """Store one item; return ``False`` if it is not newer than the current one.
 
+        An item that an own listing since its change lacked was removed, and peers are told so.
         Records of streams are not stored: each gateway reads them itself when it needs them.
         """
         if is_stream_record(item.key):
             return False
         with self._lock:
             self.enter_era(item.era)
+            item = self._as_listed(item)
             current = self._items.get(item.key)
             if current is not None and current.position >= item.position:
                 return False
             self._put(item)
             return True
 
+    def apply_fetched(self, fetched: PeerItems) -> int:
+        """Store the items that a peer sent; return how many of them are new here."""
+        with self._lock:
+            self.enter_era(fetched.position.era)
+            applied = sum(self.apply(item) for item in fetched.items)
+            if fetched.is_listing:
+                self._drop_missing(fetched)
+            return applied
+
     def apply_listing(
         self, prefix: str, items: Iterable[StoredItem], as_of: int, era: int = 0
     ) -> bool:
@@ -123,11 +159,11 @@
         with self._lock:
             if era < self.era:
                 return False
-            is_first_of_era = era > self._removals_known_from.era
-            if self._position == START or is_first_of_era or self._unconfirmed:
-                self._removals_known_from = StorePosition(era, as_of)
+            self._removals_known_from = max(self._removals_known_from, StorePosition(era, as_of))
             self.enter_era(era)
-            step = self._position.step + 1 if self._position[:2] == (era, as_of) else 1
+            step = self._next_step(era, as_of)
+            stored = {key: item for key, item in listed.items() if not is_stream_record(key)}
+            self._listed[prefix] = _Listed(stored, as_of, era)
             for item in listed.values():
                 if item.key not in self._unconfirmed or self._is_rewritten(item):
                     self.apply(item)
@@ -146,13 +182,6 @@
             self._on_listing(prefix, listed.keys())
             return True
 
-    def knows_removals_after(self, position: StorePosition) -> bool:
-        """Whether ``items_after`` returns every removal since a position.
-
-        A gateway does not know what was removed before its first listings of an era.
-        """
-        return position >= self._removals_known_from
-
     def confirm(self, era: int, keys: Collection[str]) -> None:
         """Remove the items kept from earlier eras that are not among ``keys``.
 
@@ -164,17 +193,16 @@
             for key in self._unconfirmed - set(keys):
                 self._put(StoredItem(key, None, 0, era))
 
-    def drop_missing(self, keys: Collection[str], position: StorePosition) -> None:
-        """Remove the items up to a position that are not among all ``keys`` of a peer.
+    def for_peer(self, after: StorePosition) -> PeerItems:
+        """Return what a peer at a position lacks.
 
-        Items kept from an earlier era stay until they are confirmed.
+        These are all items if something may have been removed since then that this gateway never
+        knew: what was removed before a listing is not known.
         """
         with self._lock:
-            for key, item in list(self._items.items()):
-                is_missing = key not in keys and key not in self._unconfirmed
-                if is_missing and item.value is not None and item.position <= position:
-                    era, revision, step = item.position
-                    self._put(StoredItem(key, None, revision, era, step + 1))
+            is_listing = after < self._removals_known_from
+            items = self.items_after(START if is_listing else after)
+            return PeerItems(tuple(items), self._position, is_listing, not self._unconfirmed)
 
     def items_after(self, position: StorePosition) -> list[StoredItem]:
         """Return the items, removals included, that are newer than a position."""
@@ -182,6 +210,24 @@
             newer = [item for item in self._items.values() if item.position > position]
         return sorted(newer, key=lambda item: item.position)
 
+    def _drop_missing(self, listing: PeerItems) -> None:
+        """Remove the items up to a peer's position that its listing lacks or knows as removed.
+
+        Items kept from an earlier era stay until they are confirmed. So do those of which the peer
+        itself keeps one of an earlier era, since it may not know of their removal.
+        """
+        self._removals_known_from = max(self._removals_known_from, listing.position)
+        peers_items = {item.key: item for item in listing.items}
+        for key, item in list(self._items.items()):
+            if key in self._unconfirmed or item.value is None or item.position > listing.position:
+                continue
+            peers_item = peers_items.get(key)
+            if peers_item is not None and peers_item.era < item.era:
+                self._unconfirmed.add(key)
+            elif peers_item is None or peers_item.value is None:
+                era, revision, step = item.position
+                self._put(StoredItem(key, None, revision, era, step + 1))
+
     @property
     def _is_settled(self) -> bool:
         return self._clock_s() - self._era_since_s >= REWRITE_GRACE_S
@@ -190,6 +236,23 @@
         """Whether a listed item is no older copy of the one that is kept from an earlier era."""
         return item.revision >= self._items[item.key].revision
 
+    def _as_listed(self, item: StoredItem) -> StoredItem:
+        """Return an item, or what a listing since its change says of its key."""
+        for prefix, listed in self._listed.items():
+            is_since = listed.era == item.era and listed.as_of >= item.revision
+            if not is_since or not item.key.startswith(prefix):
+                continue
+            found = listed.items.get(item.key)
+            if found is None and item.value is not None:
+                step = self._next_step(listed.era, listed.as_of)
+                return StoredItem(item.key, None, listed.as_of, listed.era, step)
+            if found is not None and found.position > item.position:
+                return found
+        return item
+
+    def _next_step(self, era: int, revision: int) -> int:
+        return self._position.step + 1 if self._position[:2] == (era, revision) else 1
+
     def _put(self, item: StoredItem) -> None:
         self._items[item.key] = item
         if item.era < self.era:
--- a/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_store_eras.py
@@ -182,6 +182,132 @@
     assert peer.values() == {"b": b"1"}
 
 
+def test_item_that_the_own_listing_lacked_is_not_taken_from_a_peer_that_lags_behind() -> None:
+    clock, store = Clock(), ModelStore()
+    lagging, watcher = Gateway(clock), Gateway(clock)
+    store.put("a", b"1")
+    store.put("b", b"1")
+    lagging.list_store(store)
+    store.remove("b")
+    watcher.list_store(store)
+    watcher.fetch_from(lagging)
+    assert watcher.values() == {"a": b"1"}
+    lagging.fetch_from(watcher)
+    assert lagging.values() == {"a": b"1"}
+
+
+def test_removal_before_the_first_listing_reaches_a_gateway_through_a_follower() -> None:
+    clock, store = Clock(), ModelStore()
+    early, late, follower, lagging = (Gateway(clock) for _ in range(4))
+    store.put("a", b"1")
+    early.list_store(store)
+    lagging.fetch_from(early)
+    store.remove("a")
+    store.put("b", b"1")
+    late.list_store(store)
+    follower.fetch_from(late)
+    lagging.fetch_from(follower)
+    assert lagging.values() == {"b": b"1"}
+
+
+def test_removal_between_two_listings_reaches_a_peer_that_knew_the_item() -> None:
+    clock, store = Clock(), ModelStore()
+    early, watcher, lagging = (Gateway(clock) for _ in range(3))
+    store.put("a", b"1")
+    watcher.list_store(store)
+    store.put("b", b"1")
+    early.list_store(store)
+    lagging.fetch_from(early)
+    store.remove("b")
+    store.put("c", b"1")
+    watcher.list_store(store)
+    lagging.fetch_from(watcher)
+    assert lagging.values() == {"a": b"1", "c": b"1"}
+
+
+def test_removal_that_a_peers_listing_revealed_reaches_a_gateway_at_a_later_revision() -> None:
+    clock, store = Clock(), ModelStore()
+    early, late, follower, lagging = (Gateway(clock) for _ in range(4))
+    store.put("a", b"1")
+    early.list_store(store)
+    follower.fetch_from(early)
+    store.put("b", b"1")
+    early.watch(store)
+    lagging.fetch_from(early)
+    store.remove("a")
+    store.put("c", b"1")
+    late.list_store(store)
+    follower.fetch_from(late)
+    lagging.fetch_from(follower)
+    assert lagging.values() == {"b": b"1", "c": b"1"}
+
+
+def test_item_removed_again_in_the_new_era_does_not_return_from_a_peer_that_lags_behind() -> None:
+    clock, store = Clock(), ModelStore()
+    lagging, watcher = Gateway(clock), Gateway(clock)
+    for number in range(5):
+        store.put("a", b"%d" % number)
+    watcher.list_store(store)
+    store.return_from((0, {}))
+    store.put("a", b"new")
+    lagging.list_store(store)
+    store.remove("a")
+    watcher.list_store(store)
+    watcher.fetch_from(lagging)
+    assert watcher.values() == {}
+
+
+def test_value_that_the_own_listing_lacked_is_not_taken_from_a_peer_that_lags_behind() -> None:
+    clock, store = Clock(), ModelStore()
+    lagging, watcher = Gateway(clock), Gateway(clock)
+    for number in range(5):
+        store.put("a", b"%d" % number)
+    watcher.list_store(store)
+    store.return_from((0, {}))
+    store.put("a", b"new")
+    lagging.list_store(store)
+    store.put("a", b"newer")
+    watcher.list_store(store)
+    watcher.fetch_from(lagging)
+    assert watcher.values() == {"a": b"newer"}
+
+
+def test_removed_item_does_not_stay_because_a_peers_listing_has_its_earlier_removal() -> None:
+    clock, store = Clock(), ModelStore()
+    early, watcher, follower = (Gateway(clock) for _ in range(3))
+    watcher.list_store(store)
+    store.put("a", b"1")
+    store.remove("a")
+    watcher.watch(store)
+    store.put("a", b"2")
+    early.list_store(store)
+    follower.fetch_from(early)
+    store.remove("a")
+    store.put("b", b"1")
+    watcher.list_store(store)
+    follower.fetch_from(watcher)
+    assert follower.values() == {"b": b"1"}
+
+
+def test_removed_item_does_not_stay_because_a_peers_listing_keeps_one_of_an_earlier_era() -> None:
+    clock, store = Clock(), ModelStore()
+    early, watcher, follower = (Gateway(clock) for _ in range(3))
+    for number in range(5):
+        store.put("a", b"%d" % number)
+    watcher.list_store(store)
+    store.return_from((0, {}))
+    store.put("a", b"new")
+    early.list_store(store)
+    follower.fetch_from(early)
+    store.remove("a")
+    store.put("b", b"1")
+    watcher.list_store(store)
+    follower.fetch_from(watcher)
+    early.watch(store)
+    follower.fetch_from(early)
+    assert follower.values() == {"b": b"1"}
+
+
 def test_peer_of_an_earlier_era_fetches_the_new_one() -> None:
     clock, store = Clock(), ModelStore()
     watcher, peer = Gateway(clock), Gateway(clock)
@@ -210,7 +336,9 @@
     assert gateway.state.position == StorePosition(0, 5)
 
 
-@pytest.mark.parametrize("seed", [*range(300), 6583, 6682])
+@pytest.mark.parametrize(
+    "seed", [*range(300), 6583, 6682, 12707, 17196, 19547, 42554, 48050, 52047, 54687, 146333]
+)
 def test_all_gateways_end_with_the_content_of_the_store(seed: int) -> None:
     """Two watchers and three followers, writes, returns from copies, late and lost answers."""
     draw = random.Random(seed)
