Check runs at the end of their warm-up, and tell gateways that start

- an endpoint crashes while it is cold, when few requests are open, and none is lost; at the end of the earlier run's warm-up it was taken for warm.
Its run is now checked then, and counts as cold until the answer;
- an answered ping closed the circuit, and the cold time that it named was not read;
- a gateway that started between the restart and the entry read the old one.
The checkers now tell it of runs in doubt and of cold endpoints as soon as they hear of it.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/catalog.py
@@ -44,6 +44,9 @@
 
 # How long entries may take to return after an outage of the store, as stated by its operators.
 REREGISTRATION_GRACE_S = 2.0
+# An endpoint counts as cold for this much longer than it says. By then it was asked whether it has
+# started again meanwhile.
+COLD_MARGIN_S = 0.3
 # How many runs that reported to be leaving are remembered. A fleet replaces far fewer endpoints in
 # an hour.
 MAX_LEAVING_RUNS = 4_096
@@ -98,7 +101,9 @@
         """Add or update an entry."""
         with self._lock:
             entry = self._entries.get(endpoint.endpoint)
-            cold_until_s = self._clock_s() + endpoint.warmup_left_ms / 1000
+            now_s = self._clock_s()
+            left_ms = endpoint.warmup_left_ms
+            cold_until_s = now_s + left_ms / 1000 if left_ms > 0 else float("-inf")
             answered_s = float("-inf")
             if entry is None or entry.endpoint.run != endpoint.run:
                 change = "new"
@@ -108,8 +113,10 @@
                 is_changed = entry.endpoint.state is not endpoint.state
                 change = endpoint.state.value if is_changed else ""
                 answered_s = entry.answered_cold_until_s
-                if endpoint.warmup_left_ms == entry.endpoint.warmup_left_ms:
+                if left_ms == entry.endpoint.warmup_left_ms:
                     cold_until_s = entry.cold_until_s
+                elif left_ms <= 0:
+                    cold_until_s = min(now_s, entry.cold_until_s)
                 cold_until_s = max(cold_until_s, answered_s)
             self._delete(endpoint.endpoint)
             self._entries[endpoint.endpoint] = _CatalogEntry(endpoint, cold_until_s, answered_s)
@@ -151,7 +158,9 @@
             if entry is None or entry.endpoint.run != run:
                 return
             now_s = self._clock_s()
-            is_news = cold_ms > 0 and entry.cold_until_s <= now_s
+            if cold_ms <= 0 and entry.cold_until_s <= now_s:
+                return
+            is_news = cold_ms > 0 and entry.cold_until_s + COLD_MARGIN_S <= now_s
             entry.cold_until_s = entry.answered_cold_until_s = now_s + cold_ms / 1000
         if is_news:
             log_event(
@@ -268,7 +277,17 @@
         """Whether the endpoint is still cold, by its entry or its latest report."""
         with self._lock:
             entry = self._entries.get(endpoint)
-            return entry is not None and entry.cold_until_s > self._clock_s()
+            return entry is not None and entry.cold_until_s + COLD_MARGIN_S > self._clock_s()
+
+    def ended_warmups(self) -> list[Endpoint]:
+        """Return the endpoints that still count as cold, though their warm-up is over."""
+        with self._lock:
+            now_s = self._clock_s()
+            return [
+                entry.endpoint
+                for entry in self._entries.values()
+                if entry.cold_until_s <= now_s < entry.cold_until_s + COLD_MARGIN_S
+            ]
 
     def entries(self) -> Mapping[EndpointId, Endpoint]:
         """Return every listed endpoint by its id."""
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -97,6 +97,8 @@
         self._was_answered = False
         self._is_partitioned = False
         self._lock = threading.Lock()
+        # Called with an endpoint that says in an answer to a ping for how many ms it stays cold.
+        self.on_cold: Callable[[Endpoint, float], None] = lambda _endpoint, _cold_ms: None
         # Called with an endpoint that leaves a ping unanswered and answered the one before.
         self.on_became_unreachable: Callable[[Endpoint], None] = lambda _endpoint: None
 
@@ -230,6 +232,10 @@
 
     def _note_ping(self, endpoint: Endpoint, result: HttpResult) -> None:
         is_answered = isinstance(result, Ok)
+        if isinstance(result, Ok):
+            cold_ms = self._adapter.read_reply(result.ok_value.header_lines).cold_ms
+            if cold_ms:
+                self.on_cold(endpoint, cold_ms)
         with self._lock:
             self._in_flight.discard(endpoint.run)
             was_unreachable = endpoint.run in self._unreachable
--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
@@ -9,6 +9,10 @@
 the others for how long it says that it stays cold. Without an answer another gateway joins in, and
 then one after another, since the first may be partitioned from the endpoint.
 
+An endpoint that starts again while it is cold may lose no request. So a run is checked at the end
+of its warm-up, too. A gateway that joins the region is told of the runs in doubt and of endpoints
+that said that they are cold before their entries did.
+
 A request that was sent before a loss and is answered after it proves that the process still runs,
 whatever the health check says: a process that ends takes all its connections with it.
 """
@@ -25,6 +29,7 @@
 from primroseferry_core.events import Event
 from primroseferry_core.logs import log_event
 
+from .catalog import COLD_MARGIN_S
 from .run_notice import RunNotice
 from .run_notice import RunStanding
 
@@ -33,6 +38,7 @@
     from collections.abc import Sequence
 
     from primroseferry_core.ids import EndpointId
+    from primroseferry_core.ids import IncarnationId
 
     from ..membership.peer_table import PeerTable
     from .catalog import EndpointCatalog
@@ -136,6 +142,7 @@
         self._send: Callable[[Sequence[str], RunNotice], None] = lambda _addresses, _notice: None
         self._doubts: dict[EndpointRun, _Doubt] = {}
         self._cold: dict[EndpointRun, _ColdRun] = {}
+        self._known_peers: frozenset[IncarnationId] = frozenset()
         self._verified_s: BoundedMap[EndpointRun, float] = BoundedMap(MAX_RUNS)
         self._lock = threading.Lock()
 
@@ -226,8 +233,11 @@
 
     def tick(self) -> None:
         """Send the checks and notices that are due; called many times a second, never blocks."""
+        for endpoint in self._catalog.ended_warmups():
+            self._check_after_warmup(endpoint)
         if self._cold:
             self._tell_cold_runs()
+        self._tell_newcomers()
         if not self._doubts:
             return
         with self._lock:
@@ -258,6 +268,36 @@
             self._announce(doubt)
         self._check_if_due(doubt)
 
+    def _check_after_warmup(self, endpoint: Endpoint) -> None:
+        run = endpoint.run
+        now_s = self._clock_s()
+        is_checked = now_s - self._verified_s.get(run, float("-inf")) < COLD_MARGIN_S
+        is_own = endpoint.region == self._peers.own_region and self._warmup_s(endpoint) > 0
+        if is_own and not is_checked and run not in self._doubts:
+            doubt = self._begin(endpoint, "the warm-up has ended", now_s)
+            if doubt is not None:
+                # All gateways do the same, so the outcome is for all.
+                doubt.is_announced = True
+                self._check_if_due(doubt)
+
+    def _tell_newcomers(self) -> None:
+        peers = self._peers.live_in(self._peers.own_region)
+        known, self._known_peers = self._known_peers, frozenset(peer.incarnation for peer in peers)
+        new = [peer.address.report for peer in peers if peer.incarnation not in known]
+        if not new or not (self._doubts or self._cold):
+            return
+        now_s = self._clock_s()
+        with self._lock:
+            notices = [RunNotice(run, RunStanding.UNVERIFIED) for run in self._doubts]
+            notices += [
+                RunNotice(run, RunStanding.VERIFIED, max(0.0, cold.until_s - now_s) * 1000)
+                for run, cold in self._cold.items()
+            ]
+        for notice in notices:
+            order = self._peers.order_by_key(notice.run.endpoint)
+            if self._peers.own_instance in order[:CHECKERS]:
+                self._send(new, notice)
+
     def _tell_cold_runs(self) -> None:
         """Tell gateways that may have started since of endpoints that are cold by their answers."""
         now_s = self._clock_s()
--- a/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/lifecycle/relay_gateway.py
@@ -193,6 +193,7 @@
             self._policy.forget,
             lambda: self._reach.is_partitioned,
         )
+        self._reach.on_cold = self._runs.note_cold
         self._reach.on_became_unreachable = lambda endpoint: self._runs.note_lost(
             endpoint, "a ping was not answered"
         )
--- a/packages/primroseferry-relay/tests/relay_tests/test_run_verification.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_run_verification.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import pytest
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import FailureDomainId
+from primroseferry_core.ids import IncarnationId
 from primroseferry_core.ids import InstanceId
 from primroseferry_core.ids import RegionId
 from primroseferry_core.ids import ServiceId
@@ -341,6 +343,51 @@
     assert gateway.sent == []
 
 
+def test_endpoint_that_restarted_while_it_was_cold_stays_cold() -> None:
+    gateway = Gateway(others=3)
+    endpoint = gateway.list_endpoint()
+    gateway.catalog.set_cold(endpoint.run, 500.0)
+    gateway.wait(0.4)
+    assert gateway.checks == []
+    gateway.wait(0.2)
+    gateway.checks[0](HealthAnswer(COLD_MS))
+    gateway.wait(1.0)
+    assert gateway.catalog.is_cold(endpoint.endpoint)
+    assert gateway.sent[-1][1].standing is RunStanding.VERIFIED
+
+
+def test_run_is_warm_after_its_warmup_once_the_endpoint_says_so() -> None:
+    gateway = Gateway(others=3)
+    endpoint = gateway.list_endpoint()
+    gateway.catalog.set_cold(endpoint.run, 500.0)
+    gateway.wait(0.6)
+    assert gateway.runs.is_unverified(endpoint.run)
+    gateway.checks[0](HealthAnswer(0.0))
+    gateway.wait(0.4)
+    assert not gateway.runs.is_unverified(endpoint.run)
+    assert not gateway.catalog.is_cold(endpoint.endpoint)
+    assert len(gateway.checks) == 1
+    assert [len(addresses) for addresses, _ in gateway.sent] == [3]
+
+
+def test_gateway_that_starts_is_told_of_cold_endpoints_and_of_runs_in_doubt() -> None:
+    gateway = Gateway(others=2)
+    cold, lost = gateway.list_endpoint(), gateway.list_endpoint(rank=1)
+    gateway.runs.note_cold(cold, COLD_MS)
+    gateway.runs.on_notice(RunNotice(lost.run, RunStanding.UNVERIFIED))
+    gateway.sent.clear()
+    newcomer = replace(gateway.others[0], incarnation=IncarnationId("two"))
+    gateway.others[0] = newcomer
+    gateway.wait(0.1)
+    told = {
+        (notice.run.endpoint, notice.standing)
+        for addresses, notice in gateway.sent
+        if addresses == (newcomer.address.report,)
+    }
+    assert (cold.endpoint, RunStanding.VERIFIED) in told
+    assert (lost.endpoint, RunStanding.UNVERIFIED) in told
+
+
 def test_cold_answer_of_an_earlier_run_says_nothing_of_the_listed_one() -> None:
     gateway = Gateway(others=3)
     endpoint = gateway.list_endpoint()
