Ping endpoints that leave requests of this gateway unanswered

Callers of gateways whose links to endpoints take requests and never answer waited for their deadlines, also with requests that other gateways passed on.

Cause: a request that may not be repeated and ends at its deadline is no failure of the endpoint, since its work may be long or its deadline short. So a silent endpoint left the selection with the second repeatable request only.

Change: a gateway keeps the requests since whose sending an endpoint has answered nothing. One that waits four times as long as expected, or ended after its expected time, gets the endpoint a ping, at most one in 0.5 s. If neither it nor another request is answered, the endpoint is unreachable until it answers a ping.

Tests: of the ten cases of test_unanswered_requests.py, those of silent endpoints failed before (three), as did that of an endpoint that speaks again; two of slow endpoints found no ping. Those of endpoints that are only slow, answer others meanwhile or get tiny deadlines pass.

In the first two seconds most requests at cut-off gateways are still lost.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -1,7 +1,8 @@
 """Tells endpoints that this gateway cannot reach from those that fail requests.
 
-An endpoint whose circuit is open gets pings: requests that it answers without running them. One
-that does not answer a ping is unreachable and gets no requests until it answers one. A gateway that
+An endpoint whose circuit is open, or that leaves requests unanswered, gets pings: requests that it
+answers without running them. One that does not answer a ping is unreachable and gets no requests
+until it answers one. A gateway that
 can reach no endpoint of its region is partitioned from them, or they are all down; its requests go
 through other gateways.
 
@@ -25,6 +26,8 @@
 from primroseferry_transport.port_probe import probe_port
 from result import Ok
 
+from .unanswered_requests import UnansweredRequests
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
@@ -53,6 +56,7 @@
 # Pings at one time. After an answer the others are likely to answer too.
 MAX_PINGS = 4
 MAX_PINGS_AFTER_AN_ANSWER = 32
+MAX_SUSPECT_PINGS = 32
 # Pings after an answer without a length or chunks, and the time between them. The kernel of an
 # ending process may still accept a connection, and a full endpoint may reset one.
 MAX_PINGS_AFTER_AN_END = 2
@@ -91,9 +95,11 @@
         self._breakers = breakers
         self._health_path = health_path
         self._clock_s = clock_s
+        self.unanswered = UnansweredRequests(clock_s)
         self._unreachable: set[EndpointRun] = set()
         self._in_flight: set[EndpointRun] = set()
         self._next_ping_s = float("-inf")
+        self._suspect_pings_s: dict[EndpointRun, float] = {}
         self._was_answered = False
         self._is_partitioned = False
         self._lock = threading.Lock()
@@ -163,6 +169,7 @@
     def tick(self) -> None:
         """Send the pings that are due; called many times a second, never blocks."""
         now_s = self._clock_s()
+        self._ping_suspects(now_s)
         if now_s < self._next_ping_s:
             return
         self._next_ping_s = now_s + PING_INTERVAL_S
@@ -194,7 +201,33 @@
             self._ping(endpoint)
         self._update_partition(listed.values())
 
+    def _ping_suspects(self, now_s: float) -> None:
+        suspects = self.unanswered.suspects()
+        if not suspects:
+            return
+        entries = self._catalog.entries()
+        with self._lock:
+            self._suspect_pings_s = {
+                run: sent_s
+                for run, sent_s in self._suspect_pings_s.items()
+                if now_s - sent_s < PING_INTERVAL_S
+            }
+            due = [
+                endpoint
+                for endpoint in suspects
+                if endpoint.run not in self._in_flight
+                and endpoint.run not in self._suspect_pings_s
+                and endpoint.endpoint in entries
+                and entries[endpoint.endpoint].run == endpoint.run
+            ]
+            chosen = due[: max(0, MAX_SUSPECT_PINGS - len(self._in_flight))]
+            self._in_flight.update(endpoint.run for endpoint in chosen)
+            self._suspect_pings_s.update((endpoint.run, now_s) for endpoint in chosen)
+        for endpoint in chosen:
+            self._ping(endpoint)
+
     def _ping(self, endpoint: Endpoint) -> None:
+        self.unanswered.begin_ping(endpoint.run)
         pending = self._send_ping(endpoint, PING_TIMEOUT_MS)
         pending.future.add_done_callback(lambda future: self._note_ping(endpoint, future.result()))
 
@@ -231,8 +264,11 @@
 
     def _note_ping(self, endpoint: Endpoint, result: HttpResult) -> None:
         is_answered = isinstance(result, Ok)
+        is_silent = self.unanswered.end_ping(endpoint.run)
         with self._lock:
             self._in_flight.discard(endpoint.run)
+            if not is_answered and not is_silent:
+                return
             was_unreachable = endpoint.run in self._unreachable
             if is_answered:
                 self._was_answered = True
--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -346,6 +346,10 @@
         open_request = policy.loads.begin(
             endpoint.endpoint, plan.generation, choice.uncached_tokens, choice.first_ms
         )
+        unanswered = None
+        # A brittle endpoint counts a ping as one more rejected request.
+        if not self._brittle.is_brittle(endpoint):
+            unanswered = self._reach.unanswered.begin(endpoint, choice.first_ms)
         try:
             if service.engine is not None:
                 self._report_placement(option, service.engine, plan)
@@ -367,6 +371,8 @@
             outcome = call.run()
         finally:
             policy.loads.end(open_request)
+            if unanswered is not None:
+                self._reach.unanswered.end(unanswered)
         self._record_outcome(option, service, call, open_request, outcome)
         self.crash_attribution.record_outcome(endpoint, plan.suspect, plan.request_id, outcome)
         return outcome
@@ -526,6 +532,7 @@
     def _note_reply(
         self, endpoint: Endpoint, status: int, metadata: ReplyMetadata, sent_s: float
     ) -> None:
+        self._reach.unanswered.note_answer(endpoint.run)
         self._note_request_limit(endpoint.run, status, metadata, sent_s)
         self._brittle.note_answer(endpoint, metadata.rejections_per_s)
         if metadata.is_not_run and status in FULL_STATUSES and self._brittle.is_brittle(endpoint):
