--- a/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/local_attempts.py
@@ -355,6 +355,10 @@
             choice.first_ms,
             endpoint.address,
         )
+        unanswered = None
+        # A brittle endpoint counts a ping as one more rejected request.
+        if not self._brittle.is_brittle(endpoint):
+            unanswered = self._reach.unanswered.begin(endpoint, choice.first_ms)
         try:
             if service.engine is not None:
                 self._report_placement(option, service.engine, plan)
@@ -376,6 +380,8 @@
             outcome = call.run()
         finally:
             policy.loads.end(open_request)
+            if unanswered is not None:
+                self._reach.unanswered.end(unanswered)
         is_same_run = policy.times_forgotten(endpoint.endpoint) == times_forgotten
         self._record_outcome(option, service, call, open_request, outcome, is_same_run)
         self.crash_attribution.record_outcome(endpoint, plan.suspect, plan.request_id, outcome)
@@ -537,6 +543,7 @@
     def _note_reply(
         self, endpoint: Endpoint, status: int, metadata: ReplyMetadata, sent_s: float
     ) -> None:
+        self._reach.unanswered.note_answer(endpoint.run)
         self._note_request_limit(endpoint.run, status, metadata, sent_s)
         self._brittle.note_answer(endpoint, metadata.rejections_per_s)
         if metadata.is_leaving and self._catalog.note_leaving(endpoint.run):
