Keep what a starting gateway is told of runs until it has listed the endpoints

A gateway that starts is told of cold endpoints within a tick of its first update, before its first listing, and dropped that as news of unknown endpoints.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
@@ -23,6 +23,7 @@
 import time
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from primroseferry_core.bounded_map import BoundedMap
@@ -104,6 +105,14 @@
     ranked_s: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class _EarlyNotice:
+    """A notice about an endpoint that is not listed here yet."""
+
+    notice: RunNotice
+    received_s: float
+
+
 @dataclass(slots=True)
 class _ColdRun:
     """An endpoint that is cold, though the entry of its earlier run is still listed."""
@@ -143,6 +152,7 @@
         self._doubts: dict[EndpointRun, _Doubt] = {}
         self._cold: dict[EndpointRun, _ColdRun] = {}
         self._known_peers: frozenset[IncarnationId] = frozenset()
+        self._early: BoundedMap[EndpointRun, _EarlyNotice] = BoundedMap(MAX_RUNS)
         self._verified_s: BoundedMap[EndpointRun, float] = BoundedMap(MAX_RUNS)
         self._lock = threading.Lock()
 
@@ -208,10 +218,15 @@
 
     def on_notice(self, notice: RunNotice) -> None:
         """Apply what another gateway says of a run; ignore it if another run is listed here."""
+        now_s = self._clock_s()
         endpoint = self._catalog.find(notice.run.endpoint)
-        if endpoint is None or endpoint.run != notice.run:
+        if endpoint is None:
+            # A gateway that has just started may hear of a run before it has listed the endpoints.
+            with self._lock:
+                self._early.put(notice.run, _EarlyNotice(notice, now_s))
+            return
+        if endpoint.run != notice.run:
             return
-        now_s = self._clock_s()
         match notice.standing:
             case RunStanding.LOST:
                 doubt = self._begin(endpoint, "told by a gateway that lost it", now_s)
@@ -233,6 +248,8 @@
 
     def tick(self) -> None:
         """Send the checks and notices that are due; called many times a second, never blocks."""
+        if self._early:
+            self._apply_early_notices()
         for endpoint in self._catalog.ended_warmups():
             self._check_after_warmup(endpoint)
         if self._cold:
@@ -268,6 +285,21 @@
             self._announce(doubt)
         self._check_if_due(doubt)
 
+    def _apply_early_notices(self) -> None:
+        now_s = self._clock_s()
+        with self._lock:
+            early = list(self._early.items())
+        for run, received in early:
+            is_over = now_s - received.received_s > NOTICE_LIFETIME_S
+            if not is_over and self._catalog.find(run.endpoint) is None:
+                continue
+            with self._lock:
+                self._early.pop(run, None)
+            notice = received.notice
+            left_ms = notice.cold_ms - (now_s - received.received_s) * 1000
+            if not is_over and (notice.cold_ms <= 0 or left_ms > 0):
+                self.on_notice(replace(notice, cold_ms=max(0.0, left_ms)))
+
     def _check_after_warmup(self, endpoint: Endpoint) -> None:
         run = endpoint.run
         now_s = self._clock_s()
--- a/packages/primroseferry-relay/tests/relay_tests/test_run_verification.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_run_verification.py
@@ -388,6 +388,18 @@
     assert (lost.endpoint, RunStanding.UNVERIFIED) in told
 
 
+def test_cold_time_that_is_told_before_the_first_listing_is_kept() -> None:
+    gateway = Gateway(others=3)
+    endpoint = endpoint_of()
+    gateway.runs.on_notice(RunNotice(endpoint.run, RunStanding.VERIFIED, COLD_MS))
+    gateway.wait(0.2)
+    gateway.catalog.put(endpoint)
+    gateway.wait(0.1)
+    assert gateway.catalog.is_cold(endpoint.endpoint)
+    gateway.wait(COLD_MS / 1000 - 0.4)
+    assert gateway.checks == []
+
+
 def test_cold_answer_of_an_earlier_run_says_nothing_of_the_listed_one() -> None:
     gateway = Gateway(others=3)
     endpoint = gateway.list_endpoint()
