Ask for the runs that are listed when a gateway starts

A gateway now asks two others for each run that it lists in its first five seconds, or checks it itself where it is the one that checks.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_notice.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_notice.py
@@ -15,11 +15,13 @@
 
     ``LOST``: the sender lost a connection to the run, or could not open one. ``UNVERIFIED``: the
     run may have ended, and is being checked. ``VERIFIED``: the endpoint was asked, and answers.
+    ``ASKED``: the sender has just started, and asks the receiver to check the run.
     """
 
     LOST = 1
     UNVERIFIED = 2
     VERIFIED = 3
+    ASKED = 4
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
+++ b/packages/primroseferry-relay/tests/relay_tests/relay_harness.py
@@ -198,6 +198,7 @@
             self.reach.ask_health,
             lambda endpoint: self._warmup_s(endpoint),
             self.policy.forget,
+            clock_s=lambda: time.monotonic() + self.skipped_s,
         )
         self.local = local = LocalAttempts(
             NORTH,
--- a/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_unsent_attempts.py
@@ -10,6 +10,7 @@
 from primroseferry_core.ids import EndpointId
 from primroseferry_core.ids import ServiceId
 from primroseferry_relay.attempts.outcome import NotRun
+from primroseferry_relay.endpoints.run_verification import START_S
 from primroseferry_relay.membership.peer_table import DISCOVERY_TIMEOUT_S
 from primroseferry_relay.routes.route_table import build_route_table
 
@@ -93,6 +94,8 @@
         (entry,) = harness.catalog.entries().values()
         entry = replace(entry, address=f"127.0.0.1:{address[1]}")
         harness.catalog.put(entry)
+        harness.skipped_s = START_S + 0.1
+        harness.runs.tick()
         assert status_of(harness.call("/short/")) == 504
         assert not harness.runs.is_unverified(entry.run)
         assert status_of(harness.call("/safe/")) in (502, 503)
