Split the verification of runs by what it decides

run_doubt.py: what is known of a run in doubt; run_checkers.py: who checks it and when; cold_runs.py and early_notices.py: what others are told, and what came too early. Behaviour is as before, but that a gateway which has just started no longer tells others of the runs that it only asks for.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/run_verification.py
@@ -24,9 +24,6 @@
 
 import threading
 import time
-from dataclasses import dataclass
-from dataclasses import field
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from primroseferry_core.bounded_map import BoundedMap
@@ -34,6 +31,10 @@
 from primroseferry_core.logs import log_event
 
 from .catalog import COLD_MARGIN_S
+from .cold_runs import ColdRuns
+from .early_notices import EarlyNotices
+from .run_checkers import RunCheckers
+from .run_doubt import RunDoubt
 from .run_notice import RunNotice
 from .run_notice import RunStanding
 
@@ -50,24 +51,8 @@
     from .endpoint import EndpointRun
     from .endpoint_reach import HealthAnswer
 
-# Gateways that are told of a loss, tell all others and check the run.
-CHECKERS = 2
-# The second one checks only if the first has not verified the run within this time.
-SECOND_CHECK_S = 0.3
-# Without an answer a third gateway checks too, each of the others in turn for this long.
-TURN_S = 1.0
-CHECK_INTERVAL_S = 0.25
-# The interval between checks of a run that has been in doubt for ``LONG_DOUBT_S``.
-LONG_CHECK_INTERVAL_S = 1.0
-LONG_DOUBT_S = 2.0
-# The least time between two checks of a run. Many gateways may report one loss.
-MIN_CHECK_INTERVAL_S = 0.05
 # An answer that took longer says nothing: this process may have stood still since it came.
 MAX_CHECK_S = 1.0
-# How long a loss may be past when it becomes known here.
-LOSS_DELAY_S = 0.1
-# How long the endpoint has to tell its health before an answer to an earlier request counts.
-PROOF_DELAY_S = 0.1
 # A gateway that lost a run tells all others itself if nobody has within this time: the checkers may
 # have ended too.
 ANNOUNCEMENT_TIMEOUT_S = 0.2
@@ -80,61 +65,9 @@
 START_S = 5.0
 ASK_INTERVAL_S = 0.2
 MAX_ASK_S = 1.0
-# A gateway that knows no other one checks a run itself after this time.
-LONE_CHECK_S = 0.3
-# How old a gateway's place in the order of the region's gateways may be.
-RANK_LIFETIME_S = 0.5
 MAX_RUNS = 4_096
 
 
-@dataclass(slots=True)
-class _Doubt:
-    """A run that may have ended.
-
-    ``lost_s`` is when the latest loss became known here, ``heard_s`` when the latest loss or notice
-    did. ``is_reported``: this gateway has told of its own loss. ``is_start``: no loss is known, but
-    this gateway has just started; ``asked_s`` is when it last asked. ``is_announced``: all gateways
-    were told, not only those in ``reporters``. ``answered_s`` is when the endpoint first gave an
-    answer that does not say whether it is cold, ``proven_s`` when an answer first proved that the
-    process outlived the loss. ``rank`` is this gateway's place in the order of checkers among
-    ``gateways``.
-    """
-
-    endpoint: Endpoint
-    since_s: float
-    lost_s: float
-    heard_s: float
-    is_reported: bool = False
-    is_start: bool = False
-    asked_s: float = float("-inf")
-    is_announced: bool = False
-    notified_s: float = float("-inf")
-    reporters: set[str] = field(default_factory=set)
-    checked_s: float = float("-inf")
-    is_checking: bool = False
-    answered_s: float | None = None
-    proven_s: float | None = None
-    rank: int = 0
-    gateways: int = 1
-    ranked_s: float = float("-inf")
-
-
-@dataclass(frozen=True, slots=True)
-class _EarlyNotice:
-    """A notice about an endpoint that is not listed here yet."""
-
-    notice: RunNotice
-    received_s: float
-
-
-@dataclass(slots=True)
-class _ColdRun:
-    """An endpoint that is cold, though the entry of its earlier run is still listed."""
-
-    until_s: float
-    told_s: float
-
-
 class RunVerification:
     """The listed runs of this region's endpoints that may have ended.
 
@@ -163,14 +96,15 @@
         self._clock_s = clock_s
         self._own_address: Callable[[], str] = str
         self._send: Callable[[Sequence[str], RunNotice], None] = lambda _addresses, _notice: None
-        self._doubts: dict[EndpointRun, _Doubt] = {}
-        self._cold: dict[EndpointRun, _ColdRun] = {}
+        self._doubts: dict[EndpointRun, RunDoubt] = {}
+        self._checkers = RunCheckers(peers, clock_s)
+        self._cold = ColdRuns()
+        self._early = EarlyNotices()
         self._started_s = clock_s()
         self._is_starting = True
         self._seen: set[EndpointRun] = set()
         self._askers: dict[EndpointRun, set[str]] = {}
         self._known_peers: frozenset[IncarnationId] = frozenset()
-        self._early: BoundedMap[EndpointRun, _EarlyNotice] = BoundedMap(MAX_RUNS)
         self._verified_s: BoundedMap[EndpointRun, float] = BoundedMap(MAX_RUNS)
         self._lock = threading.Lock()
 
@@ -197,13 +131,8 @@
             return
         with self._lock:
             doubt = self._doubts.get(endpoint.run)
-            if doubt is None:
-                return
-            now_s = self._clock_s()
-            if sent_s <= doubt.lost_s - LOSS_DELAY_S:
-                doubt.proven_s = doubt.proven_s or now_s
-            else:
-                doubt.answered_s = doubt.answered_s or now_s
+            if doubt is not None:
+                doubt.note_answer(sent_s, self._clock_s())
 
     def note_lost(self, endpoint: Endpoint, reason: str) -> None:
         """Record that a connection to an endpoint broke, or could not be opened."""
@@ -214,17 +143,15 @@
         if doubt is None:
             return
         with self._lock:
-            self._note_loss(doubt, now_s)
+            doubt.note_loss(now_s)
             is_reported, doubt.is_reported = doubt.is_reported, True
         if is_reported:
             return
-        checkers = self._peers.order_by_key(endpoint.endpoint)[:CHECKERS]
-        if self._peers.own_instance in checkers:
+        if self._checkers.includes_own(endpoint.run):
             self._handle_loss(doubt)
             return
-        addresses = [self._peers.report_address(name) for name in checkers]
         notice = RunNotice(endpoint.run, RunStanding.LOST, reply_to=self._own_address())
-        self._send([address for address in addresses if address], notice)
+        self._send(self._checkers.other_addresses(endpoint.run), notice)
 
     def note_cold(self, endpoint: Endpoint, cold_ms: float) -> None:
         """Record for how many ms an endpoint said in an answer that it stays cold."""
@@ -242,8 +169,7 @@
         endpoint = self._catalog.find(notice.run.endpoint)
         if endpoint is None:
             # A gateway that has just started may hear of a run before it has listed the endpoints.
-            with self._lock:
-                self._early.put(notice.run, _EarlyNotice(notice, now_s))
+            self._early.put(notice, now_s)
             return
         if endpoint.run != notice.run:
             return
@@ -252,7 +178,7 @@
                 doubt = self._begin(endpoint, "told by a gateway that lost it", now_s)
                 if doubt is not None:
                     with self._lock:
-                        self._note_loss(doubt, now_s)
+                        doubt.note_loss(now_s)
                         if notice.reply_to:
                             doubt.reporters.add(notice.reply_to)
                     self._handle_loss(doubt)
@@ -260,9 +186,7 @@
                 doubt = self._begin(endpoint, "told by a gateway that checks it", now_s)
                 if doubt is not None:
                     with self._lock:
-                        doubt.heard_s = now_s
-                        doubt.is_announced = True
-                        doubt.is_start = False
+                        doubt.note_announced(now_s)
                     self._check_if_due(doubt)
             case RunStanding.VERIFIED:
                 self._end(notice.run, notice.cold_ms, "peer")
@@ -271,14 +195,19 @@
 
     def tick(self) -> None:
         """Send the checks and notices that are due; called many times a second, never blocks."""
+        now_s = self._clock_s()
         if self._is_starting:
             self._ask_for_listed_runs()
         if self._early:
-            self._apply_early_notices()
+            known = self._catalog.find
+            for notice in self._early.take_listed(lambda name: known(name) is not None, now_s):
+                self.on_notice(notice)
         for endpoint in self._catalog.ended_warmups():
             self._check_after_warmup(endpoint)
         if self._cold:
-            self._tell_cold_runs()
+            for notice in self._cold.due_notices(now_s, NOTICE_INTERVAL_S):
+                if self._catalog.is_listed(notice.run) and self._checkers.includes_own(notice.run):
+                    self._broadcast(notice)
         self._tell_newcomers()
         if not self._doubts:
             return
@@ -291,18 +220,14 @@
                 with self._lock:
                     self._doubts.pop(run, None)
 
-    def _tick_doubt(self, run: EndpointRun, doubt: _Doubt) -> None:
+    def _tick_doubt(self, run: EndpointRun, doubt: RunDoubt) -> None:
         now_s = self._clock_s()
-        is_proven = doubt.proven_s is not None and now_s - doubt.since_s >= PROOF_DELAY_S
-        answered_s = doubt.answered_s
-        # Whenever the run began that answered, it is warm after a whole warm-up.
-        is_warm = answered_s is not None and now_s - answered_s >= self._warmup_s(doubt.endpoint)
-        if is_proven or is_warm:
+        if doubt.is_settled(now_s, self._warmup_s(doubt.endpoint)):
             self._verify(run, 0.0, "answer")
             return
         if doubt.is_start:
             self._ask_again(run, doubt)
-        elif self._rank(doubt) < CHECKERS:
+        elif self._checkers.is_first(doubt):
             if now_s - doubt.since_s >= NOTICE_INTERVAL_S:
                 self._announce(doubt)
         elif now_s - doubt.heard_s > NOTICE_LIFETIME_S:
@@ -328,7 +253,7 @@
                     self._ask_again(run, doubt)
             self._seen.add(run)
 
-    def _ask_again(self, run: EndpointRun, doubt: _Doubt) -> None:
+    def _ask_again(self, run: EndpointRun, doubt: RunDoubt) -> None:
         """Ask the gateways that check a run for its standing, as long as there is no answer."""
         now_s = self._clock_s()
         if now_s - doubt.since_s > MAX_ASK_S:
@@ -337,14 +262,8 @@
         if now_s - doubt.asked_s < ASK_INTERVAL_S:
             return
         doubt.asked_s = now_s
-        checkers = self._peers.order_by_key(run.endpoint)[:CHECKERS]
-        addresses = [
-            self._peers.report_address(name)
-            for name in checkers
-            if name != self._peers.own_instance
-        ]
         notice = RunNotice(run, RunStanding.ASKED, reply_to=self._own_address())
-        self._send([address for address in addresses if address], notice)
+        self._send(self._checkers.other_addresses(run), notice)
 
     def _answer(self, endpoint: Endpoint, reply_to: str) -> None:
         """Check a run for a gateway that has just started, or tell it when it is verified."""
@@ -369,21 +288,6 @@
         notice = RunNotice(endpoint.run, RunStanding.VERIFIED, answer.cold_ms)
         self._send(sorted(askers), notice)
 
-    def _apply_early_notices(self) -> None:
-        now_s = self._clock_s()
-        with self._lock:
-            early = list(self._early.items())
-        for run, received in early:
-            is_over = now_s - received.received_s > NOTICE_LIFETIME_S
-            if not is_over and self._catalog.find(run.endpoint) is None:
-                continue
-            with self._lock:
-                self._early.pop(run, None)
-            notice = received.notice
-            left_ms = notice.cold_ms - (now_s - received.received_s) * 1000
-            if not is_over and (notice.cold_ms <= 0 or left_ms > 0):
-                self.on_notice(replace(notice, cold_ms=max(0.0, left_ms)))
-
     def _check_after_warmup(self, endpoint: Endpoint) -> None:
         run = endpoint.run
         now_s = self._clock_s()
@@ -404,37 +308,15 @@
             return
         now_s = self._clock_s()
         with self._lock:
-            notices = [RunNotice(run, RunStanding.UNVERIFIED) for run in self._doubts]
-            notices += [
-                RunNotice(run, RunStanding.VERIFIED, max(0.0, cold.until_s - now_s) * 1000)
-                for run, cold in self._cold.items()
-            ]
-        for notice in notices:
-            order = self._peers.order_by_key(notice.run.endpoint)
-            if self._peers.own_instance in order[:CHECKERS]:
+            lost = [run for run, doubt in self._doubts.items() if not doubt.is_start]
+        notices = [RunNotice(run, RunStanding.UNVERIFIED) for run in lost]
+        for notice in [*notices, *self._cold.notices(now_s)]:
+            if self._checkers.includes_own(notice.run):
                 self._send(new, notice)
 
-    def _tell_cold_runs(self) -> None:
-        """Tell gateways that may have started since of endpoints that are cold by their answers."""
-        now_s = self._clock_s()
-        with self._lock:
-            for run in [run for run, cold in self._cold.items() if cold.until_s <= now_s]:
-                del self._cold[run]
-            due = [
-                (run, cold)
-                for run, cold in self._cold.items()
-                if now_s - cold.told_s >= NOTICE_INTERVAL_S
-            ]
-        for run, cold in due:
-            cold.told_s = now_s
-            order = self._peers.order_by_key(run.endpoint)
-            if self._catalog.is_listed(run) and self._peers.own_instance in order[:CHECKERS]:
-                left_ms = (cold.until_s - now_s) * 1000
-                self._broadcast(RunNotice(run, RunStanding.VERIFIED, left_ms))
-
     def _begin(
         self, endpoint: Endpoint, reason: str, now_s: float, *, is_start: bool = False
-    ) -> _Doubt | None:
+    ) -> RunDoubt | None:
         """Return the doubt about a run, if need be a new one; ``None`` if it is not listed."""
         run = endpoint.run
         if not self._catalog.is_listed(run):
@@ -443,7 +325,7 @@
             known = self._doubts.get(run)
             if known is not None:
                 return known
-            doubt = _Doubt(endpoint, now_s, now_s, now_s, is_start=is_start)
+            doubt = RunDoubt(endpoint, now_s, now_s, now_s, is_start=is_start)
             self._doubts[run] = doubt
         log_event(
             Event.ENDPOINT_RUN_UNVERIFIED,
@@ -453,22 +335,17 @@
         )
         return doubt
 
-    def _note_loss(self, doubt: _Doubt, now_s: float) -> None:
-        doubt.lost_s = doubt.heard_s = now_s
-        doubt.answered_s = doubt.proven_s = None
-        doubt.is_start = False
-
-    def _handle_loss(self, doubt: _Doubt) -> None:
+    def _handle_loss(self, doubt: RunDoubt) -> None:
         """Check a run that was lost, and tell the others at once unless it was just verified.
 
         Reports of one loss come one after another, also when the endpoint has been asked already.
         """
-        verified_s = self._verified_s.get(doubt.endpoint.run, float("-inf"))
+        verified_s = self._verified_s.get(doubt.run, float("-inf"))
         if self._clock_s() - verified_s >= NOTICE_INTERVAL_S:
             self._announce(doubt)
         self._check_if_due(doubt)
 
-    def _announce(self, doubt: _Doubt) -> None:
+    def _announce(self, doubt: RunDoubt) -> None:
         """Tell the region's gateways that a run is unverified, unless they were told just now."""
         now_s = self._clock_s()
         with self._lock:
@@ -476,61 +353,31 @@
                 return
             doubt.notified_s = now_s
             doubt.is_announced = True
-        self._broadcast(RunNotice(doubt.endpoint.run, RunStanding.UNVERIFIED))
+        self._broadcast(RunNotice(doubt.run, RunStanding.UNVERIFIED))
 
-    def _rank(self, doubt: _Doubt) -> int:
-        """Return this gateway's place in the order in which gateways check a run."""
+    def _check_if_due(self, doubt: RunDoubt) -> None:
         now_s = self._clock_s()
-        if now_s - doubt.ranked_s >= RANK_LIFETIME_S:
-            order = self._peers.order_by_key(doubt.endpoint.endpoint)
-            own = self._peers.own_instance
-            doubt.rank = order.index(own) if own in order else len(order) + CHECKERS
-            if not order:
-                doubt.rank = 0
-            doubt.gateways = len(order)
-            doubt.ranked_s = now_s
-        return doubt.rank
-
-    def _is_checker(self, doubt: _Doubt, age_s: float) -> bool:
-        rank = self._rank(doubt)
-        if doubt.gateways == 0:
-            return age_s >= LONE_CHECK_S
-        if rank < CHECKERS:
-            return rank == 0 or age_s >= SECOND_CHECK_S
-        others = doubt.gateways - CHECKERS
-        turn = int(age_s / TURN_S)
-        return others > 0 and turn > 0 and rank == CHECKERS + (turn - 1) % others
-
-    def _check_if_due(self, doubt: _Doubt) -> None:
-        now_s = self._clock_s()
-        age_s = now_s - doubt.since_s
-        if not self._is_checker(doubt, age_s):
-            return
-        is_long = age_s >= LONG_DOUBT_S or doubt.answered_s is not None
-        interval_s = LONG_CHECK_INTERVAL_S if is_long else CHECK_INTERVAL_S
-        if doubt.lost_s >= doubt.checked_s:
-            interval_s = MIN_CHECK_INTERVAL_S
         with self._lock:
-            if doubt.is_checking or now_s - doubt.checked_s < interval_s:
+            if not self._checkers.is_check_due(doubt):
                 return
             doubt.is_checking, doubt.checked_s = True, now_s
         self._check(doubt.endpoint, lambda answer: self._on_health(doubt, now_s, answer))
 
-    def _on_health(self, doubt: _Doubt, sent_s: float, answer: HealthAnswer | None) -> None:
+    def _on_health(self, doubt: RunDoubt, sent_s: float, answer: HealthAnswer | None) -> None:
         now_s = self._clock_s()
         with self._lock:
             doubt.is_checking = False
-            is_over = self._doubts.get(doubt.endpoint.run) is not doubt
+            is_over = self._doubts.get(doubt.run) is not doubt
             is_telling = sent_s >= doubt.lost_s and now_s - sent_s <= MAX_CHECK_S
             if answer is not None and answer.cold_ms is None and is_telling:
                 doubt.answered_s = doubt.answered_s or now_s
         if is_over:
             return
         if answer is None:
-            if self._rank(doubt) < CHECKERS and not doubt.is_start:
+            if self._checkers.is_first(doubt) and not doubt.is_start:
                 self._announce(doubt)
         elif answer.cold_ms is not None and is_telling:
-            self._verify(doubt.endpoint.run, answer.cold_ms, "health")
+            self._verify(doubt.run, answer.cold_ms, "health")
 
     def _verify(self, run: EndpointRun, cold_ms: float, source: str) -> None:
         """End the doubt about a run, also at the gateways that were told of it."""
@@ -541,7 +388,7 @@
         else:
             self._send(sorted(doubt.reporters), notice)
 
-    def _end(self, run: EndpointRun, cold_ms: float, source: str) -> _Doubt | None:
+    def _end(self, run: EndpointRun, cold_ms: float, source: str) -> RunDoubt | None:
         now_s = self._clock_s()
         is_restarted = (
             cold_ms > 0 and self._catalog.is_listed(run) and not self._catalog.is_cold(run.endpoint)
@@ -552,8 +399,8 @@
         with self._lock:
             doubt = self._doubts.pop(run, None)
             self._verified_s.put(run, now_s)
-            if cold_ms > 0 and run not in self._cold:
-                self._cold[run] = _ColdRun(now_s + cold_ms / 1000, now_s)
+        if cold_ms > 0:
+            self._cold.put(run, cold_ms, now_s)
         if is_restarted:
             self._on_new_run(run.endpoint)
         if doubt is not None:
--- a/packages/primroseferry-relay/tests/relay_tests/test_run_verification.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_run_verification.py
@@ -16,12 +16,12 @@
 from primroseferry_relay.endpoints.endpoint import Endpoint
 from primroseferry_relay.endpoints.endpoint import EndpointState
 from primroseferry_relay.endpoints.endpoint_reach import HealthAnswer
+from primroseferry_relay.endpoints.run_checkers import TURN_S
 from primroseferry_relay.endpoints.run_notice import RunNotice
 from primroseferry_relay.endpoints.run_notice import RunStanding
 from primroseferry_relay.endpoints.run_verification import MAX_ASK_S
 from primroseferry_relay.endpoints.run_verification import NOTICE_LIFETIME_S
 from primroseferry_relay.endpoints.run_verification import START_S
-from primroseferry_relay.endpoints.run_verification import TURN_S
 from primroseferry_relay.endpoints.run_verification import RunVerification
 from primroseferry_relay.membership.peer import GatewayState
 from primroseferry_relay.membership.peer_table import DISCOVERY_TIMEOUT_S
