Ask the catalog whether a suspected run is listed

The check of suspects copied all entries of the catalog with each tick and compared runs, which EndpointCatalog.is_listed does. Behaviour is as before.

--- a/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
+++ b/packages/primroseferry-relay/src/primroseferry_relay/endpoints/endpoint_reach.py
@@ -2,9 +2,8 @@
 
 An endpoint whose circuit is open, or that leaves requests unanswered, gets pings: requests that it
 answers without running them. One that does not answer a ping is unreachable and gets no requests
-until it answers one. A gateway that
-can reach no endpoint of its region is partitioned from them, or they are all down; its requests go
-through other gateways.
+until it answers one. A gateway that can reach no endpoint of its region is partitioned from them,
+or they are all down; its requests go through other gateways.
 
 The same pings show that an endpoint's process still runs after an answer that ended with its
 connection.
@@ -203,10 +202,13 @@
         self._update_partition(listed.values())
 
     def _ping_suspects(self, now_s: float) -> None:
-        suspects = self.unanswered.suspects()
+        suspects = [
+            endpoint
+            for endpoint in self.unanswered.suspects()
+            if self._catalog.is_listed(endpoint.run)
+        ]
         if not suspects:
             return
-        entries = self._catalog.entries()
         with self._lock:
             self._suspect_pings_s = {
                 run: sent_s
@@ -216,10 +218,7 @@
             due = [
                 endpoint
                 for endpoint in suspects
-                if endpoint.run not in self._in_flight
-                and endpoint.run not in self._suspect_pings_s
-                and endpoint.endpoint in entries
-                and entries[endpoint.endpoint].run == endpoint.run
+                if endpoint.run not in self._in_flight and endpoint.run not in self._suspect_pings_s
             ]
             chosen = due[: max(0, MAX_SUSPECT_PINGS - len(self._in_flight))]
             self._in_flight.update(endpoint.run for endpoint in chosen)
