--- a/packages/primroseferry-transport/tests/test_chunked_answers.py
+++ b/packages/primroseferry-transport/tests/test_chunked_answers.py
@@ -6,13 +6,10 @@
 
 from __future__ import annotations
 
-import socket
-import threading
-import time
-from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import pytest
+from primroseferry_standins.raw_answer_server import RawAnswerServer
 from primroseferry_transport.calls import FailureStage
 from primroseferry_transport.calls import HttpCall
 
@@ -25,40 +22,7 @@
 LONG_BODY = b"x" * 8_000_000
 
 
-class ChunkServer:
-    """Sends ``pieces`` on each request after its first bytes, then may close the connection."""
-
-    def __init__(
-        self, *pieces: bytes, pause_s: float = 0.0, closes: bool = False, reads_on: bool = True
-    ) -> None:
-        self.connections = 0
-        self._pieces = pieces
-        self._pause_s = pause_s
-        self._closes = closes
-        self._reads_on = reads_on
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}/"
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self) -> None:
-        while True:
-            connection, _ = self._listener.accept()
-            self.connections += 1
-            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
-
-    def _serve(self, connection: socket.socket) -> None:
-        with connection, suppress(OSError):
-            while connection.recv(65_536):
-                for piece in self._pieces:
-                    connection.sendall(piece)
-                    time.sleep(self._pause_s)
-                if self._closes:
-                    return
-                if not self._reads_on:
-                    time.sleep(5)
-
-
-def post(loop: CurlLoop, server: ChunkServer, body: bytes = b"x") -> tuple[bytes, bool]:
+def post(loop: CurlLoop, server: RawAnswerServer, body: bytes = b"x") -> tuple[bytes, bool]:
     """Call the server and return the body that arrived and whether it counts as complete."""
     received: list[bytes] = []
 
@@ -75,7 +39,7 @@
 def test_answer_to_a_request_that_is_not_read_ends_at_its_last_chunk(
     loop: CurlLoop, status: bytes, is_collected: bool
 ) -> None:
-    server = ChunkServer(HEAD.replace(b"200 OK", status) + CHUNKS, reads_on=False)
+    server = RawAnswerServer(HEAD.replace(b"200 OK", status) + CHUNKS, reads_on=False)
     received = bytearray()
 
     def on_chunk(chunk: bytes) -> bool:
@@ -95,14 +59,14 @@
 
 
 def test_connection_is_not_reused_while_its_request_is_not_sent(loop: CurlLoop) -> None:
-    server = ChunkServer(HEAD + CHUNKS, reads_on=False)
+    server = RawAnswerServer(HEAD + CHUNKS, reads_on=False)
     for count in range(1, 4):
         assert post(loop, server, LONG_BODY) == (b"abcde", True)
         assert server.connections == count
 
 
 def test_connection_of_a_complete_answer_is_reused(loop: CurlLoop) -> None:
-    server = ChunkServer(HEAD + CHUNKS)
+    server = RawAnswerServer(HEAD + CHUNKS)
     for _ in range(3):
         assert post(loop, server) == (b"abcde", True)
     assert server.connections == 1
@@ -110,7 +74,7 @@
 
 def test_connection_with_bytes_after_the_last_chunk_is_not_reused(loop: CurlLoop) -> None:
     """The rest of the second answer would otherwise precede that of the next request."""
-    server = ChunkServer(HEAD + CHUNKS + b"HTTP/1.1 200 OK\r\nContent-Le")
+    server = RawAnswerServer(HEAD + CHUNKS + b"HTTP/1.1 200 OK\r\nContent-Le")
     for count in range(1, 4):
         assert post(loop, server) == (b"abcde", True)
         assert server.connections == count
@@ -119,7 +83,7 @@
 @pytest.mark.parametrize("body", [b"x", LONG_BODY])
 @pytest.mark.parametrize("length", range(len(CHUNKS)))
 def test_answer_that_breaks_off_is_not_complete(loop: CurlLoop, length: int, body: bytes) -> None:
-    server = ChunkServer(HEAD + CHUNKS[:length], closes=True)
+    server = RawAnswerServer(HEAD + CHUNKS[:length], closes=True)
     received, is_complete = post(loop, server, body)
     assert not is_complete
     assert b"abcde".startswith(received)
@@ -127,7 +91,7 @@
 
 @pytest.mark.parametrize("line", [b"zz\r\n", b"3z\r\n", b"\r\n", b"4;" + b"x" * 20_000 + b"\r\n"])
 def test_answer_with_an_invalid_chunk_is_not_complete(loop: CurlLoop, line: bytes) -> None:
-    server = ChunkServer(HEAD + b"3\r\nabc\r\n" + line + b"abc\r\n0\r\n\r\n")
+    server = RawAnswerServer(HEAD + b"3\r\nabc\r\n" + line + b"abc\r\n0\r\n\r\n")
     received, is_complete = post(loop, server)
     assert received == b"abc"
     assert not is_complete
@@ -135,19 +99,19 @@
 
 @pytest.mark.parametrize("coding", [b"gzip", b"gzip, chunked", b"chunked, gzip", b"chunked;q=1"])
 def test_answer_with_an_unknown_coding_is_not_passed_on(loop: CurlLoop, coding: bytes) -> None:
-    server = ChunkServer(HEAD.replace(b"chunked", coding) + CHUNKS, closes=True)
+    server = RawAnswerServer(HEAD.replace(b"chunked", coding) + CHUNKS, closes=True)
     assert post(loop, server) == (b"", False)
 
 
 @pytest.mark.parametrize("coding", [b"Chunked", b"identity, chunked", b"chunked,"])
 def test_chunked_coding_is_recognized_in_each_spelling(loop: CurlLoop, coding: bytes) -> None:
-    server = ChunkServer(HEAD.replace(b"chunked", coding) + CHUNKS)
+    server = RawAnswerServer(HEAD.replace(b"chunked", coding) + CHUNKS)
     assert post(loop, server) == (b"abcde", True)
 
 
 def test_framing_alone_does_not_count_as_bytes_of_the_answer(loop: CurlLoop) -> None:
     """An endless chunk extension would otherwise keep a call until its whole time limit."""
-    server = ChunkServer(HEAD + b"3\r\nabc\r\n2;", *[b"x"] * 60, pause_s=0.05)
+    server = RawAnswerServer(HEAD + b"3\r\nabc\r\n2;", *[b"x"] * 60, pause_s=0.05)
     call = HttpCall("POST", server.url, body=b"x", idle_timeout_ms=400, timeout_ms=2_500)
     failure = loop.call(call).unwrap_err()
     assert failure.stage is FailureStage.TIMED_OUT
