Decode answer heads in a class of their own

The head of an answer was read within libcurl's header callback, so its rules could only be tested through a connection and libcurl's own checks. HeadDecoder reads the same lines without either.

--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -35,6 +35,8 @@
 from .calls import HttpFailure
 from .calls import HttpReply
 from .chunk_decoder import ChunkDecoder
+from .head_decoder import HeadDecoder
+from .head_decoder import InvalidAnswerError
 from .unsent_bytes import DEFAULT_LIMIT_BYTES
 from .unsent_bytes import UnsentBytes
 from .watch_set import WatchSet
@@ -56,17 +58,12 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 TCP_USER_TIMEOUT_MS = 4_000
-# Memory of a header line beside its bytes: the strings, the header and its place in the map.
-HEADER_OVERHEAD_BYTES = 400
 _NOT_SENT_CODES = frozenset(
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
 )
 # libcurl rejects some status lines on its own: those of an unknown version, for instance.
 _INVALID_ANSWER_CODES = frozenset({pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY})
-_STATUS_ENDS = frozenset({b" ", b"\r", b"\n"})
 MAX_LOGGED_LINE_LENGTH = 40
-# Interim answers that precede the final one. 101 is not one of them: no call asks for an upgrade.
-_INTERIM_STATUSES = frozenset({100, 102, 103})
 
 # Headers that libcurl adds unless they are set or disabled.
 _LIBCURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Content-Type")
@@ -84,12 +81,7 @@
         self.call = call
         self.future: Future[HttpResult] = Future()
         self._loop = loop
-        self._status = 0
-        self._reason = ""
-        self._headers: dict[str, str] = {}
-        self._header_lines: list[Header] = []
-        self._is_head_delivered = False
-        self._head_bytes = 0
+        self._head = HeadDecoder()
         self._body = bytearray()
         self._stop_reason: HttpFailure | None = None
         self._started_s = loop.responsive_s()
@@ -118,12 +110,13 @@
         self._loop.buffers.offer(self, give_up)
 
     def _reply(self, body: bytes) -> HttpReply:
-        return HttpReply(self._status, self._headers, body, tuple(self._header_lines), self._reason)
+        head = self._head
+        return HttpReply(head.status, head.headers, body, tuple(head.header_lines), head.reason)
 
     def _fits(self) -> bool:
         """Count the buffered bytes of the answer; ``False`` if the call is to stop."""
         held_bytes = self.call.held_bytes() if self.call.held_bytes is not None else 0
-        size_bytes = self._head_bytes + len(self._body) + held_bytes
+        size_bytes = self._head.size_bytes + len(self._body) + held_bytes
         largest = self._loop.buffers.resize(self, size_bytes)
         if largest is not None:
             largest._stop_for_memory()
@@ -140,7 +133,6 @@
 
     def _deliver_head(self) -> bool:
         """Call ``on_head`` if it is set; ``False`` stops the call."""
-        self._is_head_delivered = True
         on_head = self.call.on_head
         if on_head is not None and not on_head(self._reply(b"")):
             return False
@@ -160,11 +152,12 @@
     def _is_whole(self) -> bool:
         if self._decoder is not None:
             return self._decoder.is_complete
-        if not self._is_head_delivered or "transfer-encoding" in self._headers:
+        head = self._head
+        if not head.is_complete or "transfer-encoding" in head.headers:
             return False
-        if self._status in BODILESS_STATUSES:
+        if head.status in BODILESS_STATUSES:
             return True
-        return self._headers.get("content-length") == str(self._received_bytes)
+        return head.headers.get("content-length") == str(self._received_bytes)
 
     def _timeout_failure(self, responsive_s: float) -> HttpFailure | None:
         call = self.call
@@ -187,7 +180,7 @@
 
     def _is_connecting(self) -> bool:
         handle = self._handle
-        if handle is None or self._status:
+        if handle is None or self._head.status:
             return False
         return bool(
             handle.getinfo(pycurl.CONNECT_TIME) == 0 and handle.getinfo(pycurl.REQUEST_SIZE) == 0
@@ -634,39 +627,22 @@
 
 
 def _header_function(pending: PendingCall) -> Callable[[bytes], int | None]:
-    headers = pending._headers
-    lines = pending._header_lines
+    head = pending._head
 
     def on_header(line: bytes) -> int | None:
-        if pending._is_head_delivered:  # A trailer.
-            return None
-        name, colon, value = line.decode("latin-1").partition(":")
-        if line.startswith(b"HTTP/"):
-            headers.clear()
-            lines.clear()
-            pending._head_bytes = 0
-            status = _parse_status(line)
-            if status is None:
-                reason = f"invalid status line {line[:MAX_LOGGED_LINE_LENGTH]!r}"
-                pending._stop_reason = HttpFailure(FailureStage.INVALID_ANSWER, reason)
-                return -1
-            pending._status = status
-            parts = line.split(maxsplit=2)
-            pending._reason = parts[2].strip().decode("latin-1") if len(parts) > 2 else ""
-        elif colon:
-            if pending._stop_reason is not None:
-                return -1
-            headers[name.strip().lower()] = value.strip()
-            lines.append(Header(name.strip(), value.strip()))
-            pending._head_bytes += len(line) + HEADER_OVERHEAD_BYTES
-            if not pending._fits():
-                return -1
-        elif pending._status >= 200:
+        if pending._stop_reason is not None:
+            return -1
+        try:
+            ends_head = head.decode(line)
+        except InvalidAnswerError as error:
+            pending._stop_reason = HttpFailure(FailureStage.INVALID_ANSWER, str(error))
+            return -1
+        if ends_head:
             failure = _prepare_body(pending)
             if failure is not None or not pending._deliver_head():
                 pending._stop_reason = failure or _STOPPED
                 return -1
-        return None
+        return None if pending._fits() else -1
 
     return on_header
 
@@ -676,31 +652,23 @@
 
     Other codings fail the call, as in libcurl when it decodes: no call asks for them.
     """
-    if not pending.call.body or "transfer-encoding" not in pending._headers:
+    if not pending.call.body or "transfer-encoding" not in pending._head.headers:
         return None
     values = [
-        line.value for line in pending._header_lines if line.name.lower() == "transfer-encoding"
+        line.value
+        for line in pending._head.header_lines
+        if line.name.lower() == "transfer-encoding"
     ]
     codings = {coding.strip().lower() for value in values for coding in value.split(",")}
     codings -= {"", "identity"}
     if not codings <= {"chunked"}:
         reason = f"unsolicited Transfer-Encoding {', '.join(values)[:MAX_LOGGED_LINE_LENGTH]!r}"
         return HttpFailure(FailureStage.CONNECTION_LOST, reason)
-    if codings and pending._status not in BODILESS_STATUSES:
+    if codings and pending._head.status not in BODILESS_STATUSES:
         pending._decoder = ChunkDecoder()
     return None
 
 
-def _parse_status(line: bytes) -> int | None:
-    """Return the status of a status line, ``None`` if it is neither a final nor an interim one."""
-    _, _, rest = line.partition(b" ")
-    digits = rest[:3]
-    if not digits.isdigit() or rest[3:4] not in _STATUS_ENDS:
-        return None
-    status = int(digits)
-    return status if 200 <= status < 600 or status in _INTERIM_STATUSES else None
-
-
 def _write_function(pending: PendingCall) -> Callable[[bytes], int | None]:
     call = pending.call
     on_chunk = call.on_chunk
@@ -729,7 +697,7 @@
 
     def receive(chunk: bytes) -> bool:
         pending._last_byte_s = loop.responsive_s()
-        if on_chunk is not None and 200 <= pending._status < 300:
+        if on_chunk is not None and 200 <= pending._head.status < 300:
             if not loop._receive(pending, on_chunk, chunk):
                 pending._stop_reason = _STOPPED
                 return False
--- /dev/null
+++ b/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
@@ -0,0 +1,89 @@
+"""Decodes the lines of answer heads."""
+
+from __future__ import annotations
+
+from .calls import Header
+
+MAX_QUOTED_BYTES = 40
+_STATUS_ENDS = frozenset({b" ", b"\r", b"\n"})
+# Interim answers that precede the final one. 101 is not one of them: no call asks for an upgrade.
+_INTERIM_STATUSES = frozenset({100, 102, 103})
+# Memory of a header line beside its bytes: the strings, the header and its place in the map.
+_HEADER_OVERHEAD_BYTES = 400
+
+
+class InvalidAnswerError(ValueError):
+    """The lines received are no answer of HTTP/1.1."""
+
+
+class HeadDecoder:
+    """Decodes the heads of one answer line by line: interim ones first, then the final one.
+
+    All attributes describe the last head. ``headers`` maps each name in lower case to its last
+    value, and ``size_bytes`` is the memory that the head takes.
+
+    >>> decoder = HeadDecoder()
+    >>> [decoder.decode(line) for line in (b"HTTP/1.1 200 OK\\r\\n", b"Content-Length: 3\\r\\n")]
+    [False, False]
+    >>> decoder.decode(b"\\r\\n")
+    True
+    >>> decoder.status, decoder.headers
+    (200, {'content-length': '3'})
+    """
+
+    __slots__ = (
+        "header_lines",
+        "headers",
+        "is_complete",
+        "reason",
+        "size_bytes",
+        "status",
+    )
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.reason = ""
+        self.headers: dict[str, str] = {}
+        self.header_lines: list[Header] = []
+        self.is_complete = False
+        self.size_bytes = 0
+
+    def decode(self, line: bytes) -> bool:
+        """Decode the next line, with its line end; return whether it ends the final head.
+
+        Lines after that are trailers, which are discarded. Raises ``InvalidAnswerError``.
+        """
+        if self.is_complete:
+            return False
+        if line.startswith(b"HTTP/"):
+            self._decode_status_line(line)
+            return False
+        name, colon, value = line.decode("latin-1").partition(":")
+        if colon:
+            self.headers[name.strip().lower()] = value.strip()
+            self.header_lines.append(Header(name.strip(), value.strip()))
+            self.size_bytes += len(line) + _HEADER_OVERHEAD_BYTES
+            return False
+        self.is_complete = self.status >= 200
+        return self.is_complete
+
+    def _decode_status_line(self, line: bytes) -> None:
+        status = _parse_status(line)
+        if status is None:
+            raise InvalidAnswerError(f"invalid status line {line[:MAX_QUOTED_BYTES]!r}")
+        self.headers.clear()
+        self.header_lines.clear()
+        self.size_bytes = 0
+        self.status = status
+        parts = line.split(maxsplit=2)
+        self.reason = parts[2].strip().decode("latin-1") if len(parts) > 2 else ""
+
+
+def _parse_status(line: bytes) -> int | None:
+    """Return the status of a status line, ``None`` if it is neither a final nor an interim one."""
+    _, _, rest = line.partition(b" ")
+    digits = rest[:3]
+    if not digits.isdigit() or rest[3:4] not in _STATUS_ENDS:
+        return None
+    status = int(digits)
+    return status if 200 <= status < 600 or status in _INTERIM_STATUSES else None
