Refuse answers whose head holds a line that is no field

Callers saw: an answer of an endpoint whose head held a name with a blank, a control byte, a byte above 0x7f or a separator, blanks before the colon, or no name at all came through as 200, with that line passed on. Where the line told the length or the coding ("Content Length: 5", "Content-Length : 5", "Transfer Encoding: chunked"), the body was not the endpoint's: up to the end of the connection, with the framing of the chunks in it, or 504 at the deadline.

Cause: HeadDecoder took whatever precedes a colon for a name, stripped of any white space, and any line without a colon for the end of the head. libcurl refuses some of these lines, and which ones depends on its version; it passes the lines above on and does not read a length from them.

Ruled out: a newer check in libcurl. Nothing in the product would hold if another version reads the bytes; test_head_decoder.py therefore passes the lines to the decoder itself.

Change: a line of a head is empty, or a field that matches the grammar of RFC 9112, section 5; else the answer is INVALID_ANSWER and its connection is closed. The attempt is lost and may have run, so only repeatable requests are repeated, nothing is held against the request, and no byte behind the head is read as another answer. What decides: - names: "field-line = field-name ":" OWS field-value OWS" (RFC 9112, 5), "field-name = token" (RFC 9110, 5.1). - blanks before the colon: "No whitespace is allowed between the field name and colon" (RFC 9112, 5.1). A proxy must remove them from an answer that it forwards; here it is not forwarded, since libcurl has not read such a length or coding, and the body is unknown. - blanks after the status line: "MUST either reject the message as invalid or consume each whitespace-preceded line" (RFC 9112, 2.2). - a head that ends with a lone carriage return before its line end: "a recipient of such a bare CR MUST consider that element to be invalid or replace each bare CR with SP" (RFC 9112, 2.2). - a folded line: "MUST either discard the message and replace it with a 502 (Bad Gateway) response [...] or replace each received obs-fold with one or more SP octets" (RFC 9112, 5.2). This libcurl replaces it, so the field is passed on as before; one that reaches the decoder as it was sent is refused.

--- a/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
@@ -1,10 +1,18 @@
-"""Decodes the lines of answer heads."""
+"""Decodes the lines of answer heads, and refuses those that HTTP/1.1 does not allow.
+
+libcurl passes on many lines that RFC 9112 does not allow, and each version others. What is checked
+here does not depend on it.
+"""
 
 from __future__ import annotations
 
+import re
+
 from .calls import Header
 
 MAX_QUOTED_BYTES = 40
+_FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\r\n]*)\r?\n")
+_EMPTY_LINES = frozenset({b"\r\n", b"\n"})
 _STATUS_ENDS = frozenset({b" ", b"\r", b"\n"})
 # Interim answers that precede the final one. 101 is not one of them: no call asks for an upgrade.
 _INTERIM_STATUSES = frozenset({100, 102, 103})
@@ -58,14 +66,13 @@
         if line.startswith(b"HTTP/"):
             self._decode_status_line(line)
             return False
-        name, colon, value = line.decode("latin-1").partition(":")
-        if colon:
-            self.headers[name.strip().lower()] = value.strip()
-            self.header_lines.append(Header(name.strip(), value.strip()))
-            self.size_bytes += len(line) + _HEADER_OVERHEAD_BYTES
+        if line not in _EMPTY_LINES:
+            self._decode_field(line)
+            return False
+        if self.status < 200:
             return False
-        self.is_complete = self.status >= 200
-        return self.is_complete
+        self.is_complete = True
+        return True
 
     def _decode_status_line(self, line: bytes) -> None:
         status = _parse_status(line)
@@ -78,6 +85,16 @@
         parts = line.split(maxsplit=2)
         self.reason = parts[2].strip().decode("latin-1") if len(parts) > 2 else ""
 
+    def _decode_field(self, line: bytes) -> None:
+        match = _FIELD_LINE.fullmatch(line)
+        if match is None:
+            raise InvalidAnswerError(f"invalid header field {_quoted(line)}")
+        name = match[1].decode("latin-1")
+        value = match[2].decode("latin-1").strip()
+        self.headers[name.lower()] = value
+        self.header_lines.append(Header(name, value))
+        self.size_bytes += len(line) + _HEADER_OVERHEAD_BYTES
+
 
 def _parse_status(line: bytes) -> int | None:
     """Return the status of a status line, ``None`` if it is neither a final nor an interim one."""
@@ -87,3 +104,8 @@
         return None
     status = int(digits)
     return status if 200 <= status < 600 or status in _INTERIM_STATUSES else None
+
+
+def _quoted(line: bytes) -> str:
+    """Quote the name of a field only, since values may be secret."""
+    return repr(line.partition(b":")[0][:MAX_QUOTED_BYTES])
--- /dev/null
+++ b/packages/primroseferry-transport/tests/test_broken_heads.py
@@ -0,0 +1,140 @@
+"""Answers whose head is broken are no answers, whatever libcurl makes of them.
+
+Guards against broken heads that reach a client as a success, with a body that is not the server's,
+and against bytes behind such a head that are read as the answer to the next request.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import pytest
+from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import NO_FIELDS
+from primroseferry_standins.raw_answer_server import RawAnswerServer
+from primroseferry_transport.calls import FailureStage
+from primroseferry_transport.calls import HttpCall
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from primroseferry_transport.calls import HttpFailure
+    from primroseferry_transport.calls import HttpReply
+    from primroseferry_transport.curl_loop import CurlLoop
+
+BODY = b"0123456789"
+LENGTH = b"Content-Length: 10\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+CHUNKS = b"a\r\n0123456789\r\n0\r\n"
+OK = b"HTTP/1.1 200 OK\r\n"
+SECOND = OK + b"Content-Length: 6\r\n\r\nsecond"
+CALLS = [
+    HttpCall("GET", ""),
+    HttpCall("POST", "", body=b"x"),
+    HttpCall("POST", "", body=b"x", is_repeatable=False),
+]
+
+
+@pytest.fixture(name="serve")
+def _serve() -> Iterator[Callable[..., RawAnswerServer]]:
+    """Yield a function that starts a ``RawAnswerServer``; all are closed after the test."""
+    servers: list[RawAnswerServer] = []
+
+    def serve(*pieces: bytes, closes: bool = False) -> RawAnswerServer:
+        servers.append(RawAnswerServer(*pieces, closes=closes))
+        return servers[-1]
+
+    yield serve
+    for server in servers:
+        server.close()
+
+
+def failures(loop: CurlLoop, server: RawAnswerServer) -> Iterator[HttpFailure]:
+    """Make each kind of call, check that nothing was passed on, and yield the failures."""
+    passed_on: list[bytes] = []
+
+    def keep(chunk: bytes) -> bool:
+        passed_on.append(chunk)
+        return True
+
+    for call in CALLS:
+        for on_chunk in (None, keep):
+            call = replace(call, url=server.url, on_chunk=on_chunk, timeout_ms=3_000)
+            yield loop.call(call).unwrap_err()
+    assert passed_on == []
+
+
+def assert_invalid(loop: CurlLoop, server: RawAnswerServer) -> None:
+    """Check that each call ends with ``INVALID_ANSWER`` and its connection is not used again."""
+    for failure in failures(loop, server):
+        assert failure.stage is FailureStage.INVALID_ANSWER, failure
+    server.pieces = (OK + b"Content-Length: 5\r\n\r\nsound",)
+    connections = server.connections
+    assert loop.call(HttpCall("GET", server.url)).unwrap().body == b"sound"
+    assert server.connections == connections + 1
+
+
+@pytest.mark.parametrize("closes", [False, True])
+@pytest.mark.parametrize("line", NO_FIELDS)
+def test_line_that_is_no_field_makes_an_answer_invalid(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], line: bytes, closes: bool
+) -> None:
+    head = line + b"\r\n" + LENGTH if closes else LENGTH + line + b"\r\n"
+    assert_invalid(loop, serve(OK + head + b"\r\n" + BODY + SECOND, closes=closes))
+
+
+@pytest.mark.parametrize("line", BLANK_STARTS)
+def test_blanks_straight_after_the_status_line_make_an_answer_invalid(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], line: bytes
+) -> None:
+    assert_invalid(loop, serve(OK + line + b"\r\n" + LENGTH + b"\r\n" + BODY + SECOND))
+
+
+def test_head_that_ends_with_a_lone_carriage_return_makes_an_answer_invalid(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer]
+) -> None:
+    assert_invalid(loop, serve(OK + LENGTH + b"\r\r\n" + BODY + SECOND))
+
+
+def test_line_that_is_no_field_in_an_interim_answer_makes_the_answer_invalid(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer]
+) -> None:
+    interim = b"HTTP/1.1 103 Early Hints\r\nX Y: a\r\n\r\n"
+    assert_invalid(loop, serve(interim + OK + LENGTH + b"\r\n" + BODY))
+
+
+@pytest.mark.parametrize("line", [b"Content Length: 5", b"Content-Length : 5", b"X-A\x01: a"])
+def test_broken_name_makes_an_answer_without_a_length_invalid_at_once(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], line: bytes
+) -> None:
+    """Without the check, the body ends with the connection, or the call with its deadline."""
+    assert_invalid(loop, serve(OK + line + b"\r\n\r\n" + BODY))
+
+
+def answer_with(head: bytes, body: bytes = BODY) -> bytes:
+    return OK + head + b"\r\n" + body
+
+
+def replies(loop: CurlLoop, server: RawAnswerServer) -> Iterator[HttpReply]:
+    for call in CALLS:
+        yield loop.call(replace(call, url=server.url, timeout_ms=3_000)).unwrap()
+
+
+def test_each_byte_of_a_token_is_passed_on(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer]
+) -> None:
+    name = "!#$%&'*+-.^_`|~09azAZ"
+    for reply in replies(loop, serve(answer_with(LENGTH + name.encode() + b": a\r\n"))):
+        assert reply.header_lines[-1].name == name
+        assert reply.body == BODY
+
+
+def test_lines_that_end_without_a_carriage_return_are_passed_on(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer]
+) -> None:
+    answer = answer_with(b"X-A: a\r\n" + LENGTH).replace(b"\r\n", b"\n")
+    for reply in replies(loop, serve(answer)):
+        assert reply.headers["x-a"] == "a"
+        assert reply.body == BODY
--- /dev/null
+++ b/packages/primroseferry-transport/tests/test_head_decoder.py
@@ -0,0 +1,35 @@
+"""Lines of heads and trailers as any version of libcurl, or another library, may pass them on."""
+
+from __future__ import annotations
+
+import pytest
+from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import NO_FIELDS
+from primroseferry_transport.head_decoder import HeadDecoder
+from primroseferry_transport.head_decoder import InvalidAnswerError
+
+OK = b"HTTP/1.1 200 OK\r\n"
+FIELD = b"X-B: b\r\n"
+EMPTY = b"\r\n"
+LONE_CARRIAGE_RETURN = b"\r\r\n"
+FOLDED = b" folded\r\n"
+
+
+def decode(*lines: bytes) -> HeadDecoder:
+    decoder = HeadDecoder()
+    for line in lines:
+        decoder.decode(line)
+    return decoder
+
+
+@pytest.mark.parametrize("line", [*NO_FIELDS, *BLANK_STARTS])
+def test_invalid_field_is_refused(line: bytes) -> None:
+    for before in ([], [FIELD]):
+        with pytest.raises(InvalidAnswerError):
+            decode(OK, *before, line + b"\r\n")
+
+
+@pytest.mark.parametrize("line", [LONE_CARRIAGE_RETURN, FOLDED])
+def test_line_that_neither_is_a_field_nor_empty_is_refused(line: bytes) -> None:
+    with pytest.raises(InvalidAnswerError):
+        decode(OK, FIELD, line)
