Refuse answers with a control byte in the value of a header

Callers saw: a value with a control byte (0x01 to 0x1f without the tab, or 0x7f), such as an escape sequence, was passed on with a 200. Control bytes at its start or end were removed in silence, so that "Transfer-Encoding: \x0bchunked" was taken for "chunked" where a call has a body.

Cause: HeadDecoder took any bytes between the colon and the line end for the value.

Evidence: test_broken_heads.py, test_broken_answers.py of the relay and of the other packages.

Change: values hold tabs, blanks, visible ASCII and bytes above 0x7f, as "field-vchar = VCHAR / obs-text" (RFC 9110, 5.5) says. What decides: "Field values containing other CTL characters are also invalid; however, recipients MAY retain such characters for the sake of robustness when they appear within a safe context". What a gateway forwards is read by another HTTP parser, so the context is not safe. Carriage return, line feed and NUL a recipient "MUST either reject [...] or replace"; they were refused by this libcurl only, now by the decoder. Bytes above 0x7f still pass.

--- a/packages/primroseferry-gateway/tests/test_broken_answers.py
+++ b/packages/primroseferry-gateway/tests/test_broken_answers.py
@@ -31,6 +31,7 @@
 EVENT = b'id: 1\ndata: {"choices":[{"delta":{"content":"a"}}]}\n\n'
 BROKEN_HEADS = [
     b"HTTP/1.1 200 OK\r\nX Y: a\r\nContent-Length: 10\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nX-A: a\x01b\r\nContent-Length: 10\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent Length: 5\r\n\r\n",
 ]
 TIMEOUT_MS = 3_000
--- a/packages/primroseferry-platform/tests/test_broken_answers.py
+++ b/packages/primroseferry-platform/tests/test_broken_answers.py
@@ -18,6 +18,7 @@
 BODY = b'{"customer": "c", "instances": [], "revision": 3}'
 BROKEN_HEADS = [
     b"X Y: a\r\nContent-Length: %d\r\n" % len(BODY),
+    b"X-A: a\x01b\r\nContent-Length: %d\r\n" % len(BODY),
     b"Content Length: 5\r\n",
 ]
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
@@ -12,6 +12,7 @@
 
 import pytest
 from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 
 from .relay_harness import RelayHarness
@@ -42,6 +43,7 @@
 # One of each kind, for the tests of what follows from a broken answer.
 BROKEN_LINES = [
     b"X Y: a\r\n" + LENGTH,
+    b"X-A: a\x01b\r\n" + LENGTH,
     b"Content-Length : 5\r\n",
 ]
 
@@ -80,6 +82,11 @@
     assert_answered_502(loop, broken_endpoint(lines, closes=closes))
 
 
+@pytest.mark.parametrize("line", INVALID_VALUES)
+def test_answer_with_a_control_byte_in_a_value_is_answered_502(loop: CurlLoop, line: bytes) -> None:
+    assert_answered_502(loop, broken_endpoint(LENGTH + line + b"\r\n"))
+
+
 @pytest.mark.parametrize("path", ["/once/", "/stream/"])
 @pytest.mark.parametrize("lines", BROKEN_LINES)
 def test_request_with_a_broken_answer_is_not_repeated(
--- a/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
@@ -11,7 +11,7 @@
 from .calls import Header
 
 MAX_QUOTED_BYTES = 40
-_FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\r\n]*)\r?\n")
+_FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r?\n")
 _EMPTY_LINES = frozenset({b"\r\n", b"\n"})
 _STATUS_ENDS = frozenset({b" ", b"\r", b"\n"})
 # Interim answers that precede the final one. 101 is not one of them: no call asks for an upgrade.
--- a/packages/primroseferry-transport/tests/test_broken_heads.py
+++ b/packages/primroseferry-transport/tests/test_broken_heads.py
@@ -11,6 +11,7 @@
 
 import pytest
 from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 from primroseferry_standins.raw_answer_server import RawAnswerServer
 from primroseferry_transport.calls import FailureStage
@@ -113,6 +114,15 @@
     assert_invalid(loop, serve(OK + line + b"\r\n\r\n" + BODY))
 
 
+@pytest.mark.parametrize("closes", [False, True])
+@pytest.mark.parametrize("line", INVALID_VALUES)
+def test_control_byte_in_a_value_makes_an_answer_invalid(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], line: bytes, closes: bool
+) -> None:
+    head = line + b"\r\n" + LENGTH if closes else LENGTH + line + b"\r\n"
+    assert_invalid(loop, serve(OK + head + b"\r\n" + BODY + SECOND, closes=closes))
+
+
 def answer_with(head: bytes, body: bytes = BODY) -> bytes:
     return OK + head + b"\r\n" + body
 
--- a/packages/primroseferry-transport/tests/test_head_decoder.py
+++ b/packages/primroseferry-transport/tests/test_head_decoder.py
@@ -4,6 +4,7 @@
 
 import pytest
 from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 from primroseferry_transport.head_decoder import HeadDecoder
 from primroseferry_transport.head_decoder import InvalidAnswerError
@@ -22,7 +23,7 @@
     return decoder
 
 
-@pytest.mark.parametrize("line", [*NO_FIELDS, *BLANK_STARTS])
+@pytest.mark.parametrize("line", [*NO_FIELDS, *INVALID_VALUES, *BLANK_STARTS])
 def test_invalid_field_is_refused(line: bytes) -> None:
     for before in ([], [FIELD]):
         with pytest.raises(InvalidAnswerError):
