Keep the bytes 0x85 and 0xa0 at the ends of header values

Callers saw: a sound value whose first or last byte is 0x85 or 0xa0 lost it. In UTF-8 many letters end with them: "X-A: \xc3\xa0" arrived as the single byte 0xc3.

Cause: values were stripped as text, and str.strip takes these two for white space.

Evidence: test_unusual_value_is_passed_on and, through the relay, test_unusual_field_reaches_the_caller.

Change: only blanks and tabs are stripped: "OWS = *( SP / HTAB )" (RFC 9110, 5.6.3), and a byte of 0x80 and above belongs to the value ("field-vchar = VCHAR / obs-text", 5.5).

A property test shows that each field is refused or passed on as it was received.

--- a/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
@@ -196,3 +196,30 @@
     harness.reach.ask_health(endpoint, on_answer)
     assert is_answered.wait(5)
     assert answers == [None]
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"X-A:a",
+        b"X-A: \t a \t ",
+        b"X-A:",
+        b"X-A: caf\xc3\xa9 \xff\x85",
+        b"X-A: \xc3\xa0",
+        b"X!#$%&'*+-.^_`|~: a",
+        b"X-A: a\r\n b",
+    ],
+)
+def test_unusual_field_reaches_the_caller(loop: CurlLoop, line: bytes) -> None:
+    def script(connection: socket.socket, request: Received) -> None:
+        sound = answer(request, body=BODY)
+        connection.sendall(sound.replace(b"X-Signed", line + b"\r\nX-Signed", 1))
+
+    name, _, value = line.partition(b":")
+    forwarded = name + b": " + value.strip(b" \t").replace(b"\r\n", b"") + b"\r\n"
+    for path in ("/once/", "/safe/"):
+        harness = RelayHarness(loop, [ScriptedEndpoint(script)])
+        data = harness.call(path, "POST", body=b"x")
+        assert data.startswith(b"HTTP/1.1 200")
+        assert data.endswith(b"\r\n\r\n" + BODY)
+        assert forwarded in data
--- a/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
@@ -13,6 +13,7 @@
 MAX_QUOTED_BYTES = 40
 _FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r?\n")
 _EMPTY_LINES = frozenset({b"\r\n", b"\n"})
+_BLANKS = " \t"
 _STATUS_ENDS = frozenset({b" ", b"\r", b"\n"})
 # Interim answers that precede the final one. 101 is not one of them: no call asks for an upgrade.
 _INTERIM_STATUSES = frozenset({100, 102, 103})
@@ -90,7 +91,7 @@
         if match is None:
             raise InvalidAnswerError(f"invalid header field {_quoted(line)}")
         name = match[1].decode("latin-1")
-        value = match[2].decode("latin-1").strip()
+        value = match[2].decode("latin-1").strip(_BLANKS)
         self.headers[name.lower()] = value
         self.header_lines.append(Header(name, value))
         self.size_bytes += len(line) + _HEADER_OVERHEAD_BYTES
--- a/packages/primroseferry-transport/tests/test_broken_heads.py
+++ b/packages/primroseferry-transport/tests/test_broken_heads.py
@@ -132,6 +132,34 @@
         yield loop.call(replace(call, url=server.url, timeout_ms=3_000)).unwrap()
 
 
+@pytest.mark.parametrize(
+    ("line", "value"),
+    [
+        (b"X-A:a", "a"),
+        (b"X-A: \t a \t ", "a"),
+        (b"X-A:", ""),
+        (b"X-A: \t ", ""),
+        (b"X-A: a b\tc:d", "a b\tc:d"),
+        (b"X-A: caf\xc3\xa9 \xff", "caf\xc3\xa9 \xff"),
+        (b"X-A: \xa0a\x85", "\xa0a\x85"),
+        (b"X-A: \xc3\xa0", "\xc3\xa0"),
+        (b'X-A: "a\\"(b),{c}@', '"a\\"(b),{c}@'),
+        (b"X-A: a\r\n b", "a b"),
+        (b"X-A: a\r\n\t b: c", "a b: c"),
+        (b"X-A: a\r\n  ", "a"),
+        (b"X-A: " + b"a" * 9_000, "a" * 9_000),
+    ],
+)
+@pytest.mark.parametrize("is_first", [False, True])
+def test_unusual_value_is_passed_on(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], line: bytes, value: str, is_first: bool
+) -> None:
+    head = line + b"\r\n" + LENGTH if is_first else LENGTH + line + b"\r\n"
+    for reply in replies(loop, serve(answer_with(head))):
+        assert reply.body == BODY
+        assert [line.value for line in reply.header_lines if line.name == "X-A"] == [value]
+
+
 def test_each_byte_of_a_token_is_passed_on(
     loop: CurlLoop, serve: Callable[..., RawAnswerServer]
 ) -> None:
--- a/packages/primroseferry-transport/tests/test_head_decoder.py
+++ b/packages/primroseferry-transport/tests/test_head_decoder.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 from primroseferry_standins.broken_heads import BLANK_STARTS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
+from primroseferry_transport.calls import Header
 from primroseferry_transport.head_decoder import HeadDecoder
 from primroseferry_transport.head_decoder import InvalidAnswerError
 
@@ -34,3 +38,22 @@
 def test_line_that_neither_is_a_field_nor_empty_is_refused(line: bytes) -> None:
     with pytest.raises(InvalidAnswerError):
         decode(OK, FIELD, line)
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.binary(min_size=1, max_size=24)
+    | st.text("aZ-:; \t\x01\x7f\xa0", min_size=1).map(lambda text: text.encode("latin-1"))
+)
+def test_field_is_passed_on_as_received_or_refused(line: bytes) -> None:
+    decoder = decode(OK)
+    try:
+        decoder.decode(line + b"\r\n")
+    except InvalidAnswerError:
+        return
+    name, _, value = line.partition(b":")
+    assert decoder.header_lines == [
+        Header(name.decode("latin-1"), value.strip(b" \t").decode("latin-1"))
+    ]
+    assert not set(line) & {*range(9), *range(10, 32), 127}
+    assert not set(name) & set(b" \t")
