Refuse answers that do not tell one length

Callers saw: an answer with a repeated length ("5, 5", or two lines) came through as 200 with the first five bytes of ten. With a length beyond 64 bits the body went up to the end of the connection, or the caller got 504 at the deadline.

Cause: HeadDecoder kept the last of several lengths and checked none; libcurl refuses many invalid ones, but takes a repeated one, and ignores one that it cannot represent.

Change: a head may name one Content-Length, of decimal digits, of at most 2^63 - 1. What decides: - "Content-Length = 1*DIGIT" (RFC 9110, 8.6), and "recipients MUST anticipate potentially large decimal numerals and prevent parsing errors due to integer conversion overflows". - invalid or differing lengths: "If it is in a response message received by a proxy, the proxy MUST close the connection to the server, discard the received response, and send a 502 (Bad Gateway) response" (RFC 9112, 6.3). - equal lengths: "a recipient MAY either reject the message as invalid or replace" them (RFC 9110, 8.6). No sender may send them, and a caller cannot tell the first five of ten bytes from a whole answer; so they are refused. This narrows what passes: an endpoint that repeats a right length gets 502 now. - leading zeros are digits and pass. An answer of which all bytes are there before the request is sent ends now with such a length too, since numbers are compared and not texts.

--- a/packages/primroseferry-gateway/tests/test_broken_answers.py
+++ b/packages/primroseferry-gateway/tests/test_broken_answers.py
@@ -33,6 +33,8 @@
     b"HTTP/1.1 200 OK\r\nX Y: a\r\nContent-Length: 10\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nX-A: a\x01b\r\nContent-Length: 10\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent Length: 5\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
 ]
 TIMEOUT_MS = 3_000
 
--- a/packages/primroseferry-platform/tests/test_broken_answers.py
+++ b/packages/primroseferry-platform/tests/test_broken_answers.py
@@ -20,6 +20,8 @@
     b"X Y: a\r\nContent-Length: %d\r\n" % len(BODY),
     b"X-A: a\x01b\r\nContent-Length: %d\r\n" % len(BODY),
     b"Content Length: 5\r\n",
+    b"Content-Length: %d, %d\r\n" % (len(BODY), len(BODY)),
+    b"Content-Length: 99999999999999999999\r\n",
 ]
 
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
@@ -12,6 +12,7 @@
 
 import pytest
 from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import INVALID_LENGTHS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 
@@ -45,6 +46,8 @@
     b"X Y: a\r\n" + LENGTH,
     b"X-A: a\x01b\r\n" + LENGTH,
     b"Content-Length : 5\r\n",
+    b"Content-Length: 5, 5\r\n",
+    b"Content-Length: 18446744073709551621\r\n",
 ]
 
 
@@ -87,6 +90,14 @@
     assert_answered_502(loop, broken_endpoint(LENGTH + line + b"\r\n"))
 
 
+@pytest.mark.parametrize("closes", [False, True])
+@pytest.mark.parametrize("lines", INVALID_LENGTHS)
+def test_answer_with_an_invalid_length_is_answered_502(
+    loop: CurlLoop, lines: bytes, closes: bool
+) -> None:
+    assert_answered_502(loop, broken_endpoint(lines + b"\r\n", closes=closes))
+
+
 @pytest.mark.parametrize("path", ["/once/", "/stream/"])
 @pytest.mark.parametrize("lines", BROKEN_LINES)
 def test_request_with_a_broken_answer_is_not_repeated(
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -155,9 +155,7 @@
         head = self._head
         if not head.is_complete or "transfer-encoding" in head.headers:
             return False
-        if head.status in BODILESS_STATUSES:
-            return True
-        return head.headers.get("content-length") == str(self._received_bytes)
+        return head.status in BODILESS_STATUSES or head.length_bytes == self._received_bytes
 
     def _timeout_failure(self, responsive_s: float) -> HttpFailure | None:
         call = self.call
--- a/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
@@ -10,8 +10,10 @@
 
 from .calls import Header
 
+MAX_LENGTH_BYTES = 2**63 - 1
 MAX_QUOTED_BYTES = 40
 _FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r?\n")
+_LENGTH = re.compile("0*([0-9]{1,19})")
 _EMPTY_LINES = frozenset({b"\r\n", b"\n"})
 _BLANKS = " \t"
 _STATUS_ENDS = frozenset({b" ", b"\r", b"\n"})
@@ -29,21 +31,23 @@
     """Decodes the heads of one answer line by line: interim ones first, then the final one.
 
     All attributes describe the last head. ``headers`` maps each name in lower case to its last
-    value, and ``size_bytes`` is the memory that the head takes.
+    value, ``length_bytes`` is the body's length if the head states it, and ``size_bytes`` the
+    memory that the head takes.
 
     >>> decoder = HeadDecoder()
     >>> [decoder.decode(line) for line in (b"HTTP/1.1 200 OK\\r\\n", b"Content-Length: 3\\r\\n")]
     [False, False]
     >>> decoder.decode(b"\\r\\n")
     True
-    >>> decoder.status, decoder.headers
-    (200, {'content-length': '3'})
+    >>> decoder.status, decoder.length_bytes
+    (200, 3)
     """
 
     __slots__ = (
         "header_lines",
         "headers",
         "is_complete",
+        "length_bytes",
         "reason",
         "size_bytes",
         "status",
@@ -54,6 +58,7 @@
         self.reason = ""
         self.headers: dict[str, str] = {}
         self.header_lines: list[Header] = []
+        self.length_bytes: int | None = None
         self.is_complete = False
         self.size_bytes = 0
 
@@ -72,6 +77,7 @@
             return False
         if self.status < 200:
             return False
+        self._decode_framing()
         self.is_complete = True
         return True
 
@@ -96,6 +102,20 @@
         self.header_lines.append(Header(name, value))
         self.size_bytes += len(line) + _HEADER_OVERHEAD_BYTES
 
+    def _decode_framing(self) -> None:
+        """Read how the head tells the end of the body.
+
+        libcurl reads the same fields, so only values are accepted that have one meaning.
+        """
+        lengths = self._values("content-length")
+        if lengths:
+            self.length_bytes = _parse_lengths(lengths)
+
+    def _values(self, name: str) -> list[str]:
+        if name not in self.headers:
+            return []
+        return [line.value for line in self.header_lines if line.name.lower() == name]
+
 
 def _parse_status(line: bytes) -> int | None:
     """Return the status of a status line, ``None`` if it is neither a final nor an interim one."""
@@ -107,6 +127,15 @@
     return status if 200 <= status < 600 or status in _INTERIM_STATUSES else None
 
 
+def _parse_lengths(values: list[str]) -> int:
+    text = ", ".join(values)
+    match = _LENGTH.fullmatch(text)
+    length_bytes = MAX_LENGTH_BYTES + 1 if match is None else int(match[1])
+    if length_bytes > MAX_LENGTH_BYTES:
+        raise InvalidAnswerError(f"invalid Content-Length {text[:MAX_QUOTED_BYTES]!a}")
+    return length_bytes
+
+
 def _quoted(line: bytes) -> str:
     """Quote the name of a field only, since values may be secret."""
     return repr(line.partition(b":")[0][:MAX_QUOTED_BYTES])
--- a/packages/primroseferry-transport/tests/test_broken_heads.py
+++ b/packages/primroseferry-transport/tests/test_broken_heads.py
@@ -11,6 +11,7 @@
 
 import pytest
 from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import INVALID_LENGTHS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 from primroseferry_standins.raw_answer_server import RawAnswerServer
@@ -123,6 +124,14 @@
     assert_invalid(loop, serve(OK + head + b"\r\n" + BODY + SECOND, closes=closes))
 
 
+@pytest.mark.parametrize("closes", [False, True])
+@pytest.mark.parametrize("lines", INVALID_LENGTHS)
+def test_invalid_length_makes_an_answer_invalid(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], lines: bytes, closes: bool
+) -> None:
+    assert_invalid(loop, serve(OK + lines + b"\r\n\r\n" + BODY + SECOND, closes=closes))
+
+
 def answer_with(head: bytes, body: bytes = BODY) -> bytes:
     return OK + head + b"\r\n" + body
 
@@ -176,3 +185,23 @@
     for reply in replies(loop, serve(answer)):
         assert reply.headers["x-a"] == "a"
         assert reply.body == BODY
+
+
+@pytest.mark.parametrize("length", [b"10", b"\t10 \t", b"00010", b"0" * 40 + b"10"])
+@pytest.mark.parametrize("name", [b"Content-Length", b"content-length", b"CONTENT-LENGTH"])
+def test_unusual_length_is_passed_on(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], name: bytes, length: bytes
+) -> None:
+    server = serve(answer_with(name + b":" + length + b"\r\n"))
+    for reply in replies(loop, server):
+        assert reply.body == BODY
+    assert server.connections == 2  # The call that must not be repeated has one of its own.
+
+
+def test_answer_without_a_body_may_name_a_length(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer]
+) -> None:
+    for status in (b"204 No Content", b"304 Not Modified"):
+        answer = answer_with(LENGTH, b"").replace(b"200 OK", status)
+        for reply in replies(loop, serve(answer)):
+            assert reply.body == b""
--- a/packages/primroseferry-transport/tests/test_head_decoder.py
+++ b/packages/primroseferry-transport/tests/test_head_decoder.py
@@ -7,6 +7,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import INVALID_LENGTHS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 from primroseferry_transport.calls import Header
@@ -40,6 +41,12 @@
         decode(OK, FIELD, line)
 
 
+@pytest.mark.parametrize("lines", INVALID_LENGTHS)
+def test_invalid_framing_is_refused(lines: bytes) -> None:
+    with pytest.raises(InvalidAnswerError):
+        decode(OK, *(line + b"\r\n" for line in lines.split(b"\r\n")), FIELD, EMPTY)
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     st.binary(min_size=1, max_size=24)
@@ -57,3 +64,15 @@
     ]
     assert not set(line) & {*range(9), *range(10, 32), 127}
     assert not set(name) & set(b" \t")
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.binary(max_size=24) | st.text("0123456789 \t+,", max_size=24).map(str.encode))
+def test_length_is_that_of_the_digits_or_refused(value: bytes) -> None:
+    try:
+        decoder = decode(OK, b"Content-Length:" + value + b"\r\n", EMPTY)
+    except InvalidAnswerError:
+        return
+    digits = value.strip(b" \t")
+    assert set(digits) <= set(b"0123456789")
+    assert decoder.length_bytes == int(digits)
