Refuse answers whose coding does not tell the end of the body

Callers saw: 200 for an answer with a length beside Transfer-Encoding, or with an empty, a repeated or an "identity" coding. Depending on the call the body was that of one of the two, the framing of the chunks, or whatever came until the end of the connection.

Cause: the codings were only checked for calls with a body, as a set, in which repetitions, the order and empty ones were lost; a length beside them was not looked at.

Change: HeadDecoder checks the codings of all answers. What decides: - a length beside a coding: it "might indicate an attempt to perform request smuggling or response splitting [...] and ought to be handled as an error" (RFC 9112, 6.3). - repeated: "A sender MUST NOT apply the chunked transfer coding more than once" (RFC 9112, 6.1). - another last coding than chunked: no call asks for one, and nothing here could decode it. "identity" is no coding of RFC 9112; before "chunked" it changes nothing and still passes, as do empty list elements ("A recipient MUST parse and ignore a reasonable number of empty list elements", RFC 9110, 5.6.1.2). - an answer of HTTP/1.0 with a coding: "MUST treat the message as if the framing is faulty" (RFC 9112, 6.1).

An unknown coding is now INVALID_ANSWER and no longer CONNECTION_LOST, also where libcurl refuses it: the server runs, so nothing is held against the request.

--- a/packages/primroseferry-gateway/tests/test_broken_answers.py
+++ b/packages/primroseferry-gateway/tests/test_broken_answers.py
@@ -35,6 +35,7 @@
     b"HTTP/1.1 200 OK\r\nContent Length: 5\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n",
 ]
 TIMEOUT_MS = 3_000
 
--- a/packages/primroseferry-platform/tests/test_broken_answers.py
+++ b/packages/primroseferry-platform/tests/test_broken_answers.py
@@ -22,6 +22,7 @@
     b"Content Length: 5\r\n",
     b"Content-Length: %d, %d\r\n" % (len(BODY), len(BODY)),
     b"Content-Length: 99999999999999999999\r\n",
+    b"Transfer-Encoding: identity\r\n",
 ]
 
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
@@ -12,6 +12,7 @@
 
 import pytest
 from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import INVALID_CODINGS
 from primroseferry_standins.broken_heads import INVALID_LENGTHS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
@@ -29,6 +30,7 @@
 from .test_hop_server import hop_listener_of
 from .test_hop_server import send_hop
 from .test_invalid_statuses import EVENT_1
+from .test_invalid_statuses import LAST_CHUNK
 from .test_invalid_statuses import PATHS
 
 if TYPE_CHECKING:
@@ -48,6 +50,8 @@
     b"Content-Length : 5\r\n",
     b"Content-Length: 5, 5\r\n",
     b"Content-Length: 18446744073709551621\r\n",
+    b"Transfer-Encoding: identity\r\n",
+    b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
 ]
 
 
@@ -98,6 +102,15 @@
     assert_answered_502(loop, broken_endpoint(lines + b"\r\n", closes=closes))
 
 
+@pytest.mark.parametrize("closes", [False, True])
+@pytest.mark.parametrize("lines", INVALID_CODINGS)
+def test_answer_with_an_invalid_coding_is_answered_502(
+    loop: CurlLoop, lines: bytes, closes: bool
+) -> None:
+    body = chunk(EVENT_1) + LAST_CHUNK
+    assert_answered_502(loop, broken_endpoint(lines + b"\r\n", body, closes=closes))
+
+
 @pytest.mark.parametrize("path", ["/once/", "/stream/"])
 @pytest.mark.parametrize("lines", BROKEN_LINES)
 def test_request_with_a_broken_answer_is_not_repeated(
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -61,9 +61,14 @@
 _NOT_SENT_CODES = frozenset(
     {pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST, pycurl.E_URL_MALFORMAT}
 )
-# libcurl rejects some status lines on its own: those of an unknown version, for instance.
-_INVALID_ANSWER_CODES = frozenset({pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY})
-MAX_LOGGED_LINE_LENGTH = 40
+# libcurl rejects some lines on its own: those of an unknown version or coding, for instance.
+_INVALID_ANSWER_CODES = frozenset(
+    {
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+        pycurl.E_FTP_WEIRD_SERVER_REPLY,
+        pycurl.E_BAD_CONTENT_ENCODING,
+    }
+)
 
 # Headers that libcurl adds unless they are set or disabled.
 _LIBCURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Content-Type")
@@ -132,7 +137,11 @@
         self._loop.run_soon(lambda: self._loop._stop(self, _TOO_MUCH_BUFFERED))
 
     def _deliver_head(self) -> bool:
-        """Call ``on_head`` if it is set; ``False`` stops the call."""
+        """Prepare for the body and call ``on_head`` if it is set; ``False`` stops the call."""
+        head = self._head
+        # libcurl decodes the chunks of answers to calls without a body.
+        if self.call.body and head.is_chunked and head.status not in BODILESS_STATUSES:
+            self._decoder = ChunkDecoder()
         on_head = self.call.on_head
         if on_head is not None and not on_head(self._reply(b"")):
             return False
@@ -153,7 +162,7 @@
         if self._decoder is not None:
             return self._decoder.is_complete
         head = self._head
-        if not head.is_complete or "transfer-encoding" in head.headers:
+        if not head.is_complete or head.is_chunked:
             return False
         return head.status in BODILESS_STATUSES or head.length_bytes == self._received_bytes
 
@@ -635,38 +644,14 @@
         except InvalidAnswerError as error:
             pending._stop_reason = HttpFailure(FailureStage.INVALID_ANSWER, str(error))
             return -1
-        if ends_head:
-            failure = _prepare_body(pending)
-            if failure is not None or not pending._deliver_head():
-                pending._stop_reason = failure or _STOPPED
-                return -1
+        if ends_head and not pending._deliver_head():
+            pending._stop_reason = _STOPPED
+            return -1
         return None if pending._fits() else -1
 
     return on_header
 
 
-def _prepare_body(pending: PendingCall) -> HttpFailure | None:
-    """Set the decoder of a chunked answer to a call with a body.
-
-    Other codings fail the call, as in libcurl when it decodes: no call asks for them.
-    """
-    if not pending.call.body or "transfer-encoding" not in pending._head.headers:
-        return None
-    values = [
-        line.value
-        for line in pending._head.header_lines
-        if line.name.lower() == "transfer-encoding"
-    ]
-    codings = {coding.strip().lower() for value in values for coding in value.split(",")}
-    codings -= {"", "identity"}
-    if not codings <= {"chunked"}:
-        reason = f"unsolicited Transfer-Encoding {', '.join(values)[:MAX_LOGGED_LINE_LENGTH]!r}"
-        return HttpFailure(FailureStage.CONNECTION_LOST, reason)
-    if codings and pending._head.status not in BODILESS_STATUSES:
-        pending._decoder = ChunkDecoder()
-    return None
-
-
 def _write_function(pending: PendingCall) -> Callable[[bytes], int | None]:
     call = pending.call
     on_chunk = call.on_chunk
--- a/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
@@ -44,8 +44,10 @@
     """
 
     __slots__ = (
+        "_is_http_1_0",
         "header_lines",
         "headers",
+        "is_chunked",
         "is_complete",
         "length_bytes",
         "reason",
@@ -59,8 +61,10 @@
         self.headers: dict[str, str] = {}
         self.header_lines: list[Header] = []
         self.length_bytes: int | None = None
+        self.is_chunked = False
         self.is_complete = False
         self.size_bytes = 0
+        self._is_http_1_0 = False
 
     def decode(self, line: bytes) -> bool:
         """Decode the next line, with its line end; return whether it ends the final head.
@@ -91,6 +95,7 @@
         self.status = status
         parts = line.split(maxsplit=2)
         self.reason = parts[2].strip().decode("latin-1") if len(parts) > 2 else ""
+        self._is_http_1_0 = line.startswith(b"HTTP/1.0")
 
     def _decode_field(self, line: bytes) -> None:
         match = _FIELD_LINE.fullmatch(line)
@@ -108,8 +113,16 @@
         libcurl reads the same fields, so only values are accepted that have one meaning.
         """
         lengths = self._values("content-length")
+        codings = self._values("transfer-encoding")
+        if lengths and codings:
+            raise InvalidAnswerError("a Content-Length beside a Transfer-Encoding")
         if lengths:
             self.length_bytes = _parse_lengths(lengths)
+        if codings:
+            if self._is_http_1_0 or not _is_chunked(codings):
+                text = ", ".join(codings)[:MAX_QUOTED_BYTES]
+                raise InvalidAnswerError(f"invalid Transfer-Encoding {text!a}")
+            self.is_chunked = True
 
     def _values(self, name: str) -> list[str]:
         if name not in self.headers:
@@ -136,6 +149,13 @@
     return length_bytes
 
 
+def _is_chunked(values: list[str]) -> bool:
+    """Whether ``chunked`` is the only coding; ``identity`` before it changes nothing."""
+    codings = [coding.strip(_BLANKS).lower() for value in values for coding in value.split(",")]
+    *others, last = [coding for coding in codings if coding] or [""]
+    return last == "chunked" and set(others) <= {"identity"}
+
+
 def _quoted(line: bytes) -> str:
     """Quote the name of a field only, since values may be secret."""
     return repr(line.partition(b":")[0][:MAX_QUOTED_BYTES])
--- a/packages/primroseferry-transport/tests/test_broken_heads.py
+++ b/packages/primroseferry-transport/tests/test_broken_heads.py
@@ -11,6 +11,7 @@
 
 import pytest
 from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import INVALID_CODINGS
 from primroseferry_standins.broken_heads import INVALID_LENGTHS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
@@ -132,6 +133,22 @@
     assert_invalid(loop, serve(OK + lines + b"\r\n\r\n" + BODY + SECOND, closes=closes))
 
 
+@pytest.mark.parametrize("closes", [False, True])
+@pytest.mark.parametrize("lines", INVALID_CODINGS)
+def test_invalid_coding_makes_an_answer_invalid(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], lines: bytes, closes: bool
+) -> None:
+    body = CHUNKS + b"\r\n"
+    assert_invalid(loop, serve(OK + lines + b"\r\n\r\n" + body + SECOND, closes=closes))
+
+
+def test_chunks_make_an_answer_of_http_1_0_invalid(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer]
+) -> None:
+    head = OK.replace(b"1.1", b"1.0") + CHUNKED
+    assert_invalid(loop, serve(head + b"\r\n" + CHUNKS + b"\r\n" + SECOND, closes=True))
+
+
 def answer_with(head: bytes, body: bytes = BODY) -> bytes:
     return OK + head + b"\r\n" + body
 
@@ -198,6 +215,15 @@
     assert server.connections == 2  # The call that must not be repeated has one of its own.
 
 
+@pytest.mark.parametrize("coding", [b"chunked", b"Chunked", b" \tCHUNKED ", b", chunked,"])
+def test_unusual_coding_is_passed_on(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], coding: bytes
+) -> None:
+    head = b"Transfer-Encoding:" + coding + b"\r\n"
+    for reply in replies(loop, serve(answer_with(head, CHUNKS + b"\r\n"))):
+        assert reply.body == BODY
+
+
 def test_answer_without_a_body_may_name_a_length(
     loop: CurlLoop, serve: Callable[..., RawAnswerServer]
 ) -> None:
--- a/packages/primroseferry-transport/tests/test_head_decoder.py
+++ b/packages/primroseferry-transport/tests/test_head_decoder.py
@@ -7,6 +7,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from primroseferry_standins.broken_heads import BLANK_STARTS
+from primroseferry_standins.broken_heads import INVALID_CODINGS
 from primroseferry_standins.broken_heads import INVALID_LENGTHS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
@@ -41,7 +42,7 @@
         decode(OK, FIELD, line)
 
 
-@pytest.mark.parametrize("lines", INVALID_LENGTHS)
+@pytest.mark.parametrize("lines", [*INVALID_LENGTHS, *INVALID_CODINGS])
 def test_invalid_framing_is_refused(lines: bytes) -> None:
     with pytest.raises(InvalidAnswerError):
         decode(OK, *(line + b"\r\n" for line in lines.split(b"\r\n")), FIELD, EMPTY)
