Refuse answers whose status line is none

Callers saw: 200 for an answer whose reason phrase holds a control byte, with the phrase passed on. An answer that begins with "http/1.1 200 OK" had status 0 for callers of CurlLoop until its first line became an invalid field.

Cause: only the three digits of the status were checked, and any line of the head that begins with "HTTP/" was taken for a status line, so that a second one replaced what had been read.

Change: the first line of each head, and only that one, is a status line, and matches "status-line = HTTP-version SP status-code SP [ reason-phrase ]" (RFC 9112, 4; the phrase holds no control byte, "HTTP-version is case-sensitive", 2.3). A line without the second blank still passes, as before. An answer of HTTP/1.1 without a reason, or with bytes above 0x7f in it, is passed on as before.

--- a/packages/primroseferry-gateway/tests/test_broken_answers.py
+++ b/packages/primroseferry-gateway/tests/test_broken_answers.py
@@ -36,6 +36,9 @@
     b"HTTP/1.1 200 OK\r\nContent-Length: 5, 5\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n",
+    b"HTTP/1.1 200 O\x01K\r\nContent-Length: 10\r\n\r\n",
+    b"HTTP/1.1 000 OK\r\nContent-Length: 10\r\n\r\n",
+    b"http/1.1 200 OK\r\nContent-Length: 10\r\n\r\n",
 ]
 TIMEOUT_MS = 3_000
 
--- a/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
@@ -14,6 +14,7 @@
 from primroseferry_standins.broken_heads import BLANK_STARTS
 from primroseferry_standins.broken_heads import INVALID_CODINGS
 from primroseferry_standins.broken_heads import INVALID_LENGTHS
+from primroseferry_standins.broken_heads import INVALID_STATUS_LINES
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 
@@ -111,6 +112,15 @@
     assert_answered_502(loop, broken_endpoint(lines + b"\r\n", body, closes=closes))
 
 
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_answer_with_an_invalid_status_line_is_answered_502(loop: CurlLoop, line: bytes) -> None:
+    assert_answered_502(loop, broken_endpoint(LENGTH, status_line=line + b"\r\n"))
+
+
+def test_answer_with_two_status_lines_is_answered_502(loop: CurlLoop) -> None:
+    assert_answered_502(loop, broken_endpoint(LENGTH + OK))
+
+
 @pytest.mark.parametrize("path", ["/once/", "/stream/"])
 @pytest.mark.parametrize("lines", BROKEN_LINES)
 def test_request_with_a_broken_answer_is_not_repeated(
--- a/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
@@ -12,11 +12,11 @@
 
 MAX_LENGTH_BYTES = 2**63 - 1
 MAX_QUOTED_BYTES = 40
+_STATUS_LINE = re.compile(rb"HTTP/1\.([0-9]) ([0-9]{3})(?: ([\t\x20-\x7e\x80-\xff]*))?\r?\n")
 _FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r?\n")
 _LENGTH = re.compile("0*([0-9]{1,19})")
 _EMPTY_LINES = frozenset({b"\r\n", b"\n"})
 _BLANKS = " \t"
-_STATUS_ENDS = frozenset({b" ", b"\r", b"\n"})
 # Interim answers that precede the final one. 101 is not one of them: no call asks for an upgrade.
 _INTERIM_STATUSES = frozenset({100, 102, 103})
 # Memory of a header line beside its bytes: the strings, the header and its place in the map.
@@ -44,6 +44,7 @@
     """
 
     __slots__ = (
+        "_is_at_status_line",
         "_is_http_1_0",
         "header_lines",
         "headers",
@@ -64,6 +65,7 @@
         self.is_chunked = False
         self.is_complete = False
         self.size_bytes = 0
+        self._is_at_status_line = True
         self._is_http_1_0 = False
 
     def decode(self, line: bytes) -> bool:
@@ -73,29 +75,31 @@
         """
         if self.is_complete:
             return False
-        if line.startswith(b"HTTP/"):
+        if self._is_at_status_line:
             self._decode_status_line(line)
             return False
         if line not in _EMPTY_LINES:
             self._decode_field(line)
             return False
-        if self.status < 200:
+        self._is_at_status_line = True
+        if self.status in _INTERIM_STATUSES:
             return False
         self._decode_framing()
         self.is_complete = True
         return True
 
     def _decode_status_line(self, line: bytes) -> None:
-        status = _parse_status(line)
-        if status is None:
+        match = _STATUS_LINE.fullmatch(line)
+        status = 0 if match is None else int(match[2])
+        if match is None or not (200 <= status < 600 or status in _INTERIM_STATUSES):
             raise InvalidAnswerError(f"invalid status line {line[:MAX_QUOTED_BYTES]!r}")
         self.headers.clear()
         self.header_lines.clear()
         self.size_bytes = 0
         self.status = status
-        parts = line.split(maxsplit=2)
-        self.reason = parts[2].strip().decode("latin-1") if len(parts) > 2 else ""
-        self._is_http_1_0 = line.startswith(b"HTTP/1.0")
+        self.reason = (match[3] or b"").decode("latin-1").strip(_BLANKS)
+        self._is_http_1_0 = match[1] == b"0"
+        self._is_at_status_line = False
 
     def _decode_field(self, line: bytes) -> None:
         match = _FIELD_LINE.fullmatch(line)
@@ -130,16 +134,6 @@
         return [line.value for line in self.header_lines if line.name.lower() == name]
 
 
-def _parse_status(line: bytes) -> int | None:
-    """Return the status of a status line, ``None`` if it is neither a final nor an interim one."""
-    _, _, rest = line.partition(b" ")
-    digits = rest[:3]
-    if not digits.isdigit() or rest[3:4] not in _STATUS_ENDS:
-        return None
-    status = int(digits)
-    return status if 200 <= status < 600 or status in _INTERIM_STATUSES else None
-
-
 def _parse_lengths(values: list[str]) -> int:
     text = ", ".join(values)
     match = _LENGTH.fullmatch(text)
--- a/packages/primroseferry-transport/tests/test_broken_heads.py
+++ b/packages/primroseferry-transport/tests/test_broken_heads.py
@@ -13,6 +13,7 @@
 from primroseferry_standins.broken_heads import BLANK_STARTS
 from primroseferry_standins.broken_heads import INVALID_CODINGS
 from primroseferry_standins.broken_heads import INVALID_LENGTHS
+from primroseferry_standins.broken_heads import INVALID_STATUS_LINES
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 from primroseferry_standins.raw_answer_server import RawAnswerServer
@@ -149,6 +150,13 @@
     assert_invalid(loop, serve(head + b"\r\n" + CHUNKS + b"\r\n" + SECOND, closes=True))
 
 
+@pytest.mark.parametrize("line", INVALID_STATUS_LINES)
+def test_invalid_status_line_makes_an_answer_invalid(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], line: bytes
+) -> None:
+    assert_invalid(loop, serve(line + b"\r\n" + LENGTH + b"\r\n" + BODY + SECOND))
+
+
 def answer_with(head: bytes, body: bytes = BODY) -> bytes:
     return OK + head + b"\r\n" + body
 
@@ -224,6 +232,19 @@
         assert reply.body == BODY
 
 
+@pytest.mark.parametrize(
+    "line",
+    [b"HTTP/1.0 200 OK", b"HTTP/1.1 200", b"HTTP/1.1 200 ", b"HTTP/1.1 200 Tr\xc3\xa8s \t bien"],
+)
+def test_unusual_status_line_is_passed_on(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], line: bytes
+) -> None:
+    for reply in replies(loop, serve(answer_with(LENGTH).replace(OK, line + b"\r\n"))):
+        assert reply.status == 200
+        assert reply.reason == line[13:].decode("latin-1")
+        assert reply.body == BODY
+
+
 def test_answer_without_a_body_may_name_a_length(
     loop: CurlLoop, serve: Callable[..., RawAnswerServer]
 ) -> None:
--- a/packages/primroseferry-transport/tests/test_head_decoder.py
+++ b/packages/primroseferry-transport/tests/test_head_decoder.py
@@ -9,6 +9,7 @@
 from primroseferry_standins.broken_heads import BLANK_STARTS
 from primroseferry_standins.broken_heads import INVALID_CODINGS
 from primroseferry_standins.broken_heads import INVALID_LENGTHS
+from primroseferry_standins.broken_heads import INVALID_STATUS_LINES
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 from primroseferry_transport.calls import Header
@@ -48,6 +49,17 @@
         decode(OK, *(line + b"\r\n" for line in lines.split(b"\r\n")), FIELD, EMPTY)
 
 
+@pytest.mark.parametrize("line", [*INVALID_STATUS_LINES, b"", b"X-A: a"])
+def test_invalid_status_line_is_refused(line: bytes) -> None:
+    with pytest.raises(InvalidAnswerError):
+        decode(line + b"\r\n")
+
+
+def test_status_line_within_a_head_is_refused() -> None:
+    with pytest.raises(InvalidAnswerError):
+        decode(OK, FIELD, OK)
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     st.binary(min_size=1, max_size=24)
