Count an answer that ends within its head as a lost connection

Callers saw: primroseferry-gateway stored and returned a whole, empty answer with status 200 when a service ended within the head, after the status line. The relay's callers got 502 already, since its attempts look for the head; by reading, its health checks and the clients of the platform and the store did not.

Cause: libcurl reports success when the connection closes anywhere in a head after its status line, and CurlLoop took that for a complete answer. A lone carriage return before the break counted as the end of the head.

Evidence: test_broken_heads.py cuts a head after each byte, for calls with and without a body; in primroseferry-gateway test_answer_of_a_service_that_breaks_off_in_its_head_is_a_failed_call.

Change: an answer without its whole head is CONNECTION_LOST, as one that broke off elsewhere ("A client that receives an incomplete response message [...] MUST record the message as incomplete", RFC 9112, 8). A line that broke off is not checked: it says nothing against the server's HTTP.

--- a/packages/primroseferry-gateway/tests/test_broken_answers.py
+++ b/packages/primroseferry-gateway/tests/test_broken_answers.py
@@ -77,6 +77,19 @@
     assert server.connections == 1
 
 
+@pytest.mark.parametrize("size", [17, 20, 34, 36])
+def test_answer_of_a_service_that_breaks_off_in_its_head_is_a_failed_call(
+    loop: CurlLoop, server: RawAnswerServer, size: int
+) -> None:
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    server.pieces = (head[:size],)
+    outcome = call_service(
+        loop, endpoint_of(server), RequestId("r"), REQUEST, TIMEOUT_MS, is_repeatable=False
+    )
+    assert isinstance(outcome, CallFailed)
+    assert outcome.is_sent
+
+
 @pytest.mark.parametrize("head", BROKEN_HEADS)
 def test_broken_answer_of_an_engine_is_a_failed_attempt(
     loop: CurlLoop, server: RawAnswerServer, head: bytes
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -73,6 +73,7 @@
 # Headers that libcurl adds unless they are set or disabled.
 _LIBCURL_DEFAULT_HEADERS = ("Accept", "User-Agent", "Content-Type")
 _ENDED_DURING_UPLOAD = "the server ended its answer without a length during the upload"
+_ENDED_IN_HEAD = "the server ended its answer before the end of the head"
 _ENDED_BEFORE_LAST_CHUNK = "the server ended its answer before the last chunk"
 _INVALID_CHUNK = "the server sent an invalid chunk"
 
@@ -703,6 +704,8 @@
     if pending._stop_reason is not None:
         return Err(pending._stop_reason)
     if code == pycurl.E_OK or pending._is_whole():
+        if not pending._head.is_complete:
+            return Err(HttpFailure(FailureStage.CONNECTION_LOST, _ENDED_IN_HEAD))
         if pending._decoder is not None and not pending._decoder.is_complete:
             return Err(HttpFailure(FailureStage.CONNECTION_LOST, _ENDED_BEFORE_LAST_CHUNK))
         reply = pending._reply(bytes(pending._body))
--- a/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
@@ -71,8 +71,11 @@
     def decode(self, line: bytes) -> bool:
         """Decode the next line, with its line end; return whether it ends the final head.
 
-        Lines after that are trailers, which are discarded. Raises ``InvalidAnswerError``.
+        Lines after that are trailers, which are discarded. A line without its end, in which the
+        connection broke off, is ignored. Raises ``InvalidAnswerError``.
         """
+        if not line.endswith(b"\n"):
+            return False
         if self.is_complete:
             return False
         if self._is_at_status_line:
--- a/packages/primroseferry-transport/tests/test_broken_heads.py
+++ b/packages/primroseferry-transport/tests/test_broken_heads.py
@@ -157,6 +157,17 @@
     assert_invalid(loop, serve(line + b"\r\n" + LENGTH + b"\r\n" + BODY + SECOND))
 
 
+HEAD = OK + b"X-A: a\r\n" + b"Content-Length: 0\r\n" + b"\r\n"
+
+
+@pytest.mark.parametrize("size", range(1, len(HEAD)))
+def test_head_that_breaks_off_is_a_lost_connection(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], size: int
+) -> None:
+    for failure in failures(loop, serve(HEAD[:size], closes=True)):
+        assert failure.stage is FailureStage.CONNECTION_LOST, failure
+
+
 def answer_with(head: bytes, body: bytes = BODY) -> bytes:
     return OK + head + b"\r\n" + body
 
--- a/packages/primroseferry-transport/tests/test_head_decoder.py
+++ b/packages/primroseferry-transport/tests/test_head_decoder.py
@@ -60,6 +60,17 @@
         decode(OK, FIELD, OK)
 
 
+def test_head_ends_with_its_empty_line_only() -> None:
+    decoder = decode(b"HTTP/1.1 103 Early Hints\r\n", b"Link: </a>\r\n", EMPTY)
+    assert not decoder.is_complete
+    assert not decoder.decode(OK)
+    assert not decoder.decode(b"X-A: a")
+    assert not decoder.decode(b"\r")
+    assert decoder.header_lines == []
+    assert decoder.decode(EMPTY)
+    assert decoder.is_complete
+
+
 @settings(derandomize=True, deadline=None)
 @given(
     st.binary(min_size=1, max_size=24)
