Refuse answers with a trailer that is no field

Callers saw: an answer in chunks was complete whatever stood between its last chunk and the empty line after it, also the status line of another answer. Where libcurl refused the line, the call still succeeded if it had a body.

Cause: ChunkDecoder and the header callback skipped trailers unread.

Change: each trailer must be a field like those of the head ("trailer-section = *( field-line CRLF )", RFC 9112, 7.1.2); folded ones are refused too ("MUST either discard the message [...]", 5.2; libcurl refused most of them). A valid trailer is discarded as before, whatever it names. Otherwise the answer is INVALID_ANSWER: a plain one is lost and may have run, a stream ends without its last chunk or goes on at another endpoint.

test_status_line_among_the_trailers_is_no_answer asked for 200 for an answer with "HTTP/1.1 503 Full: x" as a trailer. What it guards, that this line is not taken for the answer, holds on; but the line is no trailer either, so 200 was the fault that this commit removes. It asks for 502 and one run now, on two paths and with two lines. What else it showed, that a trailer changes nothing of the answer, is in test_trailers_say_nothing_about_the_answer.

--- a/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_broken_answers.py
@@ -15,6 +15,7 @@
 from primroseferry_standins.broken_heads import INVALID_CODINGS
 from primroseferry_standins.broken_heads import INVALID_LENGTHS
 from primroseferry_standins.broken_heads import INVALID_STATUS_LINES
+from primroseferry_standins.broken_heads import INVALID_TRAILERS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 
@@ -121,6 +122,23 @@
     assert_answered_502(loop, broken_endpoint(LENGTH + OK))
 
 
+@pytest.mark.parametrize("line", INVALID_TRAILERS)
+def test_answer_with_an_invalid_trailer_is_not_complete(loop: CurlLoop, line: bytes) -> None:
+    def script(connection: socket.socket, request: Received) -> None:
+        connection.sendall(stream_head(request) + chunk(EVENT_1))
+        connection.sendall(b"0\r\nX-B: b\r\n" + line + b"\r\n\r\n" + SECOND)
+        request.closed.wait(1.2)
+
+    for path in PATHS:
+        harness = RelayHarness(loop, [ScriptedEndpoint(script)])
+        data = harness.call(path, "POST", body=b"x")
+        if path in ("/once/", "/safe/"):
+            assert data.startswith(b"HTTP/1.1 502")
+        else:
+            assert data.endswith(chunk(EVENT_1))
+        assert b"second" not in data
+
+
 @pytest.mark.parametrize("path", ["/once/", "/stream/"])
 @pytest.mark.parametrize("lines", BROKEN_LINES)
 def test_request_with_a_broken_answer_is_not_repeated(
--- a/packages/primroseferry-relay/tests/relay_tests/test_invalid_statuses.py
+++ b/packages/primroseferry-relay/tests/relay_tests/test_invalid_statuses.py
@@ -104,10 +104,27 @@
     assert b"Link" not in data
 
 
-def test_status_line_among_the_trailers_is_no_answer(loop: CurlLoop) -> None:
+@pytest.mark.parametrize("path", ["/once/", "/safe/"])
+@pytest.mark.parametrize("line", ["HTTP/1.1 503 Full: x", "HTTP/1.1 200 OK"])
+def test_status_line_among_the_trailers_is_no_answer(loop: CurlLoop, line: str, path: str) -> None:
+    """It is no trailer either, so the answer before it is not complete."""
+
+    def script(connection: socket.socket, request: Received) -> None:
+        connection.sendall(stream_head(request) + chunk(EVENT_1))
+        connection.sendall(f"0\r\n{line}\r\nX-Not-Run: 1\r\n\r\n".encode())
+
+    endpoint = ScriptedEndpoint(script)
+    data = RelayHarness(loop, [endpoint]).call(path, "POST", body=b"x")
+    assert data.startswith(b"HTTP/1.1 502")
+    assert len(endpoint.requests) == 1
+
+
+def test_trailers_say_nothing_about_the_answer(loop: CurlLoop) -> None:
     def script(connection: socket.socket, request: Received) -> None:
         connection.sendall(stream_head(request) + chunk(EVENT_1))
-        connection.sendall(b"0\r\nHTTP/1.1 503 Full: x\r\nX-Not-Run: 1\r\n\r\n")
+        connection.sendall(b"0\r\nX-Not-Run: 1\r\nContent-Length: 3\r\n\r\n")
 
     data = RelayHarness(loop, [ScriptedEndpoint(script)]).call("/once/", "POST", body=b"x")
     assert data.startswith(b"HTTP/1.1 200")
+    assert data.endswith(b"\r\n\r\n" + EVENT_1)
+    assert b"X-Not-Run" not in data
--- a/packages/primroseferry-transport/src/primroseferry_transport/chunk_decoder.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/chunk_decoder.py
@@ -4,6 +4,8 @@
 
 import re
 
+from .head_decoder import is_trailer_line
+
 # Bound of the extensions of one chunk, and of all trailers together.
 MAX_LINE_BYTES = 16_384
 _SIZE_LINE = re.compile(
@@ -15,8 +17,9 @@
 class ChunkDecoder:
     """Decodes one chunked body that arrives in pieces.
 
-    A body that breaks off never becomes complete, neither does one with an invalid chunk. Lines may
-    end without a carriage return, as libcurl permits. Trailers are discarded.
+    A body that breaks off never becomes complete, neither does one with an invalid chunk or an
+    invalid trailer. Lines may end without a carriage return, as libcurl permits. Trailers are
+    checked and discarded.
 
     >>> decoder = ChunkDecoder()
     >>> decoder.decode(b"3;a=b\\r\\nabc\\r\\n2\\r\\nd")
@@ -34,6 +37,7 @@
         "_is_in_trailers",
         "_rest",
         "_trailer_bytes",
+        "has_invalid_trailer",
         "has_surplus",
         "is_complete",
         "is_invalid",
@@ -44,6 +48,7 @@
         self.is_invalid = False
         # Bytes followed the end of the body.
         self.has_surplus = False
+        self.has_invalid_trailer = False
         self._rest = b""
         self._data_bytes = 0
         self._is_at_size = True
@@ -117,8 +122,12 @@
             line_end = data.find(b"\n", position) + 1
             if not line_end:
                 break
-            self.is_complete = data[position:line_end] in (b"\r\n", b"\n")
-            self._trailer_bytes += line_end - position
+            line = data[position:line_end]
+            self.is_complete = line in (b"\r\n", b"\n")
+            if not self.is_complete and not is_trailer_line(line):
+                self.is_invalid = self.has_invalid_trailer = True
+                return
+            self._trailer_bytes += len(line)
             position = line_end
         rest = data[position:]
         if self.is_complete:
--- a/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/curl_loop.py
@@ -75,6 +75,7 @@
 _ENDED_DURING_UPLOAD = "the server ended its answer without a length during the upload"
 _ENDED_IN_HEAD = "the server ended its answer before the end of the head"
 _ENDED_BEFORE_LAST_CHUNK = "the server ended its answer before the last chunk"
+_INVALID_TRAILER = "the server sent an invalid trailer"
 _INVALID_CHUNK = "the server sent an invalid chunk"
 
 HttpResult = Result[HttpReply, HttpFailure]
@@ -670,6 +671,9 @@
         for chunk in decoder.decode(data):
             if not receive(chunk):
                 return -1
+        if decoder.has_invalid_trailer:
+            pending._stop_reason = HttpFailure(FailureStage.INVALID_ANSWER, _INVALID_TRAILER)
+            return -1
         if decoder.is_invalid:
             pending._stop_reason = HttpFailure(FailureStage.CONNECTION_LOST, _INVALID_CHUNK)
             return -1
--- a/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
+++ b/packages/primroseferry-transport/src/primroseferry_transport/head_decoder.py
@@ -1,4 +1,4 @@
-"""Decodes the lines of answer heads, and refuses those that HTTP/1.1 does not allow.
+"""Decodes the lines of answer heads and trailers, and refuses those that HTTP/1.1 does not allow.
 
 libcurl passes on many lines that RFC 9112 does not allow, and each version others. What is checked
 here does not depend on it.
@@ -71,12 +71,14 @@
     def decode(self, line: bytes) -> bool:
         """Decode the next line, with its line end; return whether it ends the final head.
 
-        Lines after that are trailers, which are discarded. A line without its end, in which the
-        connection broke off, is ignored. Raises ``InvalidAnswerError``.
+        Lines after that are trailers, which are checked and discarded. A line without its end, in
+        which the connection broke off, is ignored. Raises ``InvalidAnswerError``.
         """
         if not line.endswith(b"\n"):
             return False
         if self.is_complete:
+            if not is_trailer_line(line):
+                raise InvalidAnswerError(f"invalid trailer {_quoted(line)}")
             return False
         if self._is_at_status_line:
             self._decode_status_line(line)
@@ -137,6 +139,11 @@
         return [line.value for line in self.header_lines if line.name.lower() == name]
 
 
+def is_trailer_line(line: bytes) -> bool:
+    """Return whether a line with its line end is a valid trailer field."""
+    return _FIELD_LINE.fullmatch(line) is not None
+
+
 def _parse_lengths(values: list[str]) -> int:
     text = ", ".join(values)
     match = _LENGTH.fullmatch(text)
--- a/packages/primroseferry-transport/tests/test_broken_heads.py
+++ b/packages/primroseferry-transport/tests/test_broken_heads.py
@@ -14,6 +14,7 @@
 from primroseferry_standins.broken_heads import INVALID_CODINGS
 from primroseferry_standins.broken_heads import INVALID_LENGTHS
 from primroseferry_standins.broken_heads import INVALID_STATUS_LINES
+from primroseferry_standins.broken_heads import INVALID_TRAILERS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 from primroseferry_standins.raw_answer_server import RawAnswerServer
@@ -168,6 +169,20 @@
         assert failure.stage is FailureStage.CONNECTION_LOST, failure
 
 
+@pytest.mark.parametrize("closes", [False, True])
+@pytest.mark.parametrize("line", INVALID_TRAILERS)
+def test_line_that_is_no_trailer_makes_an_answer_incomplete(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], line: bytes, closes: bool
+) -> None:
+    """The body is complete, but where the answer ends is not known."""
+    answer = OK + CHUNKED + b"\r\n" + CHUNKS + b"X-B: b\r\n" + line + b"\r\n\r\n"
+    server = serve(answer + SECOND, closes=closes)
+    for call in CALLS:
+        failure = loop.call(replace(call, url=server.url, timeout_ms=3_000)).unwrap_err()
+        assert failure.stage is FailureStage.INVALID_ANSWER, failure
+    assert server.connections == len(CALLS)
+
+
 def answer_with(head: bytes, body: bytes = BODY) -> bytes:
     return OK + head + b"\r\n" + body
 
@@ -256,6 +271,15 @@
         assert reply.body == BODY
 
 
+@pytest.mark.parametrize("trailers", [b"X-B:\r\n", b"X-A: \xff\r\nContent-Length: 3\r\n"])
+def test_trailers_are_passed_over(
+    loop: CurlLoop, serve: Callable[..., RawAnswerServer], trailers: bytes
+) -> None:
+    for reply in replies(loop, serve(answer_with(CHUNKED, CHUNKS + trailers + b"\r\n"))):
+        assert reply.body == BODY
+        assert "content-length" not in reply.headers
+
+
 def test_answer_without_a_body_may_name_a_length(
     loop: CurlLoop, serve: Callable[..., RawAnswerServer]
 ) -> None:
--- a/packages/primroseferry-transport/tests/test_head_decoder.py
+++ b/packages/primroseferry-transport/tests/test_head_decoder.py
@@ -10,9 +10,11 @@
 from primroseferry_standins.broken_heads import INVALID_CODINGS
 from primroseferry_standins.broken_heads import INVALID_LENGTHS
 from primroseferry_standins.broken_heads import INVALID_STATUS_LINES
+from primroseferry_standins.broken_heads import INVALID_TRAILERS
 from primroseferry_standins.broken_heads import INVALID_VALUES
 from primroseferry_standins.broken_heads import NO_FIELDS
 from primroseferry_transport.calls import Header
+from primroseferry_transport.chunk_decoder import ChunkDecoder
 from primroseferry_transport.head_decoder import HeadDecoder
 from primroseferry_transport.head_decoder import InvalidAnswerError
 
@@ -55,6 +57,17 @@
         decode(line + b"\r\n")
 
 
+@pytest.mark.parametrize("line", [*INVALID_TRAILERS, FOLDED.strip()])
+def test_invalid_trailer_is_refused(line: bytes) -> None:
+    with pytest.raises(InvalidAnswerError):
+        decode(OK, EMPTY, FIELD, line + b"\r\n")
+    decoder = ChunkDecoder()
+    assert decoder.decode(b"1\r\na\r\n0\r\n" + FIELD + line + b"\r\n\r\n" + OK) == [b"a"]
+    assert decoder.is_invalid
+    assert not decoder.is_complete
+    assert decoder.decode(EMPTY) == []
+
+
 def test_status_line_within_a_head_is_refused() -> None:
     with pytest.raises(InvalidAnswerError):
         decode(OK, FIELD, OK)
