--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -24,6 +24,7 @@
 
 from fleet_soak.endpoint_standin import HEALTH_PATH  # noqa: E402
 from fleet_soak.endpoint_standin import EndpointStandin  # noqa: E402
+from fleet_soak.endpoint_standin import Room  # noqa: E402, F401
 from fleet_soak.endpoint_standin import RunLog  # noqa: E402
 from fleet_tests.store_standin import StoreStandin  # noqa: E402
 
@@ -133,6 +134,7 @@
         self._entries: dict[str, dict] = {}
         self._regions = regions
         self.gateways: list[Gateway] = []
+        self.is_closed = False
         names = [(zone, number) for zone, count in gateways.items() for number in range(count)]
         ips = [f"{self._network}.{index + 1}.1" for index in range(len(names))]
         for (zone, number), ip in zip(names, ips, strict=True):
@@ -189,9 +191,12 @@
             self.write_entry(name)
         return endpoint
 
-    def write_entry(self, name: str) -> None:
-        left_ms = self.endpoints[name].cold_ms
-        self.store.put(f"servers/{name}", {**self._entries[name], "WarmupLeftMs": left_ms})
+    def write_entry(self, name: str, without: tuple[str, ...] = (), **changed: object) -> None:
+        """Write the entry of an endpoint, with some fields left out or changed."""
+        self._entries[name]["Sequence"] += 1
+        entry = {**self._entries[name], "WarmupLeftMs": self.endpoints[name].cold_ms, **changed}
+        entry = {field: value for field, value in entry.items() if field not in without}
+        self.store.put(f"servers/{name}", entry)
 
     def start(self) -> None:
         for gateway in self.gateways:
@@ -217,9 +222,10 @@
         return found
 
     def close(self) -> None:
+        self.is_closed = True
         for gateway in self.gateways:
             gateway.close()
-        for endpoint in self.endpoints.values():
+        for endpoint in list(self.endpoints.values()):
             if endpoint.is_running:
                 endpoint.crash()
         self.store.close()
