--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""LIMIT: prompts of very many parts split a region, and each gateway issues the whole limit."""
+"""BUDGET: a part deep in its prompts goes on to crash workers."""
 
 from __future__ import annotations
 
@@ -21,33 +21,44 @@
 from harness_2 import service  # noqa: E402
 
 IS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-LIMIT_PER_S = 5.0
+# How many parts precede the part that crashes workers.
+DEPTH = int(os.environ.get("DEPTH", "35"))
+SHARED_PARTS = 40
 CONTACT_S = 5.0
-WINDOW_S = 4.0
-MOST_IN_WINDOW = 1.5 * LIMIT_PER_S * WINDOW_S + 5
-# A head of at most MaxHeaderBytes (16,384) holds so many parts.
-MANY_PARTS, FEW_PARTS = 1_400, 3
-PROMPT_CALLERS, PROMPTS_PER_S = 12, 4.0
-ORDER_CALLERS, ORDERS_PER_S = 4, 2.5
-PROMPTS_FROM_S, LENGTH_S = 6.0, 46.0
+# A worker that a request crashes is back after some seconds.
+DOWN_S = 2.0
+MOST_AFTER = 3
+SOUND_CALLERS, SOUND_PER_S = 6, 2.0
+CRASH_EVERY_S, LENGTH_S = 1.0, 45.0
+# The stand-in of a worker crashes on this part, before it answers.
+BAD_PART = "bad0"
+PARTS = [f"{0x5C1E0000 + number:08x}" for number in range(SHARED_PARTS)]
 
 
 class Callers:
-    def __init__(self, record: Record) -> None:
-        self.record = record
+    def __init__(self, deployment: Deployment, record: Record) -> None:
+        self.deployment, self.record = deployment, record
         self.statuses: Counter[str] = Counter()
-        self.numbers = 0
+        self.number = 0
         self.lock = threading.Lock()
         self.is_running = True
 
-    def call(self, gateway, method: str, path: str, headers: dict[str, str], kind: str) -> None:
+    def call(self, gateway, is_sound: bool) -> None:
         with self.lock:
-            self.numbers += 1
-            request_id = f"{self.numbers:08x}"
-        headers = {"Host": HOST, "Request-Id": request_id, "Deadline-Ms": "4000", **headers}
+            self.number += 1
+            request_id = f"{self.number:08x}"
+        shared = list(PARTS)
+        if not is_sound and IS_TROUBLE:
+            shared[DEPTH] = BAD_PART
+        parts = ",".join(f"{part}:20" for part in [*shared, request_id])
+        headers = {
+            "Host": HOST, "Request-Id": request_id, "Deadline-Ms": "5000", "Model": "m",
+            "Token-Counts": f"{20 * SHARED_PARTS + 20},4", "Prompt-Prefix": parts,
+        }
         connection = http.client.HTTPConnection(*gateway.front, timeout=6)
         try:
-            connection.request(method, path, b"{}" if method == "POST" else None, headers)
+            # No two requests are alike.
+            connection.request("POST", "/chat/stream-4", request_id.encode(), headers)
             answer = connection.getresponse()
             answer.read()
             status = str(answer.status)
@@ -55,92 +66,82 @@
             status = type(error).__name__
         finally:
             connection.close()
+        kind = "sound" if is_sound else "crashing"
         self.statuses[f"{kind} {status}"] += 1
         self.record.note(f"{kind} {request_id} at {gateway.name}: {status}")
 
-    def orders(self, gateway) -> None:
+    def sound(self, gateway) -> None:
         while self.is_running:
-            self.call(gateway, "GET", "/orders/a", {}, "order")
-            time.sleep(random.uniform(0.5, 1.5) / ORDERS_PER_S)
+            self.call(gateway, is_sound=True)
+            time.sleep(random.uniform(0.5, 1.5) / SOUND_PER_S)
 
-    def prompts(self, gateway) -> None:
+    def crashing(self) -> None:
         while self.is_running:
-            count = MANY_PARTS if IS_TROUBLE else FEW_PARTS
-            digits = os.urandom(4 * count).hex()
-            parts = ",".join([f"{digits[at : at + 8]}:1" for at in range(0, 8 * count, 8)])
-            headers = {"Model": "m", "Token-Counts": f"{count},4", "Prompt-Prefix": parts}
-            self.call(gateway, "POST", "/chat/stream-4", headers, "prompt")
-            time.sleep(random.uniform(0.5, 1.5) / PROMPTS_PER_S)
+            gateway = random.choice(self.deployment.gateways)
+            threading.Thread(target=self.call, args=(gateway, False), daemon=True).start()
+            time.sleep(CRASH_EVERY_S)
+
+
+def bring_back(deployment: Deployment, record: Record) -> None:
+    """Start each crashed worker again, under its id, after some seconds."""
+    while True:
+        for name, endpoint in list(deployment.endpoints.items()):
+            if not endpoint.is_running and not deployment.is_closed:
+                record.note(f"{name} has crashed")
+                del deployment.endpoints[name]
+                threading.Timer(DOWN_S, start_again, (deployment, name, endpoint.address)).start()
+        time.sleep(0.05)
+
+
+def start_again(deployment: Deployment, name: str, address: str) -> None:
+    if not deployment.is_closed:
+        deployment.add_endpoint(name, "kura-model", "dakar-a", address=address)
 
 
 def main() -> int:
     record = Record(__file__)
-    deployment = Deployment({"dakar-a": 3}, {"dakar-a": "dakar"})
+    deployment = Deployment({"dakar-a": 2}, {"dakar-a": "dakar"})
     try:
         deployment.put_config(
-            [
-                route("orders", "/orders/", "idempotent", "kura-orders", Priority=2),
-                route("chat", "/chat/", "streaming", "kura-model", Resumable=True, Sticky=True),
-            ],
-            [service("kura-orders"), service("kura-model", Engine=ENGINE)],
+            [route("chat", "/chat/", "streaming", "kura-model", Resumable=True, Sticky=True)],
+            [service("kura-model", Engine=ENGINE)],
         )
-        deployment.add_endpoint("i-orders", "kura-orders", "dakar-a", slots=6)
-        for number in range(3):
+        for number in range(6):
             deployment.add_endpoint(f"i-model-{number}", "kura-model", "dakar-a")
         deployment.start()
         if not deployment.wait_ready():
             record.say("the gateways did not become ready")
             return 2
-        deployment.endpoints["i-orders"].name_limit(LIMIT_PER_S)
-        callers = Callers(record)
-        threads = []
+        threading.Thread(target=bring_back, args=(deployment, record), daemon=True).start()
+        callers = Callers(deployment, record)
         for gateway in deployment.gateways:
-            threads += [
-                threading.Thread(target=callers.orders, args=(gateway,), daemon=True)
-                for _ in range(ORDER_CALLERS)
-            ]
-        for thread in threads:
-            thread.start()
-        time.sleep(PROMPTS_FROM_S)
-        record.note("prompts begin")
-        more = [
-            threading.Thread(target=callers.prompts, args=(gateway,), daemon=True)
-            for gateway in deployment.gateways
-            for _ in range(PROMPT_CALLERS)
-        ]
-        for thread in more:
-            thread.start()
-        time.sleep(LENGTH_S - PROMPTS_FROM_S)
+            for _ in range(SOUND_CALLERS):
+                threading.Thread(target=callers.sound, args=(gateway,), daemon=True).start()
+        time.sleep(3)
+        threading.Thread(target=callers.crashing, daemon=True).start()
+        time.sleep(LENGTH_S)
         callers.is_running = False
-        for thread in [*threads, *more]:
-            thread.join(7)
+        time.sleep(5.5)
         return judge(deployment, callers, record)
     finally:
         deployment.close()
 
 
 def judge(deployment: Deployment, callers: Callers, record: Record) -> int:
-    period = deployment.runs.limit_periods[0]
-    for gateway in deployment.gateways:
-        record.note(f"{gateway.name}: {gateway.memory_mb():.0f} MB")
-    for line in deployment.log_events("peer lost", "stopped responding", "peers were lost", "\"event\": 4002", "\"event\": 4003", "collector")[:60]:
-        record.note(line[:300])
-    from_s = period.from_s + CONTACT_S
-    times = sorted(one.at_s for one in deployment.runs.limited_arrivals if one.at_s >= from_s)
-    for at_s in times:
-        record.note(f"arrival at the limited endpoint {at_s - period.from_s:.3f} s after its limit")
-    most = max(
-        (sum(at_s <= other < at_s + WINDOW_S for other in times) for at_s in times), default=0
-    )
     record.say(f"answers: {dict(callers.statuses)}")
+    times = [one.at_s for one in deployment.runs.crashes]
+    record.say(f"crashes: {len(times)}")
+    if len(times) < 5:
+        return 1 if IS_TROUBLE and not times else 0
+    limit_s = times[4] + CONTACT_S
+    late = [one for one in deployment.runs.crashes if one.at_s > limit_s]
+    for one in late:
+        record.note(f"{one.request_id} reached {one.endpoint} {one.at_s - times[4]:.1f} s after")
     record.say(
-        f"limit {LIMIT_PER_S}/s: at most {most} requests in {WINDOW_S} s, "
-        f"allowed {MOST_IN_WINDOW:.0f}"
+        f"{len(late)} requests with the part reached workers later than {CONTACT_S:.0f} s after the "
+        f"fifth crash, allowed {MOST_AFTER}"
     )
-    if len(times) < 20:
-        record.say("too few requests arrived to judge")
-        return 2
-    return 1 if most > MOST_IN_WINDOW else 0
+    return 1 if len(late) > MOST_AFTER else 0
 
 
 if __name__ == "__main__":
