--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -126,6 +126,8 @@
     """Gateways by zone, endpoints and the store."""
 
     def __init__(self, gateways: dict[str, int], regions: dict[str, str], memory_mb: int = 300):
+        # A script that is ended early ends its processes too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.directory = Path(tempfile.mkdtemp(prefix="review-"))
         self._claim, self._network = _claim_network()
         self.store = StoreStandin()
