--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -22,6 +22,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "platform" / "tests")]
 
+from fleet_soak import endpoint_standin  # noqa: E402, F401
 from fleet_soak.endpoint_standin import HEALTH_PATH  # noqa: E402
 from fleet_soak.endpoint_standin import EndpointStandin  # noqa: E402
 from fleet_soak.endpoint_standin import Room  # noqa: E402, F401
